--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,293 @@
+//! Checks callers' requests and turns them into jobs.
+
+use crate::{
+    callers::Head,
+    catalogue::{Pool, PoolKind, ResolveError},
+    clock::BootInstant,
+    gateway::Context,
+    ident::RequestId,
+    openai::{self, AnswerFrame, Interface, RequestProblem},
+    routing::Job,
+    wire::Work,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use rapidhash::v3::rapidhash_v3;
+use std::{sync::Arc, time::Duration};
+
+/// Header that names a request that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Header that says whether a request may be repeated.
+const REPEATABLE_HEADER: &str = "carobfield-repeatable";
+
+/// Header with the caller's timeout, in milliseconds.
+const TIMEOUT_HEADER: &str = "carobfield-timeout-ms";
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Path before a service's name.
+const SERVICE_PREFIX: &str = "/v1/services/";
+
+/// A request that was refused at admission.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rejection {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Kind of error, for programs.
+    pub code: &'static str,
+    /// Description, for people.
+    pub message: String,
+    /// When to come back, in seconds, if that can help.
+    pub retry: Option<u64>,
+}
+
+impl Rejection {
+    /// A malformed request.
+    pub fn bad(field: &str, message: &str) -> Self {
+        Self {
+            status: StatusCode::BAD_REQUEST,
+            code: "invalid_request",
+            message: format!("{field}: {message}"),
+            retry: None,
+        }
+    }
+
+    /// A body above the limit.
+    pub fn too_large() -> Self {
+        Self {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            code: "body_too_large",
+            message: "the body is larger than allowed".to_owned(),
+            retry: None,
+        }
+    }
+
+    /// This gateway has not got the revision that the caller has seen.
+    pub fn behind() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            code: "configuration_behind",
+            message: "this entry does not have that revision yet".to_owned(),
+            retry: Some(1),
+        }
+    }
+
+    fn unknown(what: &str, name: &str) -> Self {
+        Self {
+            status: StatusCode::NOT_FOUND,
+            code: "model_not_found",
+            message: format!("the {what} `{name}` is not in the catalogue"),
+            retry: None,
+        }
+    }
+
+    fn not_ready() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            code: "not_ready",
+            message: "no catalogue is in force here yet".to_owned(),
+            retry: Some(1),
+        }
+    }
+}
+
+impl From<RequestProblem> for Rejection {
+    fn from(problem: RequestProblem) -> Self {
+        Self::bad(problem.field, &problem.message)
+    }
+}
+
+/// How the answer is written.
+#[derive(Clone, Debug)]
+pub enum Form {
+    /// As generated text.
+    Text(AnswerFrame),
+    /// As the service gave it.
+    Service,
+}
+
+/// A request that may be run.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// What to route.
+    pub job: Job,
+    /// How to write the answer.
+    pub form: Form,
+    /// Caller's name, for at-most-once records.
+    pub caller: String,
+    /// Key of a request that may not be repeated.
+    pub key: Option<String>,
+}
+
+/// Who asks: a hash of the credential, or the address where there is none.
+pub fn caller_name(headers: &HeaderMap, address: &str) -> String {
+    match headers.get(http::header::AUTHORIZATION) {
+        Some(value) => crate::digest::content_address(value.as_bytes()),
+        None => format!("address:{address}"),
+    }
+}
+
+/// Headers that say how a request may be run.
+#[derive(Debug)]
+struct Terms {
+    deadline: BootInstant,
+    repeatable: bool,
+    key: Option<String>,
+}
+
+fn terms(context: &Context, headers: &HeaderMap, default: bool) -> Result<Terms, Rejection> {
+    let text = |name: &str| headers.get(name).map(|v| v.to_str().unwrap_or("\u{0}"));
+    let repeatable = match text(REPEATABLE_HEADER) {
+        None => default,
+        Some("true") => true,
+        Some("false") => false,
+        Some(_) => return Err(Rejection::bad(REPEATABLE_HEADER, "expected true or false")),
+    };
+    let key = match text(KEY_HEADER) {
+        Some(k) if k.is_empty() || k.len() > MAX_KEY_BYTES || k == "\u{0}" => {
+            return Err(Rejection::bad(
+                KEY_HEADER,
+                "expected 1 to 256 visible characters",
+            ));
+        }
+        other => other.map(ToOwned::to_owned),
+    };
+    if !repeatable && key.is_none() {
+        return Err(Rejection::bad(
+            KEY_HEADER,
+            "needed for a request that may not be repeated",
+        ));
+    }
+    let limits = &context.config;
+    let timeout = match text(TIMEOUT_HEADER) {
+        None => limits.timeout,
+        Some(text) => match text.parse::<u64>() {
+            Ok(ms) if ms > 0 && ms <= limits.max_timeout => ms,
+            _ => {
+                let range = format!("expected 1 to {}", limits.max_timeout);
+                return Err(Rejection::bad(TIMEOUT_HEADER, &range));
+            }
+        },
+    };
+    let deadline = BootInstant::now() + Duration::from_millis(timeout);
+    Ok(Terms {
+        deadline,
+        repeatable,
+        key: key.filter(|_| !repeatable),
+    })
+}
+
+/// Admits a request for text.
+///
+/// # Errors
+/// The request is malformed or names an unknown model.
+pub fn text(
+    context: &Context,
+    interface: Interface,
+    head: &Head,
+    body: &[u8],
+) -> Result<Admitted, Rejection> {
+    let request = openai::parse(interface, body)?;
+    let terms = terms(context, &head.headers, true)?;
+    let catalogue = context.catalogue.current();
+    if catalogue.revision == 0 {
+        return Err(Rejection::not_ready());
+    }
+    let (model, adapter) = catalogue.resolve(&request.model).map_err(|e| match e {
+        ResolveError::UnknownAdapter => Rejection::unknown("adapter", &request.model),
+        ResolveError::UnknownVersion => Rejection::unknown("version", &request.model),
+    })?;
+    let serving = |pool: &Pool| pool.kind == PoolKind::Engine && pool.base == adapter.base;
+    let pools = catalogue.pools.iter().filter(|(_, p)| serving(p));
+    let pools = pools.map(|(name, _)| name.clone()).collect();
+    let id = RequestId::random();
+    let named = [head.caller.as_str(), &model.to_string(), &request.body].join("\0");
+    let frame = AnswerFrame {
+        interface,
+        id: id.to_string(),
+        model: model.to_string(),
+        created: crate::clock::unix_ms() / 1_000,
+    };
+    let job = Job {
+        id,
+        pools,
+        owner: Arc::clone(&adapter.owner),
+        class: adapter.class,
+        deadline: terms.deadline,
+        repeatable: terms.repeatable,
+        fingerprint: rapidhash_v3(named.as_bytes()),
+        prefix: rapidhash_v3(request.prefix.as_bytes()),
+        revision: catalogue.revision,
+        stream: request.stream,
+        work: Work::Generate {
+            model: model.clone(),
+            body: Arc::from(request.body),
+            chat: interface == Interface::Chat,
+        },
+        model: Some(model),
+    };
+    Ok(Admitted {
+        job,
+        form: Form::Text(frame),
+        caller: head.caller.clone(),
+        key: terms.key,
+    })
+}
+
+/// Admits a call to a plain service.
+///
+/// # Errors
+/// The service is not in the catalogue, or the headers are malformed.
+pub fn service(context: &Context, head: &Head, body: Bytes) -> Result<Admitted, Rejection> {
+    let path = head.uri.path_and_query().map_or("", |p| p.as_str());
+    let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or("");
+    let (name, path) = match rest.find('/') {
+        Some(at) => (&rest[..at], &rest[at..]),
+        None => (rest, "/"),
+    };
+    let catalogue = context.catalogue.current();
+    if catalogue.revision == 0 {
+        return Err(Rejection::not_ready());
+    }
+    let service = catalogue.services.get(name);
+    let service = service.ok_or_else(|| Rejection::unknown("service", name))?;
+    let reads = matches!(head.method, Method::GET | Method::HEAD);
+    let terms = terms(context, &head.headers, reads || service.repeatable)?;
+    let content = head.headers.get(http::header::CONTENT_TYPE);
+    let content = content
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or("application/octet-stream");
+    let named = [
+        head.caller.as_bytes(),
+        head.method.as_str().as_bytes(),
+        path.as_bytes(),
+        &body,
+    ];
+    let job = Job {
+        id: RequestId::random(),
+        pools: vec![service.pool.clone()],
+        model: None,
+        owner: Arc::from(name),
+        class: service.class,
+        deadline: terms.deadline,
+        repeatable: terms.repeatable,
+        fingerprint: rapidhash_v3(&named.join(&0)),
+        prefix: 0,
+        revision: catalogue.revision,
+        stream: false,
+        work: Work::Call {
+            method: head.method.to_string(),
+            path: path.to_owned(),
+            content: content.to_owned(),
+            body: body.to_vec(),
+        },
+    };
+    Ok(Admitted {
+        job,
+        form: Form::Service,
+        caller: head.caller.clone(),
+        key: terms.key,
+    })
+}
--- /dev/null
+++ b/src/answers.rs
@@ -0,0 +1,441 @@
+//! Writes answers to callers, whole or streamed, each with its outcome.
+
+use crate::{
+    admission::{Admitted, Form, Rejection},
+    claims::{ClaimRefusal, ClaimState, KeptAnswer, Owned},
+    gateway::{Context, OpenRequest},
+    http_server, metrics,
+    openai::{self, AnswerFrame},
+    routing::{self, Event, Head},
+    sse,
+    wire::{Failure, Refusal},
+};
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, stream};
+use gotham::helpers::http::Body;
+use http::{
+    HeaderValue, Response, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use serde_json::{Value, json};
+use std::{convert::Infallible, sync::Arc};
+use tokio::sync::mpsc;
+
+/// Header with the outcome.
+pub const OUTCOME_HEADER: &str = "carobfield-outcome";
+
+/// Header with the upstream that ran the request.
+const UPSTREAM_HEADER: &str = "carobfield-upstream";
+
+/// Header with the model that produced the text.
+const MODEL_HEADER: &str = "carobfield-model";
+
+/// Header with the milliseconds spent waiting for adapter loads.
+const STALL_HEADER: &str = "carobfield-stall-ms";
+
+/// Header with the catalogue revision in force.
+const REVISION_HEADER: &str = "carobfield-revision";
+
+/// Header that marks an answer given before to the same key.
+const REPLAYED_HEADER: &str = "carobfield-replayed";
+
+/// Events waiting to be written.
+const EVENT_BUFFER: usize = 64;
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// Answered whole.
+    Complete,
+    /// Certainly not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Value of the outcome header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Adds the outcome.
+pub fn mark(response: &mut Response<Body>, outcome: Outcome) {
+    let value = HeaderValue::from_static(outcome.as_str());
+    response.headers_mut().insert(OUTCOME_HEADER, value);
+}
+
+/// Adds the revision in force.
+pub fn mark_revision(response: &mut Response<Body>, revision: u64) {
+    response
+        .headers_mut()
+        .insert(REVISION_HEADER, HeaderValue::from(revision));
+}
+
+fn set(response: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+fn error(status: StatusCode, code: &str, message: &str, outcome: Outcome) -> Response<Body> {
+    let kind = if status.is_client_error() {
+        "invalid_request_error"
+    } else {
+        "server_error"
+    };
+    let mut response = http_server::json(status, &openai::error(kind, code, message));
+    mark(&mut response, outcome);
+    metrics::outcome(outcome.as_str());
+    response
+}
+
+/// The answer to a request that was refused at admission.
+pub fn reject(rejection: &Rejection) -> Response<Body> {
+    metrics::refusal(rejection.code);
+    let Rejection {
+        status,
+        code,
+        message,
+        retry,
+    } = rejection;
+    let mut response = error(*status, code, message, Outcome::NotRun);
+    if let Some(seconds) = retry {
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(*seconds));
+    }
+    response
+}
+
+fn refused(reason: Refusal, retry_ms: u64, stall_ms: u64) -> Response<Body> {
+    metrics::refusal(reason.as_str());
+    let status = match reason {
+        Refusal::Overload | Refusal::Limit => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Refusal::Poison => StatusCode::UNPROCESSABLE_ENTITY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = error(
+        status,
+        reason.as_str(),
+        "the request was not run",
+        Outcome::NotRun,
+    );
+    if reason != Refusal::Poison {
+        let seconds = retry_ms.div_ceil(1_000).max(1);
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+        .headers_mut()
+        .insert(STALL_HEADER, HeaderValue::from(stall_ms));
+    response
+}
+
+fn failed(reason: Failure, stall_ms: u64) -> Response<Body> {
+    let status = match reason {
+        Failure::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let message = "the request may have been run";
+    let mut response = error(status, reason.as_str(), message, Outcome::Unknown);
+    response
+        .headers_mut()
+        .insert(STALL_HEADER, HeaderValue::from(stall_ms));
+    response
+}
+
+/// Claims the request if it may not be repeated, runs it, and writes the answer.
+pub async fn respond(
+    context: Arc<Context>,
+    admitted: Admitted,
+    open: OpenRequest,
+) -> Response<Body> {
+    let revision = admitted.job.revision;
+    let claimed = match claim(&context, &admitted).await {
+        Ok(claimed) => claimed,
+        Err(refusal) => {
+            let mut response = answer_refused_claim(refusal, &admitted.form);
+            mark_revision(&mut response, revision);
+            return response;
+        }
+    };
+    let (events, mut incoming) = mpsc::channel(EVENT_BUFFER);
+    let form = admitted.form.clone();
+    let streams = admitted.job.stream;
+    tokio::spawn(run(context, admitted, claimed, events, open));
+    let mut response = match incoming.recv().await {
+        Some(Event::Head(head)) if streams => stream_answer(head, &form, incoming),
+        Some(Event::Head(head)) => whole_answer(head, &form, incoming).await,
+        Some(Event::Refused {
+            reason,
+            retry_ms,
+            stall_ms,
+        }) => refused(reason, retry_ms, stall_ms),
+        Some(Event::Failed { reason, stall_ms }) => failed(reason, stall_ms),
+        Some(Event::Data(_) | Event::End { .. }) | None => failed(Failure::LinkLost, 0),
+    };
+    mark_revision(&mut response, revision);
+    response
+}
+
+async fn claim(context: &Context, admitted: &Admitted) -> Result<Option<Owned>, ClaimRefusal> {
+    let Some(key) = &admitted.key else {
+        return Ok(None);
+    };
+    let job = &admitted.job;
+    let owned = context
+        .claims
+        .take(&admitted.caller, key, job.id, job.fingerprint)
+        .await?;
+    Ok(Some(owned))
+}
+
+/// Routes the request, keeps the outcome of a claimed one, and only then passes the end on.
+async fn run(
+    context: Arc<Context>,
+    admitted: Admitted,
+    claimed: Option<Owned>,
+    events: mpsc::Sender<Event>,
+    _open: OpenRequest,
+) {
+    let Some(owned) = claimed else {
+        return routing::route(&context, &admitted.job, &events).await;
+    };
+    let (inner, mut routed) = mpsc::channel(EVENT_BUFFER);
+    let (router, job) = (Arc::clone(&context), admitted.job.clone());
+    let task = tokio::spawn(async move { routing::route(&router, &job, &inner).await });
+    let mut kept = KeptAnswer {
+        status: 200,
+        ..KeptAnswer::default()
+    };
+    kept.model = admitted.job.model.as_ref().map(ToString::to_string);
+    let mut data = BytesMut::new();
+    let mut state = ClaimState::Unknown;
+    let mut last = None;
+    // The run goes on to its recorded end also when the caller has gone.
+    while let Some(event) = routed.recv().await {
+        match &event {
+            Event::Head(head) => {
+                kept.status = head.status;
+                kept.content.clone_from(&head.content);
+            }
+            Event::Data(part) => data.extend_from_slice(part),
+            Event::End { finish, tokens } => {
+                kept.finish.clone_from(finish);
+                kept.tokens = *tokens;
+                state = ClaimState::Done(kept.clone().keep(&data));
+                last = Some(event);
+                break;
+            }
+            Event::Refused { .. } => {
+                state = ClaimState::NotRun;
+                last = Some(event);
+                break;
+            }
+            Event::Failed { .. } => {
+                last = Some(event);
+                break;
+            }
+        }
+        let _caller_gone = events.send(event).await;
+    }
+    context.claims.finish(owned, state).await;
+    if let Some(event) = last {
+        let _caller_gone = events.send(event).await;
+    }
+    let _ended = task.await;
+}
+
+fn answer_refused_claim(refusal: ClaimRefusal, form: &Form) -> Response<Body> {
+    match refusal {
+        ClaimRefusal::Unavailable => refused(Refusal::NoClaim, 1_000, 0),
+        ClaimRefusal::Mismatch => error(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key_reused",
+            "the key was used for another request",
+            Outcome::NotRun,
+        ),
+        ClaimRefusal::Running => {
+            let message = "a request with this key is running, or its outcome is not known";
+            let mut response = error(
+                StatusCode::CONFLICT,
+                "in_progress",
+                message,
+                Outcome::Unknown,
+            );
+            response
+                .headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from(1));
+            response
+        }
+        ClaimRefusal::Unknown => error(
+            StatusCode::BAD_GATEWAY,
+            "unknown",
+            "a request with this key may have been run",
+            Outcome::Unknown,
+        ),
+        ClaimRefusal::Done(kept) => replay(&kept, form),
+    }
+}
+
+/// The answer given before, or its digest where it was too large to keep.
+fn replay(kept: &KeptAnswer, form: &Form) -> Response<Body> {
+    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    let mut response = match (&kept.text, form) {
+        (Some(text), Form::Text(frame)) => {
+            http_server::json(status, &frame.whole(text, &kept.finish, kept.tokens))
+        }
+        (Some(text), Form::Service) => {
+            let mut response = http_server::answer(status, "", text.clone());
+            set(&mut response, "content-type", &kept.content);
+            response
+        }
+        (None, _) => {
+            let digest = json!({ "length": kept.length, "sha256": kept.digest });
+            http_server::json(status, &digest)
+        }
+    };
+    set(&mut response, REPLAYED_HEADER, "true");
+    finish_headers(&mut response, form);
+    response
+}
+
+fn finish_headers(response: &mut Response<Body>, form: &Form) {
+    mark(response, Outcome::Complete);
+    metrics::outcome(Outcome::Complete.as_str());
+    if let Form::Text(frame) = form {
+        set(response, MODEL_HEADER, &frame.model);
+    }
+}
+
+async fn whole_answer(
+    head: Head,
+    form: &Form,
+    mut incoming: mpsc::Receiver<Event>,
+) -> Response<Body> {
+    let mut data = BytesMut::new();
+    let (finish, tokens) = loop {
+        match incoming.recv().await {
+            Some(Event::Data(part)) => data.extend_from_slice(&part),
+            Some(Event::End { finish, tokens }) => break (finish, tokens),
+            Some(Event::Failed { reason, stall_ms }) => return failed(reason, stall_ms),
+            Some(Event::Refused { .. } | Event::Head(_)) | None => {
+                return failed(Failure::LinkLost, head.stall_ms);
+            }
+        }
+    };
+    let mut response = match form {
+        Form::Text(frame) => {
+            let text = String::from_utf8_lossy(&data);
+            http_server::json(StatusCode::OK, &frame.whole(&text, &finish, tokens))
+        }
+        Form::Service => {
+            let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::OK);
+            let mut response = http_server::answer(status, "", data.freeze());
+            set(&mut response, "content-type", &head.content);
+            response
+        }
+    };
+    set(&mut response, UPSTREAM_HEADER, &head.upstream);
+    response
+        .headers_mut()
+        .insert(STALL_HEADER, HeaderValue::from(head.stall_ms));
+    finish_headers(&mut response, form);
+    response
+}
+
+/// State of a streamed answer.
+struct Streaming {
+    incoming: mpsc::Receiver<Event>,
+    frame: AnswerFrame,
+    text: Utf8Joiner,
+    ended: bool,
+}
+
+fn stream_answer(head: Head, form: &Form, incoming: mpsc::Receiver<Event>) -> Response<Body> {
+    let Form::Text(frame) = form else {
+        return failed(Failure::Upstream, head.stall_ms);
+    };
+    let state = Streaming {
+        incoming,
+        frame: frame.clone(),
+        text: Utf8Joiner::default(),
+        ended: false,
+    };
+    let parts = stream::unfold(state, |mut state| async move {
+        if state.ended {
+            return None;
+        }
+        let bytes = state.next_bytes().await;
+        Some((Ok::<_, Infallible>(Frame::data(bytes)), state))
+    });
+    let body = StreamBody::new(parts.boxed());
+    let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    set(&mut response, UPSTREAM_HEADER, &head.upstream);
+    set(&mut response, MODEL_HEADER, &frame.model);
+    response
+        .headers_mut()
+        .insert(STALL_HEADER, HeaderValue::from(head.stall_ms));
+    response
+}
+
+impl Streaming {
+    /// The next bytes to write; sets `ended` with the last ones.
+    async fn next_bytes(&mut self) -> Bytes {
+        let event = self.incoming.recv().await;
+        self.ended = !matches!(event, Some(Event::Data(_)));
+        let text = match event {
+            Some(Event::Data(data)) => {
+                let text = self.text.push(&data);
+                sse::event(&self.frame.part(&text, None).to_string())
+            }
+            Some(Event::End { finish, .. }) => {
+                metrics::outcome(Outcome::Complete.as_str());
+                let mut last = self.frame.part("", Some(&finish));
+                last["carobfield_outcome"] = Value::from(Outcome::Complete.as_str());
+                sse::event(&last.to_string()) + &sse::event("[DONE]")
+            }
+            Some(Event::Failed { reason, .. }) => broken_event(reason),
+            Some(Event::Refused { .. } | Event::Head(_)) | None => broken_event(Failure::LinkLost),
+        };
+        Bytes::from(text)
+    }
+}
+
+/// The explicit error with which a broken stream ends.
+fn broken_event(reason: Failure) -> String {
+    metrics::outcome(Outcome::Unknown.as_str());
+    let mut error = openai::error("server_error", reason.as_str(), "the answer broke off");
+    error["carobfield_outcome"] = Value::from(Outcome::Unknown.as_str());
+    sse::event(&error.to_string())
+}
+
+/// Joins parts of UTF-8 text that may be split within a character.
+#[derive(Debug, Default)]
+struct Utf8Joiner(Vec<u8>);
+
+impl Utf8Joiner {
+    fn push(&mut self, data: &[u8]) -> String {
+        self.0.extend_from_slice(data);
+        let valid = match std::str::from_utf8(&self.0) {
+            Ok(text) => text.len(),
+            Err(e) if e.error_len().is_none() => e.valid_up_to(),
+            Err(_invalid) => self.0.len(),
+        };
+        let rest = self.0.split_off(valid);
+        let whole = std::mem::replace(&mut self.0, rest);
+        String::from_utf8_lossy(&whole).into_owned()
+    }
+}
--- /dev/null
+++ b/src/bin/carobfield-ctl.rs
@@ -0,0 +1,30 @@
+//! Checks and applies the catalogue, and shows the fleet.
+
+use carobfield::control::{self, ControlOptions, EXIT_FINDINGS, EXIT_STORE};
+use gumdrop::Options;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = ControlOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("carobfield-ctl {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("carobfield-ctl: {e}");
+            return ExitCode::from(EXIT_STORE);
+        }
+    };
+    match runtime.block_on(control::run(&options)) {
+        Ok(code) => ExitCode::from(code),
+        Err(e) => {
+            eprintln!("carobfield-ctl: {e}");
+            ExitCode::from(if e.code == 0 { EXIT_FINDINGS } else { e.code })
+        }
+    }
+}
--- /dev/null
+++ b/src/callers.rs
@@ -0,0 +1,179 @@
+//! The callers' listener: entry discovery, text, and plain services.
+
+use crate::{
+    admission::{self, Admitted, Rejection},
+    answers::{self, Outcome},
+    entries,
+    gateway::Context,
+    handler_state,
+    holding::lock,
+    http_server::{self, BodyError},
+    openai::Interface,
+};
+use bytes::Bytes;
+use gotham::{
+    handler::HandlerFuture,
+    helpers::http::Body,
+    middleware::state::StateMiddleware,
+    pipeline::{single_middleware, single_pipeline},
+    router::{
+        Router,
+        builder::{DefineSingleRoute, DrawRoutes, build_router},
+    },
+    state::{FromState, State, client_addr},
+};
+use http::{HeaderMap, Method, Response, StatusCode, Uri};
+use serde_json::json;
+use std::{pin::Pin, sync::Arc};
+
+handler_state!(GatewayState, Context);
+
+/// Header by which a caller says the lowest revision it has seen.
+const MIN_REVISION_HEADER: &str = "carobfield-min-revision";
+
+/// Longest wait for that revision.
+const REVISION_WAIT: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Routes of the callers' listener.
+pub fn router(context: &Arc<Context>) -> Router {
+    let middleware = StateMiddleware::new(GatewayState(Arc::clone(context)));
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.get("/v1/entries").to(show_entries);
+        route.get("/v1/models").to(show_models);
+        route.post("/v1/completions").to(complete_text);
+        route.post("/v1/chat/completions").to(complete_chat);
+        let methods = vec![
+            Method::GET,
+            Method::HEAD,
+            Method::POST,
+            Method::PUT,
+            Method::PATCH,
+            Method::DELETE,
+        ];
+        route.request(methods, "/v1/services/*").to(call_service);
+    })
+}
+
+/// A future of a handler's state and answer.
+type Handled = Pin<Box<HandlerFuture>>;
+
+/// What is known of a request before its body is read.
+#[derive(Debug)]
+pub struct Head {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Who asks: the credential's hash, or the address where there is none.
+    pub caller: String,
+}
+
+fn head(state: &State) -> Head {
+    let headers = HeaderMap::borrow_from(state).clone();
+    let address = client_addr(state)
+        .map(|a| a.ip().to_string())
+        .unwrap_or_default();
+    let caller = admission::caller_name(&headers, &address);
+    Head {
+        method: Method::borrow_from(state).clone(),
+        uri: Uri::borrow_from(state).clone(),
+        headers,
+        caller,
+    }
+}
+
+fn show_entries(state: State) -> (State, Response<Body>) {
+    let context = Arc::clone(&GatewayState::borrow_from(&state).0);
+    let head = head(&state);
+    let config = &context.config;
+    let list = {
+        let fleet = lock(&context.fleet);
+        entries::list(&fleet, &head.caller, &config.data_centre, config.max_age)
+    };
+    let mut response = http_server::json(StatusCode::OK, &list);
+    answers::mark(&mut response, Outcome::Complete);
+    (state, response)
+}
+
+fn show_models(state: State) -> (State, Response<Body>) {
+    let context = Arc::clone(&GatewayState::borrow_from(&state).0);
+    let catalogue = context.catalogue.current();
+    let data: Vec<_> = catalogue
+        .adapters
+        .iter()
+        .flat_map(|(name, adapter)| {
+            let named = move |v: &u32| {
+                json!({ "id": format!("{name}@{v}"), "object": "model", "created": 0, "owned_by": adapter.owner })
+            };
+            adapter.versions.iter().map(named)
+        })
+        .collect();
+    let list = json!({ "object": "list", "data": data });
+    let mut response = http_server::json(StatusCode::OK, &list);
+    answers::mark(&mut response, Outcome::Complete);
+    answers::mark_revision(&mut response, catalogue.revision);
+    (state, response)
+}
+
+fn complete_text(state: State) -> Handled {
+    handle(state, |context, head, body| {
+        Box::pin(async move { admission::text(&context, Interface::Text, &head, &body) })
+    })
+}
+
+fn complete_chat(state: State) -> Handled {
+    handle(state, |context, head, body| {
+        Box::pin(async move { admission::text(&context, Interface::Chat, &head, &body) })
+    })
+}
+
+fn call_service(state: State) -> Handled {
+    handle(state, |context, head, body| {
+        Box::pin(async move { admission::service(&context, &head, body) })
+    })
+}
+
+/// A future of an admission decision.
+type Admission = Pin<Box<dyn Future<Output = Result<Admitted, Rejection>> + Send>>;
+
+fn handle(mut state: State, admit: fn(Arc<Context>, Head, Bytes) -> Admission) -> Handled {
+    Box::pin(async move {
+        let context = Arc::clone(&GatewayState::borrow_from(&state).0);
+        let open = context.open_request();
+        let head = head(&state);
+        let body = http_server::read_body(&mut state, context.config.body_bytes).await;
+        let response = match body {
+            Ok(body) => match reach_revision(&context, &head).await {
+                Ok(()) => match admit(Arc::clone(&context), head, body).await {
+                    Ok(admitted) => answers::respond(context, admitted, open).await,
+                    Err(rejection) => answers::reject(&rejection),
+                },
+                Err(rejection) => answers::reject(&rejection),
+            },
+            Err(BodyError::TooLarge) => answers::reject(&Rejection::too_large()),
+            Err(BodyError::Broken) => answers::reject(&Rejection::bad("body", "broke off")),
+        };
+        Ok((state, response))
+    })
+}
+
+/// Waits for the revision that the caller has already seen elsewhere.
+async fn reach_revision(context: &Context, head: &Head) -> Result<(), Rejection> {
+    let Some(value) = head.headers.get(MIN_REVISION_HEADER) else {
+        return Ok(());
+    };
+    let Some(revision) = value.to_str().ok().and_then(|v| v.parse().ok()) else {
+        return Err(Rejection::bad(
+            MIN_REVISION_HEADER,
+            "expected a whole number",
+        ));
+    };
+    if context.catalogue.reach(revision, REVISION_WAIT).await {
+        Ok(())
+    } else {
+        Err(Rejection::behind())
+    }
+}
--- /dev/null
+++ b/src/catalogue_store.rs
@@ -0,0 +1,367 @@
+//! The catalogue in the object API: immutable segments, and a root that is moved by conditional updates.
+
+use crate::{
+    catalogue::{Entries, Entry},
+    declarations,
+    digest::content_address,
+    findings::Findings,
+    ident::{Revision, pair_hash},
+    object_api::{Condition, ObjectApi, ObjectError, Stored, Version},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt::{Display, Formatter},
+    time::Duration,
+};
+
+/// Key of the root.
+pub const ROOT_KEY: &str = "catalogue/root";
+
+/// Segments that the entries are spread over.
+const SEGMENTS: u64 = 64;
+
+/// Earlier roots that the root remembers, as bases for operators' changes.
+const MAX_HISTORY: usize = 64;
+
+/// Tries of one step against a store that is slow, refuses or loses answers.
+const MAX_TRIES: u32 = 40;
+
+/// Wait between tries.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// An accepted change, as the root remembers it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Past {
+    /// Revision.
+    pub revision: Revision,
+    /// Content address of its manifest.
+    pub manifest: String,
+    /// Unique to the write.
+    pub write: u64,
+}
+
+/// The root: the configuration in force and those before it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Root {
+    /// Accepted changes, the latest last.
+    pub history: Vec<Past>,
+}
+
+impl Root {
+    /// Revision in force; 0 before the first.
+    pub fn revision(&self) -> Revision {
+        self.history.last().map_or(0, |p| p.revision)
+    }
+
+    fn has_write(&self, write: u64) -> Option<Revision> {
+        self.history
+            .iter()
+            .find(|p| p.write == write)
+            .map(|p| p.revision)
+    }
+
+    fn manifest(&self, revision: Revision) -> Option<&str> {
+        self.history
+            .iter()
+            .find(|p| p.revision == revision)
+            .map(|p| p.manifest.as_str())
+    }
+}
+
+/// Content addresses of a configuration's segments.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+struct Manifest {
+    segments: BTreeMap<u64, String>,
+}
+
+/// Why a change was not applied.
+#[derive(Debug)]
+pub enum ApplyError {
+    /// The same entries were changed since the base.
+    Conflict {
+        /// Revision that the operator's change starts from.
+        base: Revision,
+        /// Revision in force.
+        current: Revision,
+        /// Entries that both changed.
+        keys: Vec<String>,
+    },
+    /// The base is older than the root remembers, or is not known.
+    UnknownBase(Revision),
+    /// The merged catalogue has problems.
+    Invalid(Findings),
+    /// The object API failed; nothing, or everything, was applied.
+    Store(ObjectError),
+}
+
+impl Display for ApplyError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Conflict {
+                base,
+                current,
+                keys,
+            } => {
+                let keys = keys.join(", ");
+                write!(
+                    f,
+                    "revision {current} changed what this change to {base} does: {keys}"
+                )
+            }
+            Self::UnknownBase(base) => write!(f, "revision {base} is not known any more"),
+            Self::Invalid(findings) => write!(f, "{findings}"),
+            Self::Store(e) => write!(f, "object API: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+impl From<ObjectError> for ApplyError {
+    fn from(e: ObjectError) -> Self {
+        Self::Store(e)
+    }
+}
+
+/// What a change did.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Applied {
+    /// Revision in force after it.
+    pub revision: Revision,
+    /// Entries changed.
+    pub changed: usize,
+}
+
+/// Reads and changes the catalogue.
+#[derive(Clone, Debug)]
+pub struct CatalogueStore {
+    api: ObjectApi,
+    cache: HashMap<String, Entries>,
+}
+
+impl CatalogueStore {
+    /// A reader of the store behind `api`.
+    pub fn new(api: ObjectApi) -> Self {
+        Self {
+            api,
+            cache: HashMap::new(),
+        }
+    }
+
+    /// Reads the root; version 0 if there is none.
+    ///
+    /// # Errors
+    /// See [`ObjectError`].
+    pub async fn root(&self) -> Result<(Version, Root), ObjectError> {
+        match self.api.get(ROOT_KEY).await? {
+            Some(stored) => Ok((stored.version, stored.parse()?)),
+            None => Ok((0, Root::default())),
+        }
+    }
+
+    /// Reads the entries of `root` at `revision`; only segments not read before are fetched.
+    ///
+    /// # Errors
+    /// See [`ObjectError`]; [`ObjectError::Malformed`] also if the revision is not remembered.
+    pub async fn entries(
+        &mut self,
+        root: &Root,
+        revision: Revision,
+    ) -> Result<Entries, ObjectError> {
+        if revision == 0 {
+            return Ok(Entries::new());
+        }
+        let address = root
+            .manifest(revision)
+            .ok_or(ObjectError::Malformed)?
+            .to_owned();
+        let manifest: Manifest = self.immutable("manifests", &address).await?;
+        let mut fresh = HashMap::new();
+        for address in manifest.segments.values() {
+            let segment = match self.cache.remove(address) {
+                Some(segment) => segment,
+                None => self.immutable("segments", address).await?,
+            };
+            fresh.insert(address.clone(), segment);
+        }
+        let entries = fresh
+            .values()
+            .flat_map(|s| s.iter().map(|(k, e)| (k.clone(), e.clone())));
+        let entries = entries.collect();
+        self.cache = fresh;
+        Ok(entries)
+    }
+
+    async fn immutable<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        address: &str,
+    ) -> Result<T, ObjectError> {
+        let key = format!("catalogue/{kind}/{address}");
+        let stored = self.api.get(&key).await?.ok_or(ObjectError::Malformed)?;
+        stored.parse()
+    }
+
+    /// Applies the difference between revision `base` and `wanted` to the configuration in force.
+    ///
+    /// # Errors
+    /// See [`ApplyError`].
+    pub async fn apply(&mut self, base: Revision, wanted: &Entries) -> Result<Applied, ApplyError> {
+        let write = rand::random();
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            match self.try_apply(base, wanted, write).await {
+                Err(ApplyError::Store(e)) if tries >= MAX_TRIES => {
+                    return Err(ApplyError::Store(e));
+                }
+                Err(ApplyError::Store(_retry)) => tokio::time::sleep(RETRY_DELAY).await,
+                settled => return settled,
+            }
+        }
+    }
+
+    async fn try_apply(
+        &mut self,
+        base: Revision,
+        wanted: &Entries,
+        write: u64,
+    ) -> Result<Applied, ApplyError> {
+        let (version, root) = self.root().await?;
+        let revision = root.revision();
+        if base > revision || (base > 0 && root.manifest(base).is_none()) {
+            return Err(ApplyError::UnknownBase(base));
+        }
+        let before = self.entries(&root, base).await?;
+        let changes = diff(&before, wanted);
+        if let Some(revision) = root.has_write(write) {
+            return Ok(Applied {
+                revision,
+                changed: changes.len(),
+            });
+        }
+        let current = self.entries(&root, revision).await?;
+        let keys = overlaps(&changes, &before, &current);
+        if !keys.is_empty() {
+            return Err(ApplyError::Conflict {
+                base,
+                current: revision,
+                keys,
+            });
+        }
+        let merged = merge(&current, &changes);
+        if merged == current {
+            return Ok(Applied {
+                revision,
+                changed: 0,
+            });
+        }
+        declarations::check(&merged).map_err(ApplyError::Invalid)?;
+        let manifest = self.write_segments(&merged).await?;
+        let mut next = root.clone();
+        next.history.push(Past {
+            revision: revision + 1,
+            manifest,
+            write,
+        });
+        let surplus = next.history.len().saturating_sub(MAX_HISTORY);
+        next.history.drain(..surplus);
+        let condition = if version == 0 {
+            Condition::Absent
+        } else {
+            Condition::At(version)
+        };
+        self.api.put(ROOT_KEY, &next, condition).await?;
+        Ok(Applied {
+            revision: revision + 1,
+            changed: changes.len(),
+        })
+    }
+
+    async fn write_segments(&mut self, entries: &Entries) -> Result<String, ObjectError> {
+        let mut manifest = Manifest::default();
+        for (number, segment) in split(entries) {
+            let address = self.write_immutable("segments", &segment).await?;
+            manifest.segments.insert(number, address);
+        }
+        self.write_immutable("manifests", &manifest).await
+    }
+
+    async fn write_immutable<T: Serialize>(
+        &self,
+        kind: &str,
+        value: &T,
+    ) -> Result<String, ObjectError> {
+        let text = serde_json::to_vec(value).map_err(|_e| ObjectError::Malformed)?;
+        let address = content_address(&text);
+        if self.cache.contains_key(&address) {
+            return Ok(address);
+        }
+        let key = format!("catalogue/{kind}/{address}");
+        match self.api.put(&key, value, Condition::Absent).await {
+            Ok(_) | Err(ObjectError::Conflict) => Ok(address),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Waits for a root later than `after`, at most `wait`.
+    ///
+    /// # Errors
+    /// See [`ObjectError`].
+    pub async fn watch(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<(Version, Root)>, ObjectError> {
+        let stored: Option<Stored> = self.api.watch(ROOT_KEY, after, wait).await?;
+        stored
+            .map(|s| s.parse().map(|root| (s.version, root)))
+            .transpose()
+    }
+}
+
+/// Entries to set, or to remove where there is `None`.
+pub type Changes = BTreeMap<String, Option<Entry>>;
+
+/// What leads from `before` to `after`.
+pub fn diff(before: &Entries, after: &Entries) -> Changes {
+    let set = after.iter().filter(|(k, e)| before.get(*k) != Some(*e));
+    let removed = before.keys().filter(|k| !after.contains_key(*k));
+    set.map(|(k, e)| (k.clone(), Some(e.clone())))
+        .chain(removed.map(|k| (k.clone(), None)))
+        .collect()
+}
+
+/// Entries that `changes` touches and that differ between its base and the configuration in force.
+fn overlaps(changes: &Changes, base: &Entries, current: &Entries) -> Vec<String> {
+    let differs = |key: &String| base.get(key) != current.get(key);
+    let agrees = |key: &String, entry: &Option<Entry>| current.get(key) == entry.as_ref();
+    changes
+        .iter()
+        .filter(|(k, e)| differs(k) && !agrees(k, e))
+        .map(|(k, _)| k.clone())
+        .collect()
+}
+
+fn merge(current: &Entries, changes: &Changes) -> Entries {
+    let mut out = current.clone();
+    for (key, entry) in changes {
+        match entry {
+            Some(entry) => drop(out.insert(key.clone(), entry.clone())),
+            None => drop(out.remove(key)),
+        }
+    }
+    out
+}
+
+fn split(entries: &Entries) -> BTreeMap<u64, Entries> {
+    let mut out = BTreeMap::<u64, Entries>::new();
+    for (key, entry) in entries {
+        let number = pair_hash(key, "segment") % SEGMENTS;
+        out.entry(number)
+            .or_default()
+            .insert(key.clone(), entry.clone());
+    }
+    out
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,37 @@
+//! A clock that keeps running while the process or the machine is suspended.
+
+use rustix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
+use std::{ops::Add, time::Duration};
+
+/// A point on `CLOCK_BOOTTIME`, in nanoseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct BootInstant(pub u64);
+
+impl BootInstant {
+    /// Reads the clock.
+    pub fn now() -> Self {
+        let t = clock_gettime(ClockId::Boottime);
+        Self(t.tv_sec as u64 * 1_000_000_000 + t.tv_nsec as u64)
+    }
+
+    /// Time from `earlier` to this point; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for BootInstant {
+    type Output = Self;
+
+    fn add(self, d: Duration) -> Self {
+        Self(self.0.saturating_add(d.as_nanos() as u64))
+    }
+}
+
+/// Milliseconds since the Unix epoch, for stamps that leave the process.
+pub fn unix_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,557 @@
+//! Decisions of the holder of one upstream: what to start, load, evict and refuse.
+//!
+//! The state is plain and has no I/O; [`crate::holding`] carries the decisions out.
+
+use crate::{
+    clock::BootInstant,
+    ident::{ModelRef, RequestId},
+    popularity::Popularity,
+    queue::{Queue, Ticket},
+    settings::EvictionRule,
+    wire::{Refusal, Residency, Resident},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// Loads under way on one upstream at once, permits waited for included.
+const MAX_LOADING: usize = 2;
+
+/// Wait before an adapter whose load failed is tried again on this upstream.
+const LOAD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Requests queued for each place in the batch before more are refused.
+const QUEUE_FACTOR: usize = 8;
+
+/// Weight of a new sample in the mean service time.
+const SERVICE_GAIN: f64 = 0.1;
+
+/// What the holder may do with the upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+    /// Everything.
+    Full,
+    /// Only requests for adapters of the stable set, and no orders.
+    Stable,
+    /// Nothing.
+    Lost,
+}
+
+/// State of an adapter on the upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// Waits for a load permit; takes no slot yet.
+    Wanted,
+    /// Being loaded; takes a slot.
+    Loading,
+    /// Serves requests.
+    Ready,
+    /// Takes no new requests and is evicted when idle.
+    Retiring,
+    /// Being unloaded.
+    Evicting,
+}
+
+/// One adapter on the upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Slot {
+    /// State.
+    pub phase: Phase,
+    /// Requests of this holder that it serves now.
+    pub in_flight: u32,
+    /// Whether no request of an earlier holder can still run on it.
+    pub settled: bool,
+    /// When the adapter became ready.
+    pub ready: BootInstant,
+}
+
+impl Slot {
+    fn wanted() -> Self {
+        Self {
+            phase: Phase::Wanted,
+            in_flight: 0,
+            settled: true,
+            ready: BootInstant(0),
+        }
+    }
+}
+
+/// Something for the driver to do.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Send the request to the upstream, after it waited this long for a load.
+    Start(Ticket, Duration),
+    /// Get a permit, then call [`Core::begin_load`].
+    Want(ModelRef),
+    /// Answer that the request was not run.
+    Refuse(Ticket, Refusal),
+}
+
+/// What to do with a granted load.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LoadPlan {
+    /// Load now, after evicting the named adapter if there is one.
+    Go(Option<ModelRef>),
+    /// No slot can be freed yet.
+    Wait,
+    /// Nobody waits for the adapter any more.
+    Drop,
+}
+
+/// Sizes of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Adapter slots; 0 for a plain service.
+    pub slots: usize,
+    /// Requests that run at once.
+    pub batch: usize,
+}
+
+/// State of one held upstream.
+#[derive(Debug)]
+pub struct Core {
+    size: Size,
+    rule: EvictionRule,
+    slots: BTreeMap<ModelRef, Slot>,
+    stable: BTreeSet<ModelRef>,
+    failed: BTreeMap<ModelRef, BootInstant>,
+    queue: Queue,
+    running: usize,
+    alone: bool,
+    popularity: Popularity,
+    service: f64,
+    mode: Mode,
+    leaving: bool,
+}
+
+impl Core {
+    /// An upstream about which nothing is known yet.
+    pub fn new(size: Size, rule: EvictionRule) -> Self {
+        Self {
+            size,
+            rule,
+            slots: BTreeMap::new(),
+            stable: BTreeSet::new(),
+            failed: BTreeMap::new(),
+            queue: Queue::default(),
+            running: 0,
+            alone: false,
+            popularity: Popularity::default(),
+            service: 0.5,
+            mode: Mode::Full,
+            leaving: false,
+        }
+    }
+
+    /// What the holder may do at present.
+    pub fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    /// Changes what the holder may do.
+    pub fn set_mode(&mut self, mode: Mode) {
+        self.mode = mode;
+    }
+
+    /// Stops taking new requests.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes requests again.
+    pub fn stay(&mut self) {
+        self.leaving = false;
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Adapters that are not evicted without being taken out first.
+    pub fn stable(&self) -> &BTreeSet<ModelRef> {
+        &self.stable
+    }
+
+    /// Replaces the stable set, after it was written to the object API.
+    pub fn set_stable(&mut self, stable: BTreeSet<ModelRef>) {
+        self.stable = stable;
+    }
+
+    /// Whether a request for `model` queued now would wait for a load.
+    pub fn is_ready(&self, model: &ModelRef) -> bool {
+        self.slots
+            .get(model)
+            .is_some_and(|s| s.phase == Phase::Ready)
+    }
+
+    /// Requests running.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Requests waiting.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether nothing runs or waits and no order is under way.
+    pub fn is_idle(&self) -> bool {
+        let busy = |s: &Slot| matches!(s.phase, Phase::Loading | Phase::Evicting);
+        self.running == 0 && self.queue.is_empty() && !self.slots.values().any(busy)
+    }
+
+    /// State of an adapter.
+    pub fn slot(&self, model: &ModelRef) -> Option<Slot> {
+        self.slots.get(model).copied()
+    }
+
+    /// Adapters that serve or soon will, as gateways are told.
+    pub fn residents(&self) -> Vec<Resident> {
+        let visible = |(model, slot): (&ModelRef, &Slot)| {
+            let state = match slot.phase {
+                Phase::Wanted | Phase::Loading => Residency::Loading,
+                Phase::Ready => Residency::Ready,
+                Phase::Retiring | Phase::Evicting => return None,
+            };
+            if self.mode == Mode::Stable && !self.stable.contains(model) {
+                return None;
+            }
+            Some(Resident {
+                model: model.clone(),
+                state,
+            })
+        };
+        self.slots.iter().filter_map(visible).collect()
+    }
+
+    /// Queues a request, or says why it is not taken.
+    ///
+    /// # Errors
+    /// The refusal; the request was not queued.
+    pub fn admit(&mut self, ticket: Ticket, now: BootInstant, limit: u32) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if self.mode == Mode::Lost {
+            return Err(Refusal::NotHolder);
+        }
+        if ticket.deadline <= now {
+            return Err(Refusal::Deadline);
+        }
+        if self.queue.len() >= self.size.batch * QUEUE_FACTOR {
+            return Err(Refusal::Overload);
+        }
+        if ticket.deadline.since(now) < self.expected_wait() {
+            return Err(Refusal::Overload);
+        }
+        if let Some(model) = &ticket.model {
+            self.check_model(model, now, limit)?;
+            self.popularity.record(model, now);
+        }
+        self.queue.push(ticket);
+        Ok(())
+    }
+
+    fn check_model(&self, model: &ModelRef, now: BootInstant, limit: u32) -> Result<(), Refusal> {
+        let usable = match self.mode {
+            Mode::Full => true,
+            Mode::Stable => self.stable.contains(model) && self.slots.contains_key(model),
+            Mode::Lost => false,
+        };
+        if !usable {
+            return Err(Refusal::Restricted);
+        }
+        if self.failed.get(model).is_some_and(|until| now < *until) {
+            return Err(Refusal::LoadFailed);
+        }
+        let in_flight = self.slots.get(model).map_or(0, |s| s.in_flight);
+        let waiting = self
+            .queue
+            .iter()
+            .filter(|t| t.model.as_ref() == Some(model))
+            .count();
+        if limit > 0 && in_flight + waiting as u32 >= limit {
+            return Err(Refusal::Limit);
+        }
+        Ok(())
+    }
+
+    /// Time a request queued now is expected to wait for a place in the batch.
+    pub fn expected_wait(&self) -> Duration {
+        let ahead = (self.queue.len() + self.running + 1).saturating_sub(self.size.batch);
+        Duration::from_secs_f64(self.service * ahead as f64 / self.size.batch as f64)
+    }
+
+    /// Decides everything that can be decided at `now`.
+    pub fn plan(&mut self, now: BootInstant) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.refuse_expired(now, &mut steps);
+        self.start_ready(now, &mut steps);
+        self.want_loads(&mut steps);
+        steps
+    }
+
+    fn refuse_expired(&mut self, now: BootInstant, steps: &mut Vec<Step>) {
+        if self.leaving || self.mode == Mode::Lost {
+            let why = if self.leaving {
+                Refusal::Leaving
+            } else {
+                Refusal::NotHolder
+            };
+            let all = self.queue.drain_where(|_| true);
+            steps.extend(all.into_iter().map(|t| Step::Refuse(t, why)));
+            return;
+        }
+        let late = self.queue.drain_where(|t| t.deadline <= now);
+        steps.extend(late.into_iter().map(|t| Step::Refuse(t, Refusal::Deadline)));
+        if self.mode == Mode::Stable {
+            let (slots, stable) = (&self.slots, &self.stable);
+            let stuck = self.queue.drain_where(|t| match &t.model {
+                Some(m) => !stable.contains(m) || !slots.contains_key(m),
+                None => false,
+            });
+            steps.extend(
+                stuck
+                    .into_iter()
+                    .map(|t| Step::Refuse(t, Refusal::Restricted)),
+            );
+        }
+    }
+
+    fn start_ready(&mut self, now: BootInstant, steps: &mut Vec<Step>) {
+        while self.running < self.size.batch && !self.alone {
+            let (slots, running) = (&self.slots, self.running);
+            let next = self.queue.pop(now, |t| {
+                let ready = match &t.model {
+                    Some(m) => slots.get(m).is_some_and(|s| s.phase == Phase::Ready),
+                    None => true,
+                };
+                ready && (!t.probation || running == 0)
+            });
+            let Some(ticket) = next else { return };
+            let mut stall = Duration::ZERO;
+            if let Some(slot) = ticket.model.as_ref().and_then(|m| self.slots.get_mut(m)) {
+                slot.in_flight += 1;
+                stall = slot.ready.since(ticket.queued);
+            }
+            self.running += 1;
+            self.alone = ticket.probation;
+            steps.push(Step::Start(ticket, stall));
+        }
+    }
+
+    fn want_loads(&mut self, steps: &mut Vec<Step>) {
+        if self.mode != Mode::Full {
+            return;
+        }
+        let under_way = |s: &&Slot| matches!(s.phase, Phase::Wanted | Phase::Loading);
+        let mut room = MAX_LOADING.saturating_sub(self.slots.values().filter(under_way).count());
+        let mut wanted: Vec<&Ticket> = self
+            .queue
+            .iter()
+            .filter(|t| {
+                t.model
+                    .as_ref()
+                    .is_some_and(|m| !self.slots.contains_key(m))
+            })
+            .collect();
+        wanted.sort_by_key(|t| (t.class, t.deadline));
+        let models: Vec<ModelRef> = wanted.into_iter().filter_map(|t| t.model.clone()).collect();
+        for model in models {
+            if room == 0 || self.slots.contains_key(&model) {
+                continue;
+            }
+            room -= 1;
+            self.slots.insert(model.clone(), Slot::wanted());
+            steps.push(Step::Want(model));
+        }
+    }
+
+    /// Requests waiting for `model`: how many, the most urgent class and the earliest deadline.
+    pub fn waiters(&self, model: &ModelRef) -> Option<(u32, crate::catalogue::Class, BootInstant)> {
+        let mut all = self
+            .queue
+            .iter()
+            .filter(|t| t.model.as_ref() == Some(model));
+        let first = all.next()?;
+        let start = (1, first.class, first.deadline);
+        Some(all.fold(start, |(n, class, deadline), t| {
+            (n + 1, class.min(t.class), deadline.min(t.deadline))
+        }))
+    }
+
+    /// Decides on a load whose permit was granted.
+    pub fn begin_load(&mut self, model: &ModelRef, now: BootInstant) -> LoadPlan {
+        if self.mode != Mode::Full || self.waiters(model).is_none() {
+            self.slots.remove(model);
+            return LoadPlan::Drop;
+        }
+        let taken = self
+            .slots
+            .values()
+            .filter(|s| s.phase != Phase::Wanted)
+            .count();
+        if taken < self.size.slots {
+            self.set_phase(model, Phase::Loading);
+            return LoadPlan::Go(None);
+        }
+        let Some(victim) = self.victim(now) else {
+            return LoadPlan::Wait;
+        };
+        if self.slots[&victim].in_flight > 0 {
+            self.set_phase(&victim, Phase::Retiring);
+            return LoadPlan::Wait;
+        }
+        self.set_phase(&victim, Phase::Evicting);
+        self.set_phase(model, Phase::Loading);
+        LoadPlan::Go(Some(victim))
+    }
+
+    /// The adapter to evict: an idle one before a busy one, then the one of least value.
+    fn victim(&self, now: BootInstant) -> Option<ModelRef> {
+        let retiring = self
+            .slots
+            .values()
+            .any(|s| s.phase == Phase::Retiring && s.in_flight > 0);
+        let candidates = self.slots.iter().filter(|(model, slot)| {
+            let evictable = match slot.phase {
+                Phase::Retiring => slot.in_flight == 0,
+                Phase::Ready => slot.in_flight == 0 || !retiring,
+                Phase::Wanted | Phase::Loading | Phase::Evicting => false,
+            };
+            evictable && slot.settled && !self.stable.contains(*model)
+        });
+        candidates
+            .map(|(model, slot)| {
+                let waited_for = self.waiters(model).is_some();
+                let rank = (
+                    waited_for,
+                    slot.in_flight > 0,
+                    slot.phase != Phase::Retiring,
+                );
+                (rank, self.value(model, now), model)
+            })
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, _, model)| model.clone())
+    }
+
+    fn value(&self, model: &ModelRef, now: BootInstant) -> f64 {
+        match self.rule {
+            EvictionRule::Lru => self.popularity.last_used(model).0 as f64,
+            EvictionRule::Value => self.popularity.rate(model, now),
+        }
+    }
+
+    /// The adapters worth keeping out of evictions, at most `count`.
+    pub fn stable_choice(&self, count: usize, now: BootInstant) -> BTreeSet<ModelRef> {
+        let mut ready: Vec<(&ModelRef, f64)> = self
+            .slots
+            .iter()
+            .filter(|(_, s)| s.phase == Phase::Ready)
+            .map(|(m, _)| (m, self.popularity.rate(m, now)))
+            .collect();
+        ready.sort_by(|a, b| b.1.total_cmp(&a.1));
+        ready
+            .into_iter()
+            .take(count)
+            .map(|(m, _)| m.clone())
+            .collect()
+    }
+
+    /// An eviction was carried out, or was never sent.
+    pub fn evicted(&mut self, model: &ModelRef, done: bool) {
+        if done {
+            self.slots.remove(model);
+        } else {
+            self.set_phase(model, Phase::Ready);
+        }
+    }
+
+    /// A load ended; on a failure everyone who waits for the adapter is refused.
+    pub fn loaded(&mut self, model: &ModelRef, ok: bool, now: BootInstant) -> Vec<Step> {
+        if ok {
+            self.failed.remove(model);
+            self.set_phase(model, Phase::Ready);
+            if let Some(slot) = self.slots.get_mut(model) {
+                slot.ready = now;
+            }
+            return Vec::new();
+        }
+        self.slots.remove(model);
+        self.failed.retain(|_, until| now < *until);
+        self.failed.insert(model.clone(), now + LOAD_RETRY_DELAY);
+        let waiting = self.queue.drain_where(|t| t.model.as_ref() == Some(model));
+        waiting
+            .into_iter()
+            .map(|t| Step::Refuse(t, Refusal::LoadFailed))
+            .collect()
+    }
+
+    /// A started request ended after `took`; `None` if the upstream refused it.
+    pub fn finished(&mut self, model: Option<&ModelRef>, took: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        if self.running == 0 {
+            self.alone = false;
+        }
+        if let Some(slot) = model.and_then(|m| self.slots.get_mut(m)) {
+            slot.in_flight = slot.in_flight.saturating_sub(1);
+        }
+        if let Some(took) = took {
+            self.service += SERVICE_GAIN * (took.as_secs_f64() - self.service);
+        }
+    }
+
+    /// Forgets a waiting request whose caller went away.
+    pub fn withdraw(&mut self, id: RequestId, attempt: u32) -> bool {
+        !self
+            .queue
+            .drain_where(|t| t.id == id && t.attempt == attempt)
+            .is_empty()
+    }
+
+    /// The upstream said that it doesn't have an adapter that was thought ready.
+    pub fn missing(&mut self, model: &ModelRef) {
+        if self
+            .slots
+            .get(model)
+            .is_some_and(|s| matches!(s.phase, Phase::Ready | Phase::Retiring))
+        {
+            self.slots.remove(model);
+        }
+    }
+
+    /// Takes in what the upstream has, when nothing was known before or it restarted.
+    ///
+    /// `settled` tells whether no request of an earlier holder can still run there.
+    pub fn adopt(&mut self, models: &[ModelRef], settled: bool) {
+        self.slots.retain(|_, s| matches!(s.phase, Phase::Wanted));
+        for model in models {
+            let slot = Slot {
+                phase: Phase::Ready,
+                settled,
+                ..Slot::wanted()
+            };
+            self.slots.insert(model.clone(), slot);
+        }
+    }
+
+    /// Whether some adapter may still serve an earlier holder's request.
+    pub fn is_unsettled(&self) -> bool {
+        self.slots.values().any(|s| !s.settled)
+    }
+
+    /// Notes that no earlier holder's request runs on the adapters for which `idle` holds.
+    pub fn settle(&mut self, idle: impl Fn(&ModelRef) -> bool) {
+        for (model, slot) in &mut self.slots {
+            slot.settled |= idle(model);
+        }
+    }
+
+    fn set_phase(&mut self, model: &ModelRef, phase: Phase) {
+        if let Some(slot) = self.slots.get_mut(model) {
+            slot.phase = phase;
+        }
+    }
+}
--- /dev/null
+++ b/src/declarations.rs
@@ -0,0 +1,225 @@
+//! Reads catalogue declarations from a directory of INI files and checks them as a whole.
+
+use crate::{
+    catalogue::{Adapter, Deployment, Entries, Entry, Pool, PoolKind, Service},
+    findings::Findings,
+    ident::is_name,
+    ini_doc::{self, Section},
+};
+use std::{collections::BTreeMap, io, path::Path, sync::Arc};
+
+/// Extension of declaration files.
+const EXTENSION: &str = "ini";
+
+/// Place of an entry's section, for findings that need the whole catalogue.
+type Places = BTreeMap<String, (String, usize)>;
+
+/// Reads every declaration below `dir`.
+///
+/// # Errors
+/// All findings, sorted by place.
+pub fn read_dir(dir: &Path) -> Result<Entries, Findings> {
+    let mut findings = Findings::default();
+    let mut files = match list_files(dir) {
+        Ok(files) => files,
+        Err(e) => {
+            findings.push(ini_doc::place(
+                &dir.display().to_string(),
+                0,
+                "",
+                "",
+                &e.to_string(),
+            ));
+            return Err(findings);
+        }
+    };
+    files.sort();
+    let mut texts = Vec::with_capacity(files.len());
+    for path in files {
+        let name = path
+            .strip_prefix(dir)
+            .unwrap_or(&path)
+            .display()
+            .to_string();
+        match std::fs::read_to_string(&path) {
+            Ok(text) => texts.push((name, text)),
+            Err(e) => findings.push(ini_doc::place(&name, 0, "", "", &e.to_string())),
+        }
+    }
+    read_texts(&texts, findings)
+}
+
+fn list_files(dir: &Path) -> io::Result<Vec<std::path::PathBuf>> {
+    let mut out = Vec::new();
+    for entry in std::fs::read_dir(dir)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            out.extend(list_files(&path)?);
+        } else if path.extension().is_some_and(|e| e == EXTENSION) {
+            out.push(path);
+        }
+    }
+    Ok(out)
+}
+
+/// Reads declarations from named texts, adding to `findings`.
+///
+/// # Errors
+/// All findings, sorted by place.
+pub fn read_texts(texts: &[(String, String)], mut findings: Findings) -> Result<Entries, Findings> {
+    let mut entries = Entries::new();
+    let mut places = Places::new();
+    for (file, text) in texts {
+        for section in ini_doc::parse(file, text, &mut findings) {
+            read_section(file, section, &mut entries, &mut places, &mut findings);
+        }
+    }
+    check_references(&entries, &places, &mut findings);
+    findings.or_ok(entries)
+}
+
+fn read_section(
+    file: &str,
+    mut section: Section,
+    entries: &mut Entries,
+    places: &mut Places,
+    findings: &mut Findings,
+) {
+    let key = section.name.clone();
+    let (kind, name) = key.split_once(' ').unwrap_or((&key, ""));
+    if kind != "deployment" && !is_name(name) {
+        findings.push(section.finding("", "expected `kind name` with letters, digits, - _ ."));
+        return;
+    }
+    let entry = match kind {
+        "adapter" => Entry::Adapter(read_adapter(&mut section, findings)),
+        "deployment" => Entry::Deployment(read_deployment(&mut section, findings)),
+        "pool" => Entry::Pool(read_pool(&mut section, findings)),
+        "service" => Entry::Service(read_service(&mut section, findings)),
+        _ => {
+            findings.push(section.finding("", "expected adapter, deployment, pool or service"));
+            return;
+        }
+    };
+    if let Some((other, line)) = places.get(&key) {
+        findings.push(section.finding("", &format!("also declared at {other}:{line}")));
+    }
+    places.insert(key.clone(), (file.to_owned(), section.line));
+    section.finish(findings);
+    entries.insert(key, entry);
+}
+
+fn read_adapter(section: &mut Section, findings: &mut Findings) -> Adapter {
+    let mut out = Adapter::default();
+    let mut owner = String::new();
+    section.require("owner", &mut owner, findings);
+    section.require("base", &mut out.base, findings);
+    section.read("class", &mut out.class, findings);
+    section.read("in-flight", &mut out.in_flight, findings);
+    out.versions = read_versions(section, findings);
+    out.current = out.versions.iter().copied().max().unwrap_or(1);
+    section.read("current", &mut out.current, findings);
+    if !out.versions.contains(&out.current) {
+        findings.push(section.finding("current", "not one of `versions`"));
+    }
+    if !is_name(&owner) {
+        findings.push(section.finding("owner", "expected letters, digits, - _ ."));
+    }
+    out.owner = Arc::from(owner);
+    out
+}
+
+fn read_versions(section: &mut Section, findings: &mut Findings) -> Vec<u32> {
+    let Some((_, text)) = section.take("versions") else {
+        return vec![1];
+    };
+    let mut out = Vec::new();
+    for part in text.split(',') {
+        match part.trim().parse::<u32>() {
+            Ok(v) if v > 0 => out.push(v),
+            _ => findings.push(section.finding("versions", &format!("`{part}` is no version"))),
+        }
+    }
+    out.sort_unstable();
+    out.dedup();
+    out
+}
+
+fn read_deployment(section: &mut Section, findings: &mut Findings) -> Deployment {
+    let mut out = Deployment::default();
+    section.read("load-rate", &mut out.load_rate, findings);
+    section.read("load-streams", &mut out.load_streams, findings);
+    section.read("objective", &mut out.objective, findings);
+    if !(out.load_rate.is_finite() && out.load_rate > 0.0) {
+        findings.push(section.finding("load-rate", "must be above 0"));
+    }
+    out
+}
+
+fn read_pool(section: &mut Section, findings: &mut Findings) -> Pool {
+    let mut out = Pool::default();
+    section.require("kind", &mut out.kind, findings);
+    section.read("base", &mut out.base, findings);
+    section.read("batch", &mut out.batch, findings);
+    section.read("fencing", &mut out.fencing, findings);
+    section.read("slots", &mut out.slots, findings);
+    if out.batch == 0 {
+        findings.push(section.finding("batch", "must be above 0"));
+    }
+    if out.kind == PoolKind::Engine && out.slots == 0 {
+        findings.push(section.finding("slots", "must be above 0"));
+    }
+    out
+}
+
+fn read_service(section: &mut Section, findings: &mut Findings) -> Service {
+    let mut out = Service::default();
+    section.require("pool", &mut out.pool, findings);
+    section.read("class", &mut out.class, findings);
+    section.read("repeatable", &mut out.repeatable, findings);
+    out
+}
+
+/// Checks that every entry's references lead somewhere.
+///
+/// # Errors
+/// All findings, by entry.
+pub fn check(entries: &Entries) -> Result<(), Findings> {
+    let places = entries
+        .keys()
+        .map(|k| (k.clone(), ("catalogue".to_owned(), 0)))
+        .collect();
+    let mut findings = Findings::default();
+    check_references(entries, &places, &mut findings);
+    findings.or_ok(())
+}
+
+fn check_references(entries: &Entries, places: &Places, findings: &mut Findings) {
+    for (key, entry) in entries {
+        let problem = match entry {
+            Entry::Adapter(a) if !serves_base(entries, &a.base) => {
+                format!("no engine pool has the base `{}`", a.base)
+            }
+            Entry::Service(s) if !has_service_pool(entries, &s.pool) => {
+                format!("no service pool is named `{}`", s.pool)
+            }
+            _ => continue,
+        };
+        let (file, line) = &places[key];
+        findings.push(ini_doc::place(file, *line, key, "", &problem));
+    }
+}
+
+fn serves_base(entries: &Entries, base: &str) -> bool {
+    entries.range("pool ".to_owned()..).any(|(_, e)| match e {
+        Entry::Pool(p) => p.kind == PoolKind::Engine && p.base == base,
+        _ => false,
+    })
+}
+
+fn has_service_pool(entries: &Entries, pool: &str) -> bool {
+    match entries.get(&format!("pool {pool}")) {
+        Some(Entry::Pool(p)) => p.kind == PoolKind::Service,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,169 @@
+//! The fleet as the object API shows it: dispatchers with their leases, upstreams with their holders.
+
+use crate::{
+    catalogue::Fencing,
+    clock::BootInstant,
+    ident::{DispatcherId, Generation, ModelRef, UpstreamId},
+    lease::{Observer, Renewal},
+    object_api::{Listing, Version},
+};
+use log::warn;
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// Prefix of everything that is read together.
+pub const FLEET_PREFIX: &str = "fleet/";
+
+const DISPATCHER_PREFIX: &str = "fleet/dispatchers/";
+const UPSTREAM_PREFIX: &str = "fleet/upstreams/";
+
+/// Key of a dispatcher's record.
+pub fn dispatcher_key(id: &str) -> String {
+    format!("{DISPATCHER_PREFIX}{id}")
+}
+
+/// Key of an upstream's record.
+pub fn upstream_key(id: &str) -> String {
+    format!("{UPSTREAM_PREFIX}{id}")
+}
+
+/// The gateway on the same VM as a dispatcher.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct GatewayRecord {
+    /// Address that callers connect to.
+    pub address: String,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A dispatcher's record, renewed by conditional writes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DispatcherRecord {
+    /// Name.
+    pub id: DispatcherId,
+    /// Process that writes the record; higher for a later process.
+    pub incarnation: u64,
+    /// Renewals of this incarnation.
+    pub counter: u64,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for the system's own processes.
+    pub link: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Whether it takes no new upstreams and releases those that it has.
+    pub leaving: bool,
+    /// The gateway on its VM, while connected.
+    pub gateway: Option<GatewayRecord>,
+}
+
+/// A holder of an upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Holder {
+    /// Dispatcher.
+    pub id: DispatcherId,
+    /// Its process.
+    pub incarnation: u64,
+    /// Its link address, by which a later process of the same name is known to have replaced it.
+    pub link: SocketAddr,
+}
+
+/// An upstream's record; whoever writes it holds the upstream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamRecord {
+    /// Name.
+    pub id: UpstreamId,
+    /// Holder; `None` after a release.
+    pub holder: Option<Holder>,
+    /// Fencing number; one higher for each holder.
+    pub generation: Generation,
+    /// Whether the upstream checks fencing numbers.
+    pub fencing: Fencing,
+    /// Adapters that are not evicted before they are taken out of this set.
+    pub stable: Vec<ModelRef>,
+    /// Unique to this write, by which a lost answer is settled.
+    pub write: u64,
+}
+
+/// A record and its version.
+#[derive(Clone, Debug)]
+pub struct Versioned<T> {
+    /// Version in the object API.
+    pub version: Version,
+    /// Record.
+    pub record: T,
+}
+
+/// Everything read, and what it says of leases.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// Dispatchers by name.
+    pub dispatchers: BTreeMap<DispatcherId, DispatcherRecord>,
+    /// Upstreams by name.
+    pub upstreams: BTreeMap<UpstreamId, Versioned<UpstreamRecord>>,
+    /// Leases as observed.
+    pub observer: Observer,
+}
+
+impl Fleet {
+    /// Takes in a listing that was asked for at `sent`.
+    pub fn update(&mut self, listing: &Listing, sent: BootInstant, done: BootInstant) {
+        let mut dispatchers = BTreeMap::new();
+        let mut upstreams = BTreeMap::new();
+        for item in &listing.items {
+            if item.key.starts_with(DISPATCHER_PREFIX) {
+                match item.parse::<DispatcherRecord>() {
+                    Ok(record) => drop(dispatchers.insert(record.id.clone(), record)),
+                    Err(e) => warn!(key = item.key; "unreadable record: {e}"),
+                }
+            } else if item.key.starts_with(UPSTREAM_PREFIX) {
+                match item.parse::<UpstreamRecord>() {
+                    Ok(record) => {
+                        let versioned = Versioned {
+                            version: item.version,
+                            record,
+                        };
+                        upstreams.insert(versioned.record.id.clone(), versioned);
+                    }
+                    Err(e) => warn!(key = item.key; "unreadable record: {e}"),
+                }
+            }
+        }
+        let renewals = dispatchers.values().map(|r| {
+            (
+                &r.id,
+                Renewal {
+                    incarnation: r.incarnation,
+                    counter: r.counter,
+                },
+            )
+        });
+        self.observer.observe(sent, done, renewals);
+        self.dispatchers = dispatchers;
+        self.upstreams = upstreams;
+    }
+
+    /// Dispatchers whose lease has not lapsed.
+    pub fn live(&self) -> impl Iterator<Item = &DispatcherRecord> {
+        self.dispatchers
+            .values()
+            .filter(|r| self.observer.is_live(&r.id))
+    }
+
+    /// Live dispatchers that may hold upstreams.
+    pub fn eligible(&self) -> impl Iterator<Item = &DispatcherRecord> {
+        self.live().filter(|r| !r.leaving)
+    }
+
+    /// Whether a later process of the same name listens where `holder` did.
+    pub fn is_replaced(&self, holder: &Holder) -> bool {
+        self.dispatchers
+            .get(&holder.id)
+            .is_some_and(|r| r.incarnation > holder.incarnation && r.link == holder.link)
+    }
+
+    /// Whether the lease of `holder` has certainly ended.
+    pub fn is_lapsed(&self, holder: &Holder) -> bool {
+        self.is_replaced(holder) || self.observer.is_lapsed(&holder.id, holder.incarnation)
+    }
+}
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,297 @@
+//! The gateway process: takes callers' requests, routes them, and streams the answers back.
+
+use crate::{
+    callers,
+    catalogue_watch::CatalogueState,
+    claims::Claims,
+    clock::{self, BootInstant},
+    configs::gateway::GatewayConfig,
+    fleet::{FLEET_PREFIX, Fleet},
+    holding::lock,
+    http_server,
+    link::Link,
+    object_api::ObjectApi,
+    operators::{self, Probe},
+    poison::{Suspects, Verdict},
+    retry_budget::RetryBudget,
+    supervisor::{ChildError, supervise},
+    sync_client::{Subscriptions, SyncEvent},
+    view::View,
+    wire::SyncHello,
+};
+use log::{debug, info, warn};
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+};
+use tokio_graceful_shutdown::SubsystemHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Interval between two looks at the fleet.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Updates waiting to be taken in.
+const EVENT_BUFFER: usize = 4_096;
+
+/// Time from leaving until every other gateway has stopped naming this one to callers.
+const ADVERTISED_LAG: Duration = Duration::from_millis(2_500);
+
+/// Interval between tries to get the first catalogue.
+const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval between looks at a draining gateway.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Everything that the gateway's parts share.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings.
+    pub config: GatewayConfig,
+    /// The catalogue in force.
+    pub catalogue: Arc<CatalogueState>,
+    /// At-most-once records.
+    pub claims: Claims,
+    /// The fleet as last read.
+    pub fleet: Mutex<Fleet>,
+    /// The upstreams as dispatchers report them.
+    pub view: View,
+    /// Retries that may be made.
+    pub budget: RetryBudget,
+    api: ObjectApi,
+    subscriptions: Mutex<Option<Subscriptions>>,
+    suspects: Mutex<Suspects>,
+    hello: watch::Sender<SyncHello>,
+    leaving: AtomicBool,
+    open: AtomicUsize,
+}
+
+impl Context {
+    fn new(config: GatewayConfig) -> Arc<Self> {
+        let api = ObjectApi::new(config.object_api);
+        let hello = SyncHello {
+            node: config.id.clone(),
+            gateway: Some(config.callers.to_string()),
+            leaving: false,
+            revision: 0,
+        };
+        Arc::new(Self {
+            claims: Claims::new(api.clone(), config.claim_retention),
+            config,
+            catalogue: Arc::default(),
+            fleet: Mutex::default(),
+            view: View::default(),
+            budget: RetryBudget::default(),
+            api,
+            subscriptions: Mutex::default(),
+            suspects: Mutex::default(),
+            hello: watch::Sender::new(hello),
+            leaving: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+        })
+    }
+
+    /// The link to the dispatcher at `address`.
+    pub fn link(&self, address: SocketAddr) -> Option<Arc<Link>> {
+        lock(&self.subscriptions)
+            .as_ref()
+            .and_then(|s| s.link(address))
+    }
+
+    /// How a request may be run.
+    pub fn verdict(&self, fingerprint: u64) -> Verdict {
+        lock(&self.suspects).verdict(fingerprint, clock::unix_ms())
+    }
+
+    /// Whether this gateway is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.catalogue.revision() > 0 && self.view.dispatchers() > 0
+    }
+
+    /// Counts an open request until the guard is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        OpenRequest(Arc::clone(self))
+    }
+
+    fn follow_dispatchers(&self) {
+        let mut addresses: Vec<SocketAddr> = lock(&self.fleet).live().map(|r| r.link).collect();
+        addresses.push(self.config.dispatcher);
+        addresses.extend(&self.config.peers.0);
+        if let Some(subscriptions) = lock(&self.subscriptions).as_mut() {
+            subscriptions.set(&addresses);
+        }
+    }
+
+    fn status(&self) -> serde_json::Value {
+        json!({
+            "id": self.config.id,
+            "revision": self.catalogue.revision(),
+            "leaving": self.is_leaving(),
+            "dispatchers": self.view.dispatchers(),
+            "open": self.open.load(Ordering::SeqCst),
+        })
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<Context>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Runs a gateway until a shutdown is asked for.
+///
+/// # Errors
+/// A listener could not be bound.
+pub async fn run(config: GatewayConfig, tree: &mut SubsystemHandle) -> Result<(), ChildError> {
+    let callers = TcpListener::bind(config.callers).await?;
+    let operators = TcpListener::bind(config.operators).await?;
+    let context = Context::new(config);
+    let stop = CancellationToken::new();
+    start_loops(&context, tree, &stop);
+    let serving = CancellationToken::new();
+    let router = callers::router(&context);
+    let front = tokio::spawn(http_server::serve(callers, router, serving.clone()));
+    let pages = operators::router(probe(&context));
+    let pages = tokio::spawn(http_server::serve(operators, pages, stop.clone()));
+    info!(id = context.config.id, callers:% = context.config.callers; "gateway started");
+    tree.on_shutdown_requested().await;
+    leave(&context).await;
+    serving.cancel();
+    front.await??;
+    stop.cancel();
+    pages.await??;
+    info!(id = context.config.id; "gateway stopped");
+    Ok(())
+}
+
+/// Stops being named to callers, serves those who still know this gateway, and finishes.
+async fn leave(context: &Arc<Context>) {
+    context.leaving.store(true, Ordering::SeqCst);
+    context.hello.send_modify(|hello| hello.leaving = true);
+    info!(id = context.config.id; "gateway leaving");
+    tokio::time::sleep(ADVERTISED_LAG + Duration::from_secs(context.config.max_age)).await;
+    let limit = Duration::from_millis(context.config.max_timeout);
+    let started = BootInstant::now();
+    while context.open.load(Ordering::SeqCst) > 0 && BootInstant::now().since(started) < limit {
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+    }
+}
+
+fn probe(context: &Arc<Context>) -> Probe {
+    let (ready, status) = (Arc::clone(context), Arc::clone(context));
+    Probe {
+        ready: Box::new(move || ready.is_ready() && !ready.is_leaving()),
+        status: Box::new(move || status.status()),
+    }
+}
+
+fn start_loops(context: &Arc<Context>, tree: &SubsystemHandle, stop: &CancellationToken) {
+    let c = Arc::clone(context);
+    supervise(tree, "fleet", stop.clone(), move |stop| {
+        Box::pin(follow_fleet(Arc::clone(&c), stop))
+    });
+    let c = Arc::clone(context);
+    supervise(tree, "catalogue", stop.clone(), move |stop| {
+        let context = Arc::clone(&c);
+        Box::pin(async move {
+            context.catalogue.follow(context.api.clone(), stop).await;
+            Ok(())
+        })
+    });
+    let c = Arc::clone(context);
+    supervise(tree, "dispatchers", stop.clone(), move |stop| {
+        Box::pin(follow_updates(Arc::clone(&c), stop))
+    });
+}
+
+async fn follow_fleet(context: Arc<Context>, stop: CancellationToken) -> Result<(), ChildError> {
+    while !stop.is_cancelled() {
+        let sent = BootInstant::now();
+        match context.api.list(FLEET_PREFIX).await {
+            Ok(listing) => {
+                lock(&context.fleet).update(&listing, sent, BootInstant::now());
+                context.follow_dispatchers();
+            }
+            Err(e) => warn!("reading the fleet: {e}"),
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = tokio::time::sleep(LOOK_INTERVAL) => {}
+        }
+    }
+    Ok(())
+}
+
+async fn follow_updates(context: Arc<Context>, stop: CancellationToken) -> Result<(), ChildError> {
+    let (events, mut incoming) = mpsc::channel(EVENT_BUFFER);
+    let key = Arc::from(context.config.key.as_str());
+    let subscriptions = Subscriptions::new(key, context.hello.subscribe(), events);
+    *lock(&context.subscriptions) = Some(subscriptions);
+    context.follow_dispatchers();
+    let bootstrap = tokio::spawn(bootstrap(Arc::clone(&context)));
+    loop {
+        let event = tokio::select! {
+            () = stop.cancelled() => break,
+            event = incoming.recv() => event,
+        };
+        match event {
+            Some(SyncEvent::Update {
+                address,
+                update,
+                at,
+            }) => {
+                for strike in &update.strikes {
+                    lock(&context.suspects).record(strike);
+                }
+                if update.revision > context.catalogue.revision() {
+                    tokio::spawn(catch_up(Arc::clone(&context), address));
+                }
+                context.view.update(address, &update, at);
+            }
+            Some(SyncEvent::Lost { address }) => context.view.lost(address),
+            None => break,
+        }
+    }
+    bootstrap.abort();
+    Ok(())
+}
+
+/// Asks every known dispatcher for the catalogue until there is one.
+async fn bootstrap(context: Arc<Context>) {
+    while context.catalogue.revision() == 0 {
+        let mut addresses = context.config.peers.0.clone();
+        addresses.push(context.config.dispatcher);
+        for address in addresses {
+            catch_up(Arc::clone(&context), address).await;
+        }
+        tokio::time::sleep(BOOTSTRAP_INTERVAL).await;
+    }
+}
+
+async fn catch_up(context: Arc<Context>, address: SocketAddr) {
+    let Some(link) = context.link(address) else {
+        return;
+    };
+    if let Err(e) = context.catalogue.fetch_from(&link).await {
+        debug!("catalogue from {address}: {e}");
+    }
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,134 @@
+//! The HTTP client used towards the platform and upstreams.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use std::{
+    fmt::{Display, Formatter},
+    time::Duration,
+};
+
+/// Longest wait for a TCP connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest time that sent bytes may stay unacknowledged; shorter than the takeover margin.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Idle connections kept for each address.
+const IDLE_CONNECTIONS: usize = 64;
+
+/// Largest body read whole, in bytes.
+pub const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// A pooled HTTP/1.1 client.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Builds a client whose connections fail fast when the network is cut.
+pub fn build() -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .build(connector)
+}
+
+/// Why a call gave no complete answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallError {
+    /// No connection was made, so no byte of the request was sent.
+    NotSent,
+    /// The request may have been acted on.
+    Unknown,
+    /// No answer came in time; the request may have been acted on.
+    Timeout,
+}
+
+impl CallError {
+    /// Whether the request certainly did not reach the other side.
+    pub fn is_not_sent(self) -> bool {
+        self == Self::NotSent
+    }
+}
+
+impl Display for CallError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::NotSent => "no connection",
+            Self::Unknown => "connection lost",
+            Self::Timeout => "timed out",
+        })
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Sends a request and waits for the answer's head.
+///
+/// # Errors
+/// See [`CallError`].
+pub async fn open(
+    client: &HttpClient,
+    request: http::Request<Full<Bytes>>,
+) -> Result<http::Response<hyper::body::Incoming>, CallError> {
+    client.request(request).await.map_err(|e| {
+        if e.is_connect() {
+            CallError::NotSent
+        } else {
+            CallError::Unknown
+        }
+    })
+}
+
+/// Sends a request and reads the whole answer within `limit`.
+///
+/// # Errors
+/// See [`CallError`].
+pub async fn call(
+    client: &HttpClient,
+    request: http::Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Answer, CallError> {
+    let whole = async {
+        let response = open(client, request).await?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(|_e| CallError::Unknown)?.to_bytes();
+        Ok(Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
+    };
+    match tokio::time::timeout(limit, whole).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err(CallError::Timeout),
+    }
+}
+
+/// Builds a request with a JSON body.
+pub fn json_request(method: &http::Method, uri: &str, body: Bytes) -> http::Request<Full<Bytes>> {
+    let mut request = http::Request::new(Full::new(body));
+    *request.method_mut() = method.clone();
+    *request.uri_mut() = uri.parse().unwrap_or_default();
+    let json = http::HeaderValue::from_static("application/json");
+    request
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
+    request
+}
--- /dev/null
+++ b/src/http_server.rs
@@ -0,0 +1,139 @@
+//! Serves a gotham router on our own accept loop, with a graceful shutdown.
+
+use bytes::Bytes;
+use gotham::{
+    helpers::http::Body,
+    router::Router,
+    service::call_handler,
+    state::{FromState, State},
+};
+use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::service::service_fn;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use log::{debug, warn};
+use serde::Serialize;
+use std::{io, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Wait after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Longest time for a caller to send its request's head.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Serves `router` until `stop`, then lets open requests finish.
+///
+/// # Errors
+/// The listener's address could not be read.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let router = Arc::new(router);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, peer) = match accepted {
+            Ok(pair) => pair,
+            Err(e) => {
+                warn!("accept on {address}: {e}");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            debug!("set_nodelay: {e}");
+        }
+        let router = Arc::clone(&router);
+        let service = service_fn(move |request| {
+            let state = State::from_request(request, peer);
+            call_handler(Arc::clone(&router), AssertUnwindSafe(state))
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(e) = watched.await {
+                debug!("connection from {peer}: {e}");
+            }
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    Ok(())
+}
+
+/// A request body was too large or broke off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyError {
+    /// More bytes than allowed.
+    TooLarge,
+    /// The caller went away.
+    Broken,
+}
+
+/// Reads the whole request body, at most `limit` bytes.
+///
+/// # Errors
+/// See [`BodyError`].
+pub async fn read_body(state: &mut State, limit: usize) -> Result<Bytes, BodyError> {
+    let body = Body::take_from(state);
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Err(_broken) => Err(BodyError::Broken),
+    }
+}
+
+/// A body held whole.
+pub fn full_body(data: impl Into<Bytes>) -> Body {
+    Full::new(data.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An answer with a content type.
+pub fn answer(status: StatusCode, content: &'static str, data: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full_body(data));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content));
+    response
+}
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let data = serde_json::to_vec(value).unwrap_or_default();
+    answer(status, "application/json", data)
+}
+
+/// Declares gotham state that carries a process's shared context to its handlers.
+#[macro_export]
+macro_rules! handler_state {
+    ($name:ident, $context:ty) => {
+        /// The shared context, as gotham hands it to handlers.
+        #[derive(Clone, Debug)]
+        pub struct $name(pub std::sync::Arc<$context>);
+
+        impl gotham::state::StateData for $name {}
+        impl std::panic::RefUnwindSafe for $name {}
+        impl std::panic::UnwindSafe for $name {}
+    };
+}
--- /dev/null
+++ b/src/ident.rs
@@ -0,0 +1,117 @@
+//! Identifiers shared by every process.
+
+use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
+use std::{
+    fmt::{Display, Formatter},
+    str::FromStr,
+    sync::Arc,
+};
+
+/// Longest adapter, owner, upstream or service name, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Name of a dispatcher; the same across restarts.
+pub type DispatcherId = Arc<str>;
+
+/// Name of an upstream as the VM list gives it.
+pub type UpstreamId = Arc<str>;
+
+/// Number that grows by one with every accepted configuration.
+pub type Revision = u64;
+
+/// Fencing number of an upstream; grows with every change of holder.
+pub type Generation = u64;
+
+/// An adapter and one of its versions, written `adapter@version`.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ModelRef {
+    /// Adapter name.
+    pub adapter: Arc<str>,
+    /// Version number, from 1.
+    pub version: u32,
+}
+
+impl ModelRef {
+    /// Joins a name and a version.
+    pub fn new(adapter: &str, version: u32) -> Self {
+        Self {
+            adapter: Arc::from(adapter),
+            version,
+        }
+    }
+}
+
+impl Display for ModelRef {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}@{}", self.adapter, self.version)
+    }
+}
+
+/// The text is not of the form `adapter@version`.
+#[derive(Debug)]
+pub struct ParseModelError;
+
+impl Display for ParseModelError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("expected `adapter@version`")
+    }
+}
+
+impl std::error::Error for ParseModelError {}
+
+impl FromStr for ModelRef {
+    type Err = ParseModelError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (adapter, version) = text.rsplit_once('@').ok_or(ParseModelError)?;
+        let version = version
+            .parse::<u32>()
+            .ok()
+            .filter(|v| *v > 0)
+            .ok_or(ParseModelError)?;
+        if !is_name(adapter) {
+            return Err(ParseModelError);
+        }
+        Ok(Self::new(adapter, version))
+    }
+}
+
+/// Whether `text` may name an adapter, owner, upstream or service.
+pub fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= MAX_NAME_BYTES
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
+
+/// Identifier of one caller's request, unique across gateways.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct RequestId(pub u128);
+
+impl RequestId {
+    /// Draws a new identifier.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl Display for RequestId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// Orders `nodes` by rendezvous hashing for `key`, the most preferred first.
+pub fn rendezvous<'a, T>(key: &str, nodes: &'a [T], name: impl Fn(&T) -> &str) -> Vec<&'a T> {
+    let mut ranked: Vec<(u64, &T)> = nodes.iter().map(|n| (pair_hash(key, name(n)), n)).collect();
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| name(a.1).cmp(name(b.1))));
+    ranked.into_iter().map(|(_, n)| n).collect()
+}
+
+/// Hash of a key and a node name, the same on every node.
+pub fn pair_hash(key: &str, node: &str) -> u64 {
+    let joined = [key.as_bytes(), b"\0", node.as_bytes()].concat();
+    rapidhash_v3(&joined)
+}
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,139 @@
+//! Leases of dispatchers: what a holder may assume of itself and an observer of others.
+
+use crate::{clock::BootInstant, ident::DispatcherId};
+use std::{collections::HashMap, time::Duration};
+
+/// Interval between renewals.
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time a renewal stays good, counted from before it was sent.
+pub const LEASE: Duration = Duration::from_millis(4_000);
+
+/// Time an observer must see a counter unchanged; longer than [`LEASE`] by more than the TCP user timeout.
+pub const TAKEOVER_AFTER: Duration = Duration::from_millis(6_000);
+
+/// Longest gap between two successful reads that still count as one observation.
+pub const MAX_READ_GAP: Duration = Duration::from_millis(3_000);
+
+/// A holder's view of its own lease.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HolderLease {
+    until: Option<BootInstant>,
+}
+
+impl HolderLease {
+    /// Records a renewal that took effect; `sent` was read before it was sent.
+    pub fn renewed(&mut self, sent: BootInstant) {
+        let until = sent + LEASE;
+        self.until = Some(self.until.map_or(until, |u| u.max(until)));
+    }
+
+    /// Gives the lease up for good.
+    pub fn revoke(&mut self) {
+        self.until = None;
+    }
+
+    /// Whether the lease is good at `now`.
+    pub fn is_fresh(&self, now: BootInstant) -> bool {
+        self.until.is_some_and(|u| now < u)
+    }
+}
+
+/// One dispatcher's renewal as read from the object API.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Renewal {
+    /// Process that renewed.
+    pub incarnation: u64,
+    /// Renewals so far.
+    pub counter: u64,
+}
+
+/// What an observer last saw of one dispatcher.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    renewal: Renewal,
+    since: BootInstant,
+    lapsed: bool,
+    /// When this incarnation was first seen, without a gap since.
+    born: BootInstant,
+    /// Whether it has been seen for longer than an earlier one's lease can last.
+    settled: bool,
+}
+
+impl Seen {
+    fn next(before: Option<Self>, renewal: Renewal, sent: BootInstant, done: BootInstant) -> Self {
+        let fresh = Self {
+            renewal,
+            since: done,
+            lapsed: false,
+            born: done,
+            settled: false,
+        };
+        let Some(before) = before else { return fresh };
+        if before.renewal.incarnation != renewal.incarnation {
+            return fresh;
+        }
+        let settled = before.settled || sent.since(before.born) >= TAKEOVER_AFTER;
+        if before.renewal.counter != renewal.counter {
+            return Self {
+                born: before.born,
+                settled,
+                ..fresh
+            };
+        }
+        let lapsed = before.lapsed || sent.since(before.since) >= TAKEOVER_AFTER;
+        Self {
+            settled,
+            lapsed,
+            ..before
+        }
+    }
+}
+
+/// An observer's view of every dispatcher's lease.
+#[derive(Debug, Default)]
+pub struct Observer {
+    seen: HashMap<DispatcherId, Seen>,
+    last_read: Option<BootInstant>,
+}
+
+impl Observer {
+    /// Takes in a successful read that was sent at `sent` and answered at `done`.
+    pub fn observe<'a>(
+        &mut self,
+        sent: BootInstant,
+        done: BootInstant,
+        records: impl Iterator<Item = (&'a DispatcherId, Renewal)>,
+    ) {
+        let gap = self
+            .last_read
+            .is_none_or(|last| done.since(last) > MAX_READ_GAP);
+        self.last_read = Some(done);
+        let mut next = HashMap::new();
+        for (id, renewal) in records {
+            let before = self.seen.get(id).filter(|_| !gap).copied();
+            next.insert(id.clone(), Seen::next(before, renewal, sent, done));
+        }
+        self.seen = next;
+    }
+
+    /// Whether the lease of this incarnation of `id` has certainly ended.
+    pub fn is_lapsed(&self, id: &str, incarnation: u64) -> bool {
+        match self.seen.get(id) {
+            Some(s) if s.renewal.incarnation == incarnation => s.lapsed,
+            // The record was overwritten, so the earlier process can't have renewed since.
+            Some(s) => s.renewal.incarnation > incarnation && s.settled,
+            None => false,
+        }
+    }
+
+    /// Whether `id` is known and its lease has not lapsed.
+    pub fn is_live(&self, id: &str) -> bool {
+        self.seen.get(id).is_some_and(|s| !s.lapsed)
+    }
+
+    /// Whether `id` has a record.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.seen.contains_key(id)
+    }
+}
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,386 @@
+//! Streams of bincode messages over HTTP/2 between the system's own processes.
+
+use crate::wire::{self, CodecError};
+use bytes::{Bytes, BytesMut};
+use h2::{RecvStream, SendStream, client::SendRequest, server::SendResponse};
+use http::{Request, Response, StatusCode};
+use log::{debug, warn};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Mutex,
+    time::timeout,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Header that carries the key shared by the system's own processes.
+const KEY_HEADER: &str = "carobfield-key";
+
+/// Longest wait for a connection and its HTTP/2 handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest wait for the other side to accept a stream.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Streams open at once on one connection.
+const MAX_STREAMS: u32 = 4_096;
+
+/// Receive window of a stream, in bytes.
+const STREAM_WINDOW: u32 = 1 << 20;
+
+/// Receive window of a connection, in bytes.
+const CONNECTION_WINDOW: u32 = 16 << 20;
+
+/// Largest header list, in bytes.
+const MAX_HEADER_BYTES: u32 = 8 << 10;
+
+/// Why a stream ended early.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkError {
+    /// No connection, or the stream was refused before it was handled.
+    NotSent,
+    /// The stream broke after it was opened.
+    Broken,
+    /// A message was malformed or too large.
+    Malformed,
+}
+
+impl Display for LinkError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::NotSent => "not sent",
+            Self::Broken => "stream broken",
+            Self::Malformed => "malformed message",
+        })
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+impl From<CodecError> for LinkError {
+    fn from(_: CodecError) -> Self {
+        Self::Malformed
+    }
+}
+
+/// Receiving half of a stream.
+#[derive(Debug)]
+pub struct Receiver {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl Receiver {
+    fn new(stream: RecvStream) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Next message; `None` at a clean end between messages.
+    ///
+    /// # Errors
+    /// The stream broke or a message was malformed.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LinkError> {
+        loop {
+            if let Some(message) = wire::decode(&mut self.buffer)? {
+                return Ok(Some(message));
+            }
+            let Some(data) = self.stream.data().await else {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(LinkError::Broken)
+                };
+            };
+            let data = data.map_err(|_e| LinkError::Broken)?;
+            let flow = self.stream.flow_control();
+            flow.release_capacity(data.len())
+                .map_err(|_e| LinkError::Broken)?;
+            self.buffer.extend_from_slice(&data);
+        }
+    }
+}
+
+/// Sending half of a stream.
+#[derive(Debug)]
+pub struct Sender {
+    stream: SendStream<Bytes>,
+}
+
+impl Sender {
+    /// Sends a message, waiting for the other side's window.
+    ///
+    /// # Errors
+    /// The stream broke or the message is too large.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
+        let mut rest = Bytes::from(wire::encode(message)?);
+        while !rest.is_empty() {
+            self.stream.reserve_capacity(rest.len());
+            let granted = std::future::poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let granted = granted
+                .ok_or(LinkError::Broken)?
+                .map_err(|_e| LinkError::Broken)?;
+            let part = rest.split_to(granted.min(rest.len()));
+            self.stream
+                .send_data(part, false)
+                .map_err(|_e| LinkError::Broken)?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream cleanly.
+    pub fn finish(mut self) {
+        if let Err(e) = self.stream.send_data(Bytes::new(), true) {
+            debug!("stream already closed: {e}");
+        }
+    }
+
+    /// Resolves when the other side gives the stream up.
+    pub async fn cancelled(&mut self) {
+        if let Err(e) = std::future::poll_fn(|cx| self.stream.poll_reset(cx)).await {
+            debug!("connection closed: {e}");
+        }
+    }
+}
+
+/// Client side of a connection to one process, made when needed.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    key: Arc<str>,
+    sender: Mutex<Option<SendRequest<Bytes>>>,
+}
+
+impl Link {
+    /// A link to `address`; nothing is connected yet.
+    pub fn new(address: SocketAddr, key: Arc<str>) -> Self {
+        Self {
+            address,
+            key,
+            sender: Mutex::new(None),
+        }
+    }
+
+    /// Address of the other side.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Opens a stream at `path` with `first` as its only message towards the server.
+    ///
+    /// # Errors
+    /// [`LinkError::NotSent`] only when no byte of `first` can have been handled.
+    pub async fn open<T: Serialize>(&self, path: &str, first: &T) -> Result<Receiver, LinkError> {
+        let (mut sender, receiver) = self.open_duplex(path, first).await?;
+        sender
+            .stream
+            .send_data(Bytes::new(), true)
+            .map_err(|_e| LinkError::Broken)?;
+        Ok(receiver)
+    }
+
+    /// Opens a stream at `path`, sends `first`, and keeps the sending half open.
+    ///
+    /// # Errors
+    /// See [`Link::open`].
+    pub async fn open_duplex<T: Serialize>(
+        &self,
+        path: &str,
+        first: &T,
+    ) -> Result<(Sender, Receiver), LinkError> {
+        let mut ready = self.connected().await?;
+        let request = Request::post(format!("http://{}{path}", self.address))
+            .header(KEY_HEADER, &*self.key)
+            .body(())
+            .map_err(|_e| LinkError::NotSent)?;
+        let (response, stream) = ready
+            .send_request(request, false)
+            .map_err(|_e| LinkError::NotSent)?;
+        let mut sender = Sender { stream };
+        sender.send(first).await?;
+        let response = timeout(ACCEPT_TIMEOUT, response)
+            .await
+            .map_err(|_e| LinkError::Broken)?;
+        let response = match response {
+            Ok(response) => response,
+            Err(e) if e.reason() == Some(h2::Reason::REFUSED_STREAM) => {
+                return Err(LinkError::NotSent);
+            }
+            Err(_broken) => return Err(LinkError::Broken),
+        };
+        if response.status() != StatusCode::OK {
+            return Err(LinkError::NotSent);
+        }
+        Ok((sender, Receiver::new(response.into_body())))
+    }
+
+    async fn connected(&self) -> Result<SendRequest<Bytes>, LinkError> {
+        let mut slot = self.sender.lock().await;
+        if let Some(sender) = slot.clone()
+            && let Ok(ready) = sender.ready().await
+        {
+            return Ok(ready);
+        }
+        *slot = None;
+        let made = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
+        let sender = made.map_err(|_e| LinkError::NotSent)??;
+        let ready = sender.ready().await.map_err(|_e| LinkError::NotSent)?;
+        *slot = Some(ready.clone());
+        Ok(ready)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>, LinkError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|_e| LinkError::NotSent)?;
+    stream.set_nodelay(true).map_err(|_e| LinkError::NotSent)?;
+    let (sender, connection) = h2::client::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake(stream)
+        .await
+        .map_err(|_e| LinkError::NotSent)?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            debug!("connection to {address} closed: {e}");
+        }
+    });
+    Ok(sender)
+}
+
+/// A stream that a client opened.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Path that the client asked for.
+    pub path: String,
+    /// Messages of the client.
+    pub receiver: Receiver,
+    respond: SendResponse<Bytes>,
+}
+
+impl Incoming {
+    /// Accepts the stream.
+    ///
+    /// # Errors
+    /// The client is gone.
+    pub fn accept(mut self) -> Result<(Sender, Receiver), LinkError> {
+        let response = Response::new(());
+        let stream = self
+            .respond
+            .send_response(response, false)
+            .map_err(|_e| LinkError::Broken)?;
+        Ok((Sender { stream }, self.receiver))
+    }
+
+    /// Refuses the stream as not handled.
+    pub fn refuse(mut self) {
+        self.respond.send_reset(h2::Reason::REFUSED_STREAM);
+    }
+}
+
+/// Serves streams until `stop`, then finishes those that are open.
+///
+/// # Errors
+/// The listener's address could not be read.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    key: Arc<str>,
+    stop: CancellationToken,
+    handler: H,
+) -> std::io::Result<()>
+where
+    H: Clone + Fn(Incoming) -> F + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let address = listener.local_addr()?;
+    let tracker = tokio_util::task::TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (key, stop, handler) = (Arc::clone(&key), stop.clone(), handler.clone());
+                tracker.spawn(serve_connection(stream, key, stop, handler));
+            }
+            Err(e) => {
+                warn!("accept on {address}: {e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+    tracker.close();
+    tracker.wait().await;
+    Ok(())
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    key: Arc<str>,
+    stop: CancellationToken,
+    handler: H,
+) where
+    H: Fn(Incoming) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    if let Err(e) = stream.set_nodelay(true) {
+        debug!("set_nodelay: {e}");
+    }
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .handshake::<_, Bytes>(stream);
+    let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, handshake).await else {
+        return;
+    };
+    let mut stopping = false;
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled(), if !stopping => {
+                stopping = true;
+                connection.graceful_shutdown();
+                continue;
+            }
+            accepted = connection.accept() => accepted,
+        };
+        let Some(Ok((request, mut respond))) = accepted else {
+            return;
+        };
+        if !has_key(&request, &key) {
+            warn!("a stream without the shared key was refused");
+            respond.send_reset(h2::Reason::REFUSED_STREAM);
+            continue;
+        }
+        let path = request.uri().path().to_owned();
+        let receiver = Receiver::new(request.into_body());
+        tokio::spawn(handler(Incoming {
+            path,
+            receiver,
+            respond,
+        }));
+    }
+}
+
+fn has_key(request: &Request<RecvStream>, key: &str) -> bool {
+    let given = request
+        .headers()
+        .get(KEY_HEADER)
+        .map_or(&b""[..], |v| v.as_bytes());
+    let differing = given
+        .iter()
+        .zip(key.as_bytes())
+        .fold(0, |d, (a, b)| d | (a ^ b));
+    given.len() == key.len() && differing == 0
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,129 @@
+//! Metrics by opentelemetry, shown in Prometheus' text form.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::sync::LazyLock;
+
+/// Bounds of the stall histogram, in seconds.
+const STALL_BOUNDS: [f64; 10] = [0.0, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Instruments of a process, made when first used.
+#[derive(Debug)]
+struct Instruments {
+    registry: Registry,
+    calls: Counter<u64>,
+    control: Counter<u64>,
+    leases: Gauge<u64>,
+    orders: Counter<u64>,
+    outcomes: Counter<u64>,
+    refusals: Counter<u64>,
+    revision: Gauge<u64>,
+    running: Gauge<u64>,
+    batch: Gauge<u64>,
+    stalls: Histogram<f64>,
+    _provider: SdkMeterProvider,
+}
+
+static INSTRUMENTS: LazyLock<Instruments> = LazyLock::new(Instruments::new);
+
+impl Instruments {
+    fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
+        let builder = SdkMeterProvider::builder();
+        let provider = match exporter {
+            Ok(exporter) => builder.with_reader(exporter).build(),
+            Err(_unregistered) => builder.build(),
+        };
+        let meter: Meter = provider.meter("carobfield");
+        Self {
+            registry,
+            calls: meter.u64_counter("carobfield_object_api_calls").build(),
+            control: meter.u64_counter("carobfield_control_bytes").build(),
+            leases: meter.u64_gauge("carobfield_upstreams_held").build(),
+            orders: meter.u64_counter("carobfield_orders").build(),
+            outcomes: meter.u64_counter("carobfield_outcomes").build(),
+            refusals: meter.u64_counter("carobfield_refusals").build(),
+            revision: meter.u64_gauge("carobfield_catalogue_revision").build(),
+            running: meter.u64_gauge("carobfield_upstream_running").build(),
+            batch: meter.u64_gauge("carobfield_upstream_batch").build(),
+            stalls: meter
+                .f64_histogram("carobfield_load_stall_seconds")
+                .with_boundaries(STALL_BOUNDS.to_vec())
+                .build(),
+            _provider: provider,
+        }
+    }
+}
+
+/// Counts a call to the object API.
+pub fn object_call(kind: &'static str) {
+    INSTRUMENTS.calls.add(1, &[KeyValue::new("kind", kind)]);
+}
+
+/// Counts bytes sent between our own processes for control.
+pub fn control_bytes(kind: &'static str, bytes: usize) {
+    INSTRUMENTS
+        .control
+        .add(bytes as u64, &[KeyValue::new("kind", kind)]);
+}
+
+/// Records how many upstreams this process holds.
+pub fn upstreams_held(count: usize) {
+    INSTRUMENTS.leases.record(count as u64, &[]);
+}
+
+/// Counts an order to an upstream.
+pub fn order(kind: &'static str, result: &'static str) {
+    let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
+    INSTRUMENTS.orders.add(1, &labels);
+}
+
+/// Counts a caller's answer.
+pub fn outcome(outcome: &'static str) {
+    INSTRUMENTS
+        .outcomes
+        .add(1, &[KeyValue::new("outcome", outcome)]);
+}
+
+/// Counts a refusal.
+pub fn refusal(reason: &'static str) {
+    INSTRUMENTS
+        .refusals
+        .add(1, &[KeyValue::new("reason", reason)]);
+}
+
+/// Records the catalogue revision in force.
+pub fn revision(revision: u64) {
+    INSTRUMENTS.revision.record(revision, &[]);
+}
+
+/// Records the batch of an upstream.
+pub fn batch(upstream: &str, running: u32, batch: u32) {
+    let labels = [KeyValue::new("upstream", upstream.to_owned())];
+    INSTRUMENTS.running.record(u64::from(running), &labels);
+    INSTRUMENTS.batch.record(u64::from(batch), &labels);
+}
+
+/// Records the time a request waited for an adapter load.
+pub fn load_stall(class: &'static str, seconds: f64) {
+    INSTRUMENTS
+        .stalls
+        .record(seconds, &[KeyValue::new("class", class)]);
+}
+
+/// All metrics in Prometheus' text form.
+pub fn render() -> Vec<u8> {
+    let mut out = Vec::new();
+    let families = INSTRUMENTS.registry.gather();
+    if TextEncoder::new().encode(&families, &mut out).is_err() {
+        out.clear();
+    }
+    out
+}
--- /dev/null
+++ b/src/object_api.rs
@@ -0,0 +1,257 @@
+//! Client of the platform's object API: versioned objects, conditional updates, watches.
+
+use crate::{
+    http_client::{self, Answer, CallError, HttpClient},
+    metrics,
+};
+use bytes::Bytes;
+use http::{
+    HeaderValue, Method,
+    header::{IF_MATCH, IF_NONE_MATCH},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// Longest wait for a read or a write.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time added to a watch's own wait before it counts as lost.
+const WATCH_GRACE: Duration = Duration::from_millis(2_000);
+
+/// Version of an object; grows with every write to the store.
+pub type Version = u64;
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Condition {
+    /// The object must not exist.
+    Absent,
+    /// The object must be at this version.
+    At(Version),
+}
+
+/// Why a call to the object API failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ObjectError {
+    /// The condition did not hold; nothing was written.
+    Conflict,
+    /// The store refused the call for its rate or an outage; nothing was written.
+    Refused,
+    /// The answer was lost: a write may have taken effect.
+    Unknown,
+    /// The store's answer could not be read.
+    Malformed,
+}
+
+impl Display for ObjectError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Conflict => "the condition did not hold",
+            Self::Refused => "the object API refused the call",
+            Self::Unknown => "the answer was lost",
+            Self::Malformed => "the answer could not be read",
+        })
+    }
+}
+
+impl std::error::Error for ObjectError {}
+
+/// An object as the store holds it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Stored {
+    /// Key.
+    pub key: String,
+    /// Version of the last write.
+    pub version: Version,
+    /// Value, as JSON text.
+    pub value: String,
+}
+
+impl Stored {
+    /// Reads the value as `T`.
+    ///
+    /// # Errors
+    /// [`ObjectError::Malformed`].
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, ObjectError> {
+        serde_json::from_str(&self.value).map_err(|_e| ObjectError::Malformed)
+    }
+}
+
+/// Objects below a prefix and the store's version when they were read.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Listing {
+    /// The store's version.
+    pub version: Version,
+    /// Objects, by key.
+    pub items: Vec<Stored>,
+}
+
+/// Answer of the store to a write.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Written {
+    /// New version of the object.
+    pub version: Version,
+}
+
+/// Client of one object API.
+#[derive(Clone, Debug)]
+pub struct ObjectApi {
+    base: String,
+    client: HttpClient,
+}
+
+impl ObjectApi {
+    /// A client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            base: format!("http://{address}"),
+            client: http_client::build(),
+        }
+    }
+
+    /// Reads an object; `None` if there is none.
+    ///
+    /// # Errors
+    /// See [`ObjectError`].
+    pub async fn get(&self, key: &str) -> Result<Option<Stored>, ObjectError> {
+        let uri = format!("{}/objects/{key}", self.base);
+        let answer = self
+            .send("get", Method::GET, &uri, Bytes::new(), None, CALL_TIMEOUT)
+            .await?;
+        match answer.status {
+            200 => parse(&answer).map(Some),
+            404 => Ok(None),
+            _ => Err(ObjectError::Refused),
+        }
+    }
+
+    /// Reads every object below `prefix`.
+    ///
+    /// # Errors
+    /// See [`ObjectError`].
+    pub async fn list(&self, prefix: &str) -> Result<Listing, ObjectError> {
+        let uri = format!("{}/objects?prefix={prefix}", self.base);
+        let answer = self
+            .send("list", Method::GET, &uri, Bytes::new(), None, CALL_TIMEOUT)
+            .await?;
+        if answer.status == 200 {
+            parse(&answer)
+        } else {
+            Err(ObjectError::Refused)
+        }
+    }
+
+    /// Waits until the object at `key` has a version above `after`, at most `wait`.
+    ///
+    /// # Errors
+    /// See [`ObjectError`].
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<Stored>, ObjectError> {
+        let ms = wait.as_millis();
+        let uri = format!("{}/watch/{key}?after={after}&wait_ms={ms}", self.base);
+        let limit = wait + WATCH_GRACE;
+        let answer = self
+            .send("watch", Method::GET, &uri, Bytes::new(), None, limit)
+            .await?;
+        match answer.status {
+            200 => parse(&answer).map(Some),
+            204 => Ok(None),
+            _ => Err(ObjectError::Refused),
+        }
+    }
+
+    /// Writes an object under a condition and returns its new version.
+    ///
+    /// # Errors
+    /// See [`ObjectError`]; after [`ObjectError::Unknown`] the caller must read back.
+    pub async fn put<T: Serialize>(
+        &self,
+        key: &str,
+        value: &T,
+        condition: Condition,
+    ) -> Result<Version, ObjectError> {
+        let body = serde_json::to_vec(value).map_err(|_e| ObjectError::Malformed)?;
+        let uri = format!("{}/objects/{key}", self.base);
+        let condition = Some(condition);
+        let answer = self
+            .send(
+                "put",
+                Method::PUT,
+                &uri,
+                body.into(),
+                condition,
+                CALL_TIMEOUT,
+            )
+            .await?;
+        match answer.status {
+            200 => parse::<Written>(&answer).map(|w| w.version),
+            412 => Err(ObjectError::Conflict),
+            429 | 503 => Err(ObjectError::Refused),
+            _ => Err(ObjectError::Malformed),
+        }
+    }
+
+    /// Deletes an object at a version.
+    ///
+    /// # Errors
+    /// See [`ObjectError`].
+    pub async fn delete(&self, key: &str, version: Version) -> Result<(), ObjectError> {
+        let uri = format!("{}/objects/{key}", self.base);
+        let at = Some(Condition::At(version));
+        let answer = self
+            .send(
+                "delete",
+                Method::DELETE,
+                &uri,
+                Bytes::new(),
+                at,
+                CALL_TIMEOUT,
+            )
+            .await?;
+        match answer.status {
+            200 | 404 => Ok(()),
+            412 => Err(ObjectError::Conflict),
+            _ => Err(ObjectError::Refused),
+        }
+    }
+
+    async fn send(
+        &self,
+        kind: &'static str,
+        method: Method,
+        uri: &str,
+        body: Bytes,
+        condition: Option<Condition>,
+        limit: Duration,
+    ) -> Result<Answer, ObjectError> {
+        metrics::object_call(kind);
+        let mut request = http_client::json_request(&method, uri, body);
+        let headers = request.headers_mut();
+        match condition {
+            Some(Condition::Absent) => {
+                headers.insert(IF_NONE_MATCH, HeaderValue::from_static("*"));
+            }
+            Some(Condition::At(version)) => {
+                headers.insert(IF_MATCH, HeaderValue::from(version));
+            }
+            None => {}
+        }
+        match http_client::call(&self.client, request, limit).await {
+            Ok(answer) => Ok(answer),
+            Err(CallError::NotSent) => Err(ObjectError::Refused),
+            Err(CallError::Unknown | CallError::Timeout) => Err(ObjectError::Unknown),
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &Answer) -> Result<T, ObjectError> {
+    serde_json::from_slice(&answer.body).map_err(|_e| ObjectError::Malformed)
+}
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,102 @@
+//! What the `main` of each long-running binary has in common.
+
+use crate::{configs::log::LogConfig, findings::Findings, logging, supervisor::ChildError};
+use gumdrop::Options;
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
+use tokio_graceful_shutdown::{SubsystemHandle, Toplevel};
+
+/// Longest time from a stop signal to the end of the process.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(150);
+
+/// Exit code of settings that have findings.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Command line of a process that reads one settings file.
+#[derive(Debug, Options)]
+pub struct ProcessOptions {
+    /// Shows the options.
+    #[options(help = "show this help and stop")]
+    pub help: bool,
+    /// Shows the version.
+    #[options(help = "show the version and stop", short = "V")]
+    pub version: bool,
+    /// Settings file.
+    #[options(help = "settings file (INI)", meta = "FILE")]
+    pub config: Option<PathBuf>,
+    /// Only checks the settings.
+    #[options(help = "check the settings, report every finding, and stop", no_short)]
+    pub check: bool,
+}
+
+/// Reads the command line and settings, and runs until a stop signal.
+pub fn main<C, R, L>(name: &str, read: R, log: L, run: RunFn<C>) -> ExitCode
+where
+    C: Send + 'static,
+    R: FnOnce(&Path) -> Result<C, Findings>,
+    L: FnOnce(&C) -> LogConfig,
+{
+    let options = ProcessOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("{name} {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = options.config else {
+        eprintln!("{name}: --config FILE is needed; see --help");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let config = match read(&path) {
+        Ok(config) => config,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let log = log(&config);
+    logging::start(log.level, log.form, name);
+    run_until_signal(name, config, run)
+}
+
+/// A process's `run`.
+pub type RunFn<C> = for<'a> fn(
+    C,
+    &'a mut SubsystemHandle,
+) -> futures_util::future::BoxFuture<'a, Result<(), ChildError>>;
+
+fn run_until_signal<C: Send + 'static>(name: &str, config: C, run: RunFn<C>) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("{name}: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = runtime.block_on(async {
+        let top = Toplevel::new(async move |tree: &mut SubsystemHandle| {
+            tree.start(tokio_graceful_shutdown::SubsystemBuilder::new(
+                "process",
+                async move |tree: &mut SubsystemHandle| run(config, tree).await,
+            ));
+        });
+        top.catch_signals()
+            .handle_shutdown_requests(SHUTDOWN_LIMIT)
+            .await
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,129 @@
+//! Settings of the processes: INI files checked as a whole, and the closed sets that they name.
+
+use crate::{
+    catalogue::named_set,
+    configs::{dispatcher::DispatcherConfig, gateway::GatewayConfig, log::LogConfig},
+    findings::Findings,
+    ini_doc::{self, Section},
+};
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    path::Path,
+    str::FromStr,
+};
+
+/// How a gateway chooses an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PlacementRule {
+    /// Least expected delay, with the cost of a load and of an eviction in the score.
+    #[default]
+    Cost,
+    /// The upstream that rendezvous hashing of the adapter names.
+    Hash,
+    /// The upstream with the fewest requests.
+    LeastLoaded,
+    /// A random upstream.
+    Random,
+}
+
+named_set!(PlacementRule, "expected cost, hash, least-loaded or random",
+    "cost" => PlacementRule::Cost, "hash" => PlacementRule::Hash,
+    "least-loaded" => PlacementRule::LeastLoaded, "random" => PlacementRule::Random);
+
+/// How a holder chooses the adapter to evict.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EvictionRule {
+    /// The least recently used.
+    Lru,
+    /// The one least often asked for.
+    #[default]
+    Value,
+}
+
+named_set!(EvictionRule, "expected lru or value",
+    "lru" => EvictionRule::Lru, "value" => EvictionRule::Value);
+
+/// A comma-separated list of addresses.
+#[derive(Clone, Debug, Default)]
+pub struct Addresses(pub Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
+        parts.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// Reads a file, or says why it could not be read.
+fn read_file(path: &Path, findings: &mut Findings) -> Vec<Section> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => ini_doc::parse(&name, &text, findings),
+        Err(e) => {
+            findings.push(ini_doc::place(&name, 0, "", "", &e.to_string()));
+            Vec::new()
+        }
+    }
+}
+
+/// Reads a gateway's settings.
+///
+/// # Errors
+/// All findings, sorted by place.
+pub fn read_gateway(path: &Path) -> Result<GatewayConfig, Findings> {
+    let mut findings = Findings::default();
+    let mut out = GatewayConfig::default();
+    let mut seen = false;
+    for mut section in read_file(path, &mut findings) {
+        match section.name.as_str() {
+            "gateway" => {
+                seen = true;
+                out.read_process(&mut section, &mut findings);
+            }
+            "limits" => out.read_limits(&mut section, &mut findings),
+            "log" => read_log(&mut out.log, &mut section, &mut findings),
+            _ => findings.push(section.finding("", "expected gateway, limits or log")),
+        }
+        section.finish(&mut findings);
+    }
+    require_section(path, "gateway", seen, &mut findings);
+    findings.or_ok(out)
+}
+
+/// Reads a dispatcher's settings.
+///
+/// # Errors
+/// All findings, sorted by place.
+pub fn read_dispatcher(path: &Path) -> Result<DispatcherConfig, Findings> {
+    let mut findings = Findings::default();
+    let mut out = DispatcherConfig::default();
+    let mut seen = false;
+    for mut section in read_file(path, &mut findings) {
+        match section.name.as_str() {
+            "dispatcher" => {
+                seen = true;
+                out.read_process(&mut section, &mut findings);
+            }
+            "log" => read_log(&mut out.log, &mut section, &mut findings),
+            _ => findings.push(section.finding("", "expected dispatcher or log")),
+        }
+        section.finish(&mut findings);
+    }
+    require_section(path, "dispatcher", seen, &mut findings);
+    findings.or_ok(out)
+}
+
+fn require_section(path: &Path, name: &str, seen: bool, findings: &mut Findings) {
+    if !seen {
+        let file = path.display().to_string();
+        findings.push(ini_doc::place(&file, 0, name, "", "the section is missing"));
+    }
+}
+
+fn read_log(log: &mut LogConfig, section: &mut Section, findings: &mut Findings) {
+    section.read("level", &mut log.level, findings);
+    section.read("form", &mut log.form, findings);
+}
--- /dev/null
+++ b/src/sse.rs
@@ -0,0 +1,53 @@
+//! Server-sent events: splits a byte stream into the data of its events.
+
+use bytes::{Buf, BytesMut};
+
+/// Largest event kept, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event is larger than allowed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventTooLarge;
+
+/// Splits events off a byte stream.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+}
+
+impl EventSplitter {
+    /// Adds received bytes.
+    ///
+    /// # Errors
+    /// An event that is not ended yet is larger than allowed.
+    pub fn push(&mut self, data: &[u8]) -> Result<(), EventTooLarge> {
+        if self.buffer.len() + data.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
+        }
+        self.buffer.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Data of the next whole event.
+    pub fn next_event(&mut self) -> Option<String> {
+        loop {
+            let end = self.buffer.windows(2).position(|w| w == b"\n\n")?;
+            let event = self.buffer.split_to(end);
+            self.buffer.advance(2);
+            let text = String::from_utf8_lossy(&event);
+            let data: Vec<&str> = text
+                .lines()
+                .filter_map(|l| l.strip_prefix("data:"))
+                .map(str::trim_start)
+                .collect();
+            if !data.is_empty() {
+                return Some(data.join("\n"));
+            }
+        }
+    }
+}
+
+/// Formats one event.
+pub fn event(data: &str) -> String {
+    format!("data: {data}\n\n")
+}
--- /dev/null
+++ b/src/supervisor.rs
@@ -0,0 +1,84 @@
+//! Supervisor tree: children that fail are restarted at a capped rate, past which the parent fails.
+
+use crate::clock::BootInstant;
+use futures_util::future::BoxFuture;
+use log::{error, warn};
+use std::{
+    collections::VecDeque,
+    fmt::{Display, Formatter},
+    time::Duration,
+};
+use tokio_graceful_shutdown::{ErrorAction, SubsystemBuilder, SubsystemHandle};
+use tokio_util::sync::CancellationToken;
+
+/// Restarts allowed within [`RESTART_WINDOW`].
+const MAX_RESTARTS: usize = 5;
+
+/// Window over which restarts are counted.
+const RESTART_WINDOW: Duration = Duration::from_secs(30);
+
+/// Wait before a restart.
+const RESTART_DELAY: Duration = Duration::from_millis(200);
+
+/// Error of a supervised child.
+pub type ChildError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A child failed more often than allowed.
+#[derive(Debug)]
+pub struct RestartLimit(pub &'static str);
+
+impl Display for RestartLimit {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} failed more than {MAX_RESTARTS} times", self.0)
+    }
+}
+
+impl std::error::Error for RestartLimit {}
+
+/// Starts `make`'s future below `parent` and restarts it when it fails.
+///
+/// The future is handed `stop`, which the owner of the tree cancels in its own order of shutdown; an `Ok` ends
+/// the child for good.
+pub fn supervise<F>(parent: &SubsystemHandle, name: &'static str, stop: CancellationToken, make: F)
+where
+    F: Fn(CancellationToken) -> BoxFuture<'static, Result<(), ChildError>> + Send + 'static,
+{
+    parent.start(SubsystemBuilder::new(
+        name,
+        async move |level: &mut SubsystemHandle| -> Result<(), ChildError> {
+            let mut restarts = VecDeque::new();
+            loop {
+                let child = make(stop.clone());
+                let nested = level.start(
+                    SubsystemBuilder::new("run", async move |_: &mut SubsystemHandle| child.await)
+                        .on_failure(ErrorAction::CatchAndLocalShutdown)
+                        .on_panic(ErrorAction::CatchAndLocalShutdown),
+                );
+                let Err(e) = nested.join().await else {
+                    return Ok(());
+                };
+                if stop.is_cancelled() {
+                    return Ok(());
+                }
+                warn!(child = name; "restarting after a failure: {e}");
+                if !may_restart(&mut restarts, BootInstant::now()) {
+                    error!(child = name; "the restart limit is reached");
+                    return Err(ChildError::from(RestartLimit(name)));
+                }
+                tokio::time::sleep(RESTART_DELAY).await;
+            }
+        },
+    ));
+}
+
+/// Counts a restart at `now`; false once too many fall into the window.
+fn may_restart(restarts: &mut VecDeque<BootInstant>, now: BootInstant) -> bool {
+    while restarts
+        .front()
+        .is_some_and(|t| now.since(*t) > RESTART_WINDOW)
+    {
+        restarts.pop_front();
+    }
+    restarts.push_back(now);
+    restarts.len() <= MAX_RESTARTS
+}
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,559 @@
+//! Stand-in for a model engine: adapter slots, a continuous batch, streams that can be resumed, faults.
+
+use crate::{
+    engine_state::{EngineState, OrderOutcome, Refused, Run, RunState},
+    generate,
+    run_log::{LogKind, RunLog},
+    web::{self, AnswerLost, WebAnswer, WebBody, WebRequest},
+};
+use bytes::Bytes;
+use carobfield::{
+    clock,
+    http_client::{self, HttpClient},
+    sse,
+    upstream_client::{FENCING_HEADER, ListedModel, ModelList, REQUEST_HEADER, RESUME_HEADER},
+};
+use futures_util::{StreamExt, stream};
+use http::{Method, Response, StatusCode, header::CONTENT_TYPE};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use tokio_util::sync::CancellationToken;
+
+/// Tokens of a request that names no length.
+const DEFAULT_TOKENS: u64 = 16;
+
+/// Longest wait for weights.
+const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Settings of one engine.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// Name.
+    pub name: String,
+    /// Address.
+    pub listen: SocketAddr,
+    /// Base model.
+    pub base: String,
+    /// Adapter slots.
+    pub slots: usize,
+    /// Requests that run at once.
+    pub batch: usize,
+    /// Whether old fencing numbers are refused.
+    pub fencing: bool,
+    /// Time of a decoding step, in microseconds.
+    pub step_us: u64,
+    /// Time that each running request adds to a step, in microseconds.
+    pub share_us: u64,
+    /// Time of the prefill of a prompt byte that is not cached, in microseconds.
+    pub prefill_us: u64,
+    /// Prefixes kept in the cache.
+    pub prefixes: usize,
+    /// Weight store; `None` loads at once.
+    pub weights: Option<SocketAddr>,
+    /// Age of load reports, in milliseconds.
+    pub report_lag: u64,
+    /// Time that a run goes on after its caller went away, in milliseconds.
+    pub grace: u64,
+    /// Time that a crashed engine stays down, in milliseconds.
+    pub down: u64,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            name: String::from("engine"),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            base: String::from("base"),
+            slots: 4,
+            batch: 8,
+            fencing: true,
+            step_us: 5_000,
+            share_us: 100,
+            prefill_us: 20,
+            prefixes: 64,
+            weights: None,
+            report_lag: 300,
+            grace: 2_000,
+            down: 500,
+        }
+    }
+}
+
+/// Faults that can be switched on; counts run down as they strike.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Requests to refuse before running.
+    pub refuse: u32,
+    /// Answers to give under another model's name.
+    pub wrong_model: u32,
+    /// Answers to end early without a finish reason.
+    pub truncate: u32,
+    /// Answers to cut mid-stream.
+    pub cut: u32,
+    /// Answers whose parts come twice.
+    pub duplicate: u32,
+    /// Answers of which two parts change places.
+    pub reorder: u32,
+    /// Answers with a part of another request in them.
+    pub foreign: u32,
+    /// Time added before each part, in milliseconds.
+    pub late_ms: u64,
+    /// Loads to fail.
+    pub load_fail: u32,
+    /// Adapters whose loads always fail.
+    pub fail_models: Vec<String>,
+    /// Time added to each order before it is carried out, in milliseconds.
+    pub order_ms: u64,
+    /// A prompt with this text crashes the engine.
+    pub crash_on: String,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    /// Settings.
+    pub config: EngineConfig,
+    /// State of the present process.
+    pub state: EngineState,
+    /// What happened.
+    pub log: Arc<RunLog>,
+    client: HttpClient,
+    crash: CancellationToken,
+}
+
+/// Serves until `stop`, starting afresh after each crash.
+///
+/// # Errors
+/// The address could not be bound.
+pub async fn run(config: EngineConfig, stop: CancellationToken) -> std::io::Result<()> {
+    let log = Arc::new(RunLog::default());
+    let mut faults = EngineFaults::default();
+    while !stop.is_cancelled() {
+        let listener = web::bind(config.listen).await?;
+        let crash = stop.child_token();
+        log.push(LogKind::Boot, &config.name, "", "", 0);
+        let engine = Arc::new(Engine {
+            state: EngineState::new(&config, faults),
+            config: config.clone(),
+            log: Arc::clone(&log),
+            client: http_client::build(),
+            crash: crash.clone(),
+        });
+        let snapshots = tokio::spawn(Arc::clone(&engine).keep_snapshots());
+        let served = Arc::clone(&engine);
+        let handler = Arc::new(move |request| {
+            let engine = Arc::clone(&served);
+            Box::pin(async move { engine.handle(request).await }) as _
+        });
+        web::serve(listener, handler, crash).await;
+        snapshots.abort();
+        engine.state.abort_all();
+        faults = engine.state.faults();
+        if !stop.is_cancelled() {
+            tokio::time::sleep(Duration::from_millis(config.down)).await;
+        }
+    }
+    Ok(())
+}
+
+impl Engine {
+    async fn keep_snapshots(self: Arc<Self>) {
+        loop {
+            self.state.snapshot();
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn handle(self: Arc<Self>, request: WebRequest) -> WebAnswer {
+        let path = request.path.clone();
+        match (&request.method, path.as_str()) {
+            (&Method::GET, "/v1/models") => Ok(self.models()),
+            (&Method::GET, "/load") => Ok(web::json(StatusCode::OK, &self.state.report())),
+            (&Method::GET, "/log") => Ok(web::json(StatusCode::OK, &self.log.all())),
+            (&Method::GET, "/stats") => Ok(web::json(StatusCode::OK, &self.state.stats())),
+            (&Method::GET, "/cache_events") => Ok(web::json(
+                StatusCode::OK,
+                &self.state.cache_events(request.number("after")),
+            )),
+            (&Method::POST, "/v1/fence") => Ok(self.fence(&request)),
+            (&Method::POST, "/v1/load_lora_adapter") => Ok(self.load(&request).await),
+            (&Method::POST, "/v1/unload_lora_adapter") => Ok(self.unload(&request).await),
+            (&Method::POST, "/v1/completions") => self.generate(&request, false),
+            (&Method::POST, "/v1/chat/completions") => self.generate(&request, true),
+            (&Method::POST, "/fault") => Ok(self.set_faults(&request)),
+            (&Method::POST, "/restart") => {
+                self.crash.cancel();
+                Err(AnswerLost)
+            }
+            (&Method::POST, p) if p.starts_with("/v1/cancel/") => {
+                self.state.cancel(p.trim_start_matches("/v1/cancel/"));
+                Ok(web::empty(StatusCode::OK))
+            }
+            _ => Ok(web::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn set_faults(&self, request: &WebRequest) -> Response<WebBody> {
+        match serde_json::from_slice(&request.body) {
+            Ok(faults) => {
+                self.state.set_faults(faults);
+                web::empty(StatusCode::OK)
+            }
+            Err(e) => web::text(StatusCode::BAD_REQUEST, "text/plain", e.to_string()),
+        }
+    }
+
+    fn models(&self) -> Response<WebBody> {
+        let base = ListedModel {
+            id: self.config.base.clone(),
+            parent: None,
+        };
+        let loaded = self.state.adapters().into_iter().map(|id| {
+            let parent = Some(self.config.base.clone());
+            ListedModel { id, parent }
+        });
+        let data = std::iter::once(base).chain(loaded).collect();
+        let (boot, now_ms) = (self.state.boot, clock::unix_ms());
+        web::json(StatusCode::OK, &ModelList { data, boot, now_ms })
+    }
+
+    /// Refuses an order with an old fencing number, where numbers are checked.
+    fn check_fence(&self, request: &WebRequest) -> bool {
+        let token = request.header_number(FENCING_HEADER).unwrap_or(0);
+        let passed = !self.config.fencing || self.state.raise_fence(token);
+        if !passed {
+            self.log.push(
+                LogKind::Fenced,
+                &self.config.name,
+                &token.to_string(),
+                "",
+                0,
+            );
+        }
+        passed
+    }
+
+    fn fence(&self, request: &WebRequest) -> Response<WebBody> {
+        let passed = self.check_fence(request);
+        web::empty(if passed {
+            StatusCode::OK
+        } else {
+            StatusCode::CONFLICT
+        })
+    }
+
+    async fn load(&self, request: &WebRequest) -> Response<WebBody> {
+        let Some(model) = order_model(request) else {
+            return web::empty(StatusCode::BAD_REQUEST);
+        };
+        tokio::time::sleep(Duration::from_millis(self.state.faults().order_ms)).await;
+        if !self.check_fence(request) {
+            return web::empty(StatusCode::CONFLICT);
+        }
+        match self.state.begin_load(&model, self.config.slots) {
+            OrderOutcome::Already => return web::empty(StatusCode::OK),
+            OrderOutcome::Full => return web::empty(StatusCode::INSUFFICIENT_STORAGE),
+            OrderOutcome::Fails => return web::empty(StatusCode::INTERNAL_SERVER_ERROR),
+            OrderOutcome::Begun => {}
+        }
+        let fetched = self.fetch_weights(&model).await;
+        self.state.end_load(&model, fetched);
+        if !fetched {
+            return web::empty(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        self.log
+            .push(LogKind::Load, &self.config.name, "", &model, 0);
+        web::empty(StatusCode::OK)
+    }
+
+    async fn fetch_weights(&self, model: &str) -> bool {
+        let Some(store) = self.config.weights else {
+            return true;
+        };
+        let uri = format!("http://{store}/weights/{model}");
+        let request = http_client::json_request(&Method::GET, &uri, Bytes::new());
+        let answer = http_client::call(&self.client, request, WEIGHTS_TIMEOUT).await;
+        answer.is_ok_and(|a| a.status == 200)
+    }
+
+    async fn unload(&self, request: &WebRequest) -> Response<WebBody> {
+        let Some(model) = order_model(request) else {
+            return web::empty(StatusCode::BAD_REQUEST);
+        };
+        tokio::time::sleep(Duration::from_millis(self.state.faults().order_ms)).await;
+        if !self.check_fence(request) {
+            return web::empty(StatusCode::CONFLICT);
+        }
+        if let Some(in_flight) = self.state.unload(&model) {
+            self.log
+                .push(LogKind::Evict, &self.config.name, "", &model, in_flight);
+        }
+        web::empty(StatusCode::OK)
+    }
+
+    fn generate(self: Arc<Self>, request: &WebRequest, chat: bool) -> WebAnswer {
+        let name = request.header_text(REQUEST_HEADER);
+        if let Some(offset) = request.header_number(RESUME_HEADER) {
+            return Ok(match self.state.run(&name) {
+                Some(run) => {
+                    let model = run.model.clone();
+                    self.log
+                        .push(LogKind::Resume, &self.config.name, &name, &model, 0);
+                    self.stream(run, chat, offset)
+                }
+                None => web::empty(StatusCode::GONE),
+            });
+        }
+        let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+            return Ok(web::empty(StatusCode::BAD_REQUEST));
+        };
+        let model = body["model"].as_str().unwrap_or("").to_owned();
+        let prompt = match body["prompt"].as_str() {
+            Some(prompt) => prompt.to_owned(),
+            None => body["messages"].to_string(),
+        };
+        let faults = self.state.faults();
+        if !faults.crash_on.is_empty() && prompt.contains(&faults.crash_on) {
+            self.log
+                .push_body(LogKind::Start, &self.config.name, &name, &model, "", 0);
+            self.log
+                .push(LogKind::Crash, &self.config.name, &name, &model, 0);
+            self.crash.cancel();
+            return Err(AnswerLost);
+        }
+        if self.state.strike(|f| &mut f.refuse) {
+            return Ok(web::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
+        let priority = body["priority"].as_i64().unwrap_or(0);
+        let run = Run::new(&name, &model, &prompt, tokens, priority);
+        match self.state.admit(&run) {
+            Ok(()) => {}
+            Err(Refused::NoModel) => return Ok(web::empty(StatusCode::NOT_FOUND)),
+        }
+        tokio::spawn(Arc::clone(&self).produce(Arc::clone(&run)));
+        Ok(self.stream(run, chat, 0))
+    }
+
+    /// Decodes one request, a token for each step of the batch.
+    async fn produce(self: Arc<Self>, run: Arc<Run>) {
+        self.state.wait_for_place(&run).await;
+        if self.state.is_over(&run) {
+            self.state.leave(&run);
+            return;
+        }
+        let in_flight = self.state.start(&run);
+        let (name, model) = (&self.config.name, &run.model);
+        self.log.push_body(
+            LogKind::Start,
+            name,
+            &run.name,
+            model,
+            &run.body_hash(),
+            in_flight,
+        );
+        let cached = self.state.cache_prompt(&run.prompt, self.config.prefixes);
+        let fresh = run.prompt.len().saturating_sub(cached) as u64;
+        tokio::time::sleep(Duration::from_micros(fresh * self.config.prefill_us)).await;
+        for _ in 0..run.tokens {
+            let running = self.state.running() as u64;
+            let step = self.config.step_us + self.config.share_us * running;
+            tokio::time::sleep(Duration::from_micros(step)).await;
+            if self.state.is_over(&run) {
+                break;
+            }
+            run.progress.send_modify(|p| p.tokens += 1);
+        }
+        self.state.leave(&run);
+        run.progress.send_modify(|p| {
+            if p.state == RunState::Running {
+                p.state = RunState::Done;
+            }
+        });
+        self.log.push(LogKind::End, name, &run.name, model, 0);
+        let (engine, grace) = (Arc::clone(&self), Duration::from_millis(self.config.grace));
+        tokio::time::sleep(grace).await;
+        engine.state.forget(&run.name);
+    }
+
+    fn stream(self: &Arc<Self>, run: Arc<Run>, chat: bool, offset: u64) -> Response<WebBody> {
+        let writer = StreamWriter::new(Arc::clone(self), run, chat, offset);
+        let parts = stream::unfold(writer, |mut writer| async move {
+            let part = writer.next_part().await?;
+            Some((part.map(Frame::data), writer))
+        });
+        let body = BodyExt::boxed_unsync(StreamBody::new(parts.boxed()));
+        let mut response = Response::new(body);
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+}
+
+fn order_model(request: &WebRequest) -> Option<String> {
+    let body: Value = serde_json::from_slice(&request.body).ok()?;
+    body["lora_name"].as_str().map(ToOwned::to_owned)
+}
+
+/// Writes a run's tokens as events, with the faults that are switched on.
+struct StreamWriter {
+    engine: Arc<Engine>,
+    run: Arc<Run>,
+    chat: bool,
+    sent: u64,
+    skip: u64,
+    offset: u64,
+    model: String,
+    truncate: bool,
+    cut: bool,
+    duplicate: bool,
+    reorder: bool,
+    foreign: bool,
+    queued: VecDeque<String>,
+    over: bool,
+    finished: bool,
+}
+
+impl StreamWriter {
+    fn new(engine: Arc<Engine>, run: Arc<Run>, chat: bool, skip: u64) -> Self {
+        run.readers.send_modify(|n| *n += 1);
+        let wrong = engine.state.strike(|f| &mut f.wrong_model);
+        let model = if wrong {
+            "somebody-else@1".to_owned()
+        } else {
+            run.model.clone()
+        };
+        Self {
+            chat,
+            sent: 0,
+            skip,
+            offset: 0,
+            model,
+            truncate: engine.state.strike(|f| &mut f.truncate),
+            cut: engine.state.strike(|f| &mut f.cut),
+            duplicate: engine.state.strike(|f| &mut f.duplicate),
+            reorder: engine.state.strike(|f| &mut f.reorder),
+            foreign: engine.state.strike(|f| &mut f.foreign),
+            queued: VecDeque::new(),
+            over: false,
+            finished: false,
+            engine,
+            run,
+        }
+    }
+
+    async fn next_part(&mut self) -> Option<Result<Bytes, AnswerLost>> {
+        loop {
+            if let Some(event) = self.queued.pop_front() {
+                let late = self.engine.state.faults().late_ms;
+                tokio::time::sleep(Duration::from_millis(late)).await;
+                return Some(Ok(Bytes::from(event)));
+            }
+            if self.finished {
+                return None;
+            }
+            let half = self.sent * 2 >= self.run.tokens;
+            if self.cut && half {
+                self.finished = true;
+                return Some(Err(AnswerLost));
+            }
+            if self.truncate && half {
+                self.over = true;
+                return None;
+            }
+            self.advance().await;
+        }
+    }
+
+    /// Waits for the next token or the end, and queues its event.
+    async fn advance(&mut self) {
+        let mut progress = self.run.progress.subscribe();
+        let sent = self.sent;
+        let seen = progress
+            .wait_for(|p| p.tokens > sent || p.state != RunState::Running)
+            .await
+            .map(|p| *p);
+        match seen {
+            Ok(p) if p.tokens > sent => self.queue_token(),
+            Ok(p) if p.state == RunState::Done => {
+                self.finished = true;
+                self.over = true;
+                self.queued.push_back(self.event("", Some("length")));
+                self.queued.push_back(sse::event("[DONE]"));
+            }
+            _ => {
+                // The run was cancelled or its adapter was evicted.
+                self.finished = true;
+            }
+        }
+    }
+
+    fn queue_token(&mut self) {
+        let prompt = generate::prompt_hash(&self.run.prompt);
+        let text = generate::token(&self.run.model, prompt, self.sent);
+        self.sent += 1;
+        let end = self.offset + text.len() as u64;
+        if end <= self.skip {
+            self.offset = end;
+            return;
+        }
+        let event = self.event(&text, None);
+        if self.foreign {
+            self.foreign = false;
+            let other = event.replace(&self.run.name, "00000000000000000000000000000000-1");
+            self.queued.push_back(other.replace("[", "<"));
+        }
+        self.offset = end;
+        if self.duplicate {
+            self.queued.push_back(event.clone());
+        }
+        if self.reorder && self.sent == 2 {
+            let last = self.queued.len();
+            self.queued.push_back(event);
+            let next = generate::token(&self.run.model, prompt, self.sent);
+            self.sent += 1;
+            let ahead = self.event(&next, None);
+            self.offset += next.len() as u64;
+            self.queued.insert(last, ahead);
+            return;
+        }
+        self.queued.push_back(event);
+    }
+
+    fn event(&self, text: &str, finish: Option<&str>) -> String {
+        let choice = if self.chat {
+            json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish })
+        } else {
+            json!({ "index": 0, "text": text, "finish_reason": finish })
+        };
+        let mut event = json!({
+            "id": self.run.name, "model": self.model, "offset": self.offset, "choices": [choice],
+        });
+        if finish.is_some() {
+            event["usage"] = json!({ "completion_tokens": self.sent });
+        }
+        sse::event(&event.to_string())
+    }
+}
+
+impl Drop for StreamWriter {
+    fn drop(&mut self) {
+        self.run.readers.send_modify(|n| *n -= 1);
+        if self.over {
+            return;
+        }
+        // The reader went away: the run ends unless another resumes it in time.
+        let (engine, run) = (Arc::clone(&self.engine), Arc::clone(&self.run));
+        let grace = Duration::from_millis(self.engine.config.grace);
+        tokio::spawn(async move {
+            tokio::time::sleep(grace).await;
+            if *run.readers.borrow() == 0 {
+                engine.state.cancel(&run.name);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for what carobfield meets: the platform, model engines and plain services; and the
+//! load and experiment tool.
+
+pub mod engine;
+pub mod engine_state;
+pub mod generate;
+pub mod local;
+pub mod object_api;
+pub mod platform;
+pub mod run_log;
+pub mod service;
+pub mod vm_list;
+pub mod web;
+pub mod weight_store;
--- /dev/null
+++ b/standin/src/weight_store.rs
@@ -0,0 +1,136 @@
+//! Stand-in for the rate-limited weight store.
+
+use crate::web::{self, WebAnswer, WebRequest};
+use carobfield::{clock::BootInstant, holding::lock};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Step of the emulated transfer.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Settings of the stand-in.
+#[derive(Clone, Debug)]
+pub struct WeightStoreConfig {
+    /// Address.
+    pub listen: SocketAddr,
+    /// Loads a second.
+    pub rate: f64,
+    /// Loads at full speed at once; more share the same rate.
+    pub streams: u32,
+}
+
+/// What was read so far.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WeightStats {
+    /// Loads begun.
+    pub loads: u64,
+    /// Most loads at once.
+    pub peak: u32,
+    /// Most loads begun within one second.
+    pub peak_second: u32,
+    /// Loads by adapter.
+    pub by_model: BTreeMap<String, u32>,
+    /// Factor on the rate, for trials with a slower store.
+    pub factor: f64,
+}
+
+#[derive(Debug)]
+struct State {
+    stats: WeightStats,
+    active: u32,
+    begun: Vec<BootInstant>,
+}
+
+/// Serves until `stop`.
+///
+/// # Errors
+/// The address could not be bound.
+pub async fn run(config: WeightStoreConfig, stop: CancellationToken) -> std::io::Result<()> {
+    let listener = web::bind(config.listen).await?;
+    let stats = WeightStats {
+        factor: 1.0,
+        ..WeightStats::default()
+    };
+    let state = Arc::new(Mutex::new(State {
+        stats,
+        active: 0,
+        begun: Vec::new(),
+    }));
+    let handler = Arc::new(move |request| {
+        let (state, config) = (Arc::clone(&state), config.clone());
+        Box::pin(async move { handle(&state, &config, &request).await }) as _
+    });
+    web::serve(listener, handler, stop).await;
+    Ok(())
+}
+
+/// One transfer in progress; ends when dropped.
+struct Transfer<'a>(&'a Mutex<State>);
+
+impl Drop for Transfer<'_> {
+    fn drop(&mut self) {
+        lock(self.0).active -= 1;
+    }
+}
+
+async fn handle(
+    state: &Mutex<State>,
+    config: &WeightStoreConfig,
+    request: &WebRequest,
+) -> WebAnswer {
+    if request.path == "/stats" {
+        return Ok(web::json(StatusCode::OK, &lock(state).stats));
+    }
+    if request.path == "/fault" {
+        let factor = request.param("factor").and_then(|f| f.parse().ok());
+        lock(state).stats.factor = factor.unwrap_or(1.0);
+        return Ok(web::empty(StatusCode::OK));
+    }
+    let Some(model) = request.path.strip_prefix("/weights/") else {
+        return Ok(web::empty(StatusCode::NOT_FOUND));
+    };
+    begin(state, model);
+    let transfer = Transfer(state);
+    let mut left = f64::from(config.streams) / config.rate;
+    let mut last = BootInstant::now();
+    while left > 0.0 {
+        tokio::time::sleep(STEP).await;
+        let now = BootInstant::now();
+        let (active, factor) = {
+            let state = lock(state);
+            (state.active, state.stats.factor)
+        };
+        let share = (f64::from(config.streams) / f64::from(active.max(1))).min(1.0);
+        left -= now.since(last).as_secs_f64() * share * factor;
+        last = now;
+    }
+    drop(transfer);
+    Ok(web::text(
+        StatusCode::OK,
+        "application/octet-stream",
+        "weights",
+    ))
+}
+
+fn begin(state: &Mutex<State>, model: &str) {
+    let now = BootInstant::now();
+    let mut state = lock(state);
+    state
+        .begun
+        .retain(|t| now.since(*t) < Duration::from_secs(1));
+    state.begun.push(now);
+    state.active += 1;
+    let (active, second) = (state.active, state.begun.len() as u32);
+    let stats = &mut state.stats;
+    stats.loads += 1;
+    stats.peak = stats.peak.max(active);
+    stats.peak_second = stats.peak_second.max(second);
+    *stats.by_model.entry(model.to_owned()).or_insert(0) += 1;
+}
