--- a/src/admission.rs
+++ b/src/admission.rs
@@ -240,7 +240,7 @@
 ///
 /// # Errors
 /// The service is not in the catalogue, or the headers are malformed.
-pub fn service(context: &Context, head: &Head, body: Bytes) -> Result<Admitted, Rejection> {
+pub fn service(context: &Context, head: &Head, body: &Bytes) -> Result<Admitted, Rejection> {
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
     let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or("");
     let (name, path) = match rest.find('/') {
@@ -263,7 +263,7 @@
         head.caller.as_bytes(),
         head.method.as_str().as_bytes(),
         path.as_bytes(),
-        &body,
+        body,
     ];
     let job = Job {
         id: RequestId::random(),
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -174,7 +174,7 @@
     let streams = admitted.job.stream;
     tokio::spawn(run(context, admitted, claimed, events, open));
     let mut response = match incoming.recv().await {
-        Some(Event::Head(head)) if streams => stream_answer(head, &form, incoming),
+        Some(Event::Head(head)) if streams => stream_answer(&head, &form, incoming),
         Some(Event::Head(head)) => whole_answer(head, &form, incoming).await,
         Some(Event::Refused {
             reason,
@@ -362,7 +362,7 @@
     ended: bool,
 }
 
-fn stream_answer(head: Head, form: &Form, incoming: mpsc::Receiver<Event>) -> Response<Body> {
+fn stream_answer(head: &Head, form: &Form, incoming: mpsc::Receiver<Event>) -> Response<Body> {
     let Form::Text(frame) = form else {
         return failed(Failure::Upstream, head.stall_ms);
     };
--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -21,7 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Interval between two looks at the fleet.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Looks that an upstream stays free before any dispatcher may take it.
 const FREE_LOOKS: u32 = 3;
@@ -83,7 +83,7 @@
         let mine = preferred.as_deref() == Some(&*context.id());
         match held {
             Some(holding) if !mine && !context.is_leaving() => {
-                let count = looks.elsewhere.entry(spec.id.clone()).or_insert(0);
+                let count = looks.elsewhere.entry(Arc::clone(&spec.id)).or_insert(0);
                 *count += 1;
                 if *count >= MOVE_LOOKS && !moved && !holding.core().is_leaving() {
                     moved = true;
@@ -112,7 +112,7 @@
         free.remove(&spec.id);
         return;
     };
-    let count = free.entry(spec.id.clone()).or_insert(0);
+    let count = free.entry(Arc::clone(&spec.id)).or_insert(0);
     *count += 1;
     if mine || *count > FREE_LOOKS {
         claim(context, spec, known, origin).await;
@@ -152,7 +152,7 @@
     let before = known.as_ref().map(|k| &k.record);
     let write = rand::random();
     let record = UpstreamRecord {
-        id: spec.id.clone(),
+        id: Arc::clone(&spec.id),
         holder: Some(context.as_holder()),
         generation: before.map_or(1, |r| r.generation + 1),
         fencing: spec.fencing,
@@ -175,7 +175,7 @@
         }
     };
     let earlier = before.and_then(|r| r.holder.clone().map(|h| (h, r.generation)));
-    let (generation, id) = (record.generation, spec.id.clone());
+    let (generation, id) = (record.generation, Arc::clone(&spec.id));
     info!(upstream = &*id, generation = generation, origin:? = origin, earlier:? = earlier; "placement: claim");
     lock(&context.fleet).upstreams.insert(
         id,
@@ -213,7 +213,7 @@
     };
     rendezvous(&spec.id, &pool, |r| &r.id)
         .first()
-        .map(|r| r.id.clone())
+        .map(|r| Arc::clone(&r.id))
 }
 
 /// Drops what others hold by now.
@@ -341,7 +341,7 @@
         Ok(version) => {
             holding.core().set_stable(new);
             let record = known.record;
-            let id = holding.spec.id.clone();
+            let id = Arc::clone(&holding.spec.id);
             lock(&context.fleet)
                 .upstreams
                 .insert(id, Versioned { version, record });
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -132,7 +132,7 @@
 
 fn call_service(state: State) -> Handled {
     handle(state, |context, head, body| {
-        Box::pin(async move { admission::service(&context, &head, body) })
+        Box::pin(async move { admission::service(&context, &head, &body) })
     })
 }
 
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -24,8 +24,8 @@
 impl Add<Duration> for BootInstant {
     type Output = Self;
 
-    fn add(self, d: Duration) -> Self {
-        Self(self.0.saturating_add(d.as_nanos() as u64))
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs.as_nanos() as u64))
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,7 +36,7 @@
 pub const EXIT_STORE: u8 = 4;
 
 /// Longest wait for a dispatcher's status.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Command line.
 #[derive(Debug, Options)]
--- a/src/core.rs
+++ b/src/core.rs
@@ -19,7 +19,7 @@
 const MAX_LOADING: usize = 2;
 
 /// Wait before an adapter whose load failed is tried again on this upstream.
-const LOAD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+const LOAD_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Requests queued for each place in the batch before more are refused.
 const QUEUE_FACTOR: usize = 8;
--- a/src/digest.rs
+++ b/src/digest.rs
@@ -22,8 +22,7 @@
 
 /// SHA-256 of `data`, in hexadecimal.
 pub fn content_address(data: &[u8]) -> String {
-    Sha256::digest(data)
-        .iter()
-        .map(|b| format!("{b:02x}"))
-        .collect()
+    let hash = Sha256::digest(data);
+    hash.iter()
+        .fold(String::new(), |text, b| text + &format!("{b:02x}"))
 }
--- a/src/dispatch_server.rs
+++ b/src/dispatch_server.rs
@@ -23,7 +23,7 @@
 const REPLY_BUFFER: usize = 64;
 
 /// Wait for a catalogue revision that a gateway has and this process does not.
-const REVISION_WAIT: Duration = Duration::from_millis(2_000);
+const REVISION_WAIT: Duration = Duration::from_secs(2);
 
 /// Serves one request.
 pub async fn serve(context: Arc<Context>, incoming: Incoming) {
@@ -239,7 +239,7 @@
 
 /// Counts a crash against the request, and has the engine's state read anew.
 async fn strike(context: &Context, holding: &Arc<Holding>, dispatch: &Dispatch, boot: u64) {
-    let upstream = holding.spec.id.clone();
+    let upstream = Arc::clone(&holding.spec.id);
     let event = StrikeEvent::Lost { upstream, boot };
     let at_ms = clock::unix_ms();
     context.record_strike(Strike {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -230,7 +230,7 @@
         earlier: assignment::Earlier,
     ) {
         let client = UpstreamClient::new(spec.address, self.client.clone());
-        let id = spec.id.clone();
+        let id = Arc::clone(&spec.id);
         let holding = Holding::new(
             spec,
             generation,
@@ -264,7 +264,7 @@
         Surroundings {
             lease: Arc::clone(&self.lease),
             permits: Arc::new(move |ask| {
-                let context = context.clone();
+                let context = std::sync::Weak::clone(&context);
                 Box::pin(async move {
                     match context.upgrade() {
                         Some(context) => permit_service::obtain(&context, ask).await,
@@ -286,7 +286,7 @@
             .is_some_and(|h| h.holding.generation == holding.generation)
         {
             held.remove(id);
-            lock(&self.released).push((id.clone(), holding.generation));
+            lock(&self.released).push((Arc::clone(id), holding.generation));
         }
         metrics::upstreams_held(held.len());
         drop(held);
@@ -593,7 +593,7 @@
     info!(id = context.config.id; "dispatcher leaving");
     let mut moves = HashMap::new();
     for holding in context.holdings() {
-        let id = holding.spec.id.clone();
+        let id = Arc::clone(&holding.spec.id);
         moves.insert(
             id,
             tokio::spawn(assignment::hand_over(Arc::clone(context), holding)),
--- a/src/engine_run.rs
+++ b/src/engine_run.rs
@@ -290,7 +290,7 @@
         let reply = Reply::Started {
             id: self.dispatch.id,
             attempt: self.dispatch.attempt,
-            upstream: self.holding.spec.id.clone(),
+            upstream: Arc::clone(&self.holding.spec.id),
             model: model.cloned(),
             stall_ms: self.stall.as_millis() as u64,
             status,
@@ -392,7 +392,7 @@
     pub async fn confirm_ended(&self) {
         let started = BootInstant::now();
         let boot = self.holding.boot();
-        while BootInstant::now().since(started) < Duration::from_secs(120) {
+        while BootInstant::now().since(started) < Duration::from_mins(2) {
             if self.holding.client.cancel(&self.name()).await || self.holding.boot() != boot {
                 return;
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,7 +9,7 @@
 };
 use log::warn;
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 /// Prefix of everything that is read together.
 pub const FLEET_PREFIX: &str = "fleet/";
@@ -113,7 +113,9 @@
         for item in &listing.items {
             if item.key.starts_with(DISPATCHER_PREFIX) {
                 match item.parse::<DispatcherRecord>() {
-                    Ok(record) => drop(dispatchers.insert(record.id.clone(), record)),
+                    Ok(record) => {
+                        drop(dispatchers.insert(Arc::clone(&record.id), record));
+                    }
                     Err(e) => warn!(key = item.key; "unreadable record: {e}"),
                 }
             } else if item.key.starts_with(UPSTREAM_PREFIX) {
@@ -123,7 +125,7 @@
                             version: item.version,
                             record,
                         };
-                        upstreams.insert(versioned.record.id.clone(), versioned);
+                        upstreams.insert(Arc::clone(&versioned.record.id), versioned);
                     }
                     Err(e) => warn!(key = item.key; "unreadable record: {e}"),
                 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -37,7 +37,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Interval between two looks at the fleet.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Updates waiting to be taken in.
 const EVENT_BUFFER: usize = 4_096;
--- a/src/holding.rs
+++ b/src/holding.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{Notify, oneshot};
 
 /// Wait before an order without a clear answer is given again; longer than the TCP user timeout.
-const ORDER_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+const ORDER_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Wait before a granted load looks again for a slot to free.
 const SLOT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -288,7 +288,7 @@
     fn permit_ask(&self, model: &ModelRef) -> Option<PermitAsk> {
         let (waiters, class, deadline) = self.core().waiters(model)?;
         let left = deadline.since(BootInstant::now());
-        let upstream = self.spec.id.clone();
+        let upstream = Arc::clone(&self.spec.id);
         let deadline_ms = left.as_millis() as u64;
         Some(PermitAsk {
             model: model.clone(),
@@ -506,7 +506,7 @@
         let mode = self.mode();
         let core = self.core();
         UpstreamStatus {
-            id: self.spec.id.clone(),
+            id: Arc::clone(&self.spec.id),
             pool: Arc::clone(&self.spec.pool),
             data_centre: Arc::clone(&self.spec.data_centre),
             generation: self.generation,
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -12,7 +12,7 @@
 };
 
 /// Longest wait for a TCP connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest time that sent bytes may stay unacknowledged; shorter than the takeover margin.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -1,19 +1,19 @@
 //! Leases of dispatchers: what a holder may assume of itself and an observer of others.
 
 use crate::{clock::BootInstant, ident::DispatcherId};
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Interval between renewals.
-pub const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+pub const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time a renewal stays good, counted from before it was sent.
-pub const LEASE: Duration = Duration::from_millis(4_000);
+pub const LEASE: Duration = Duration::from_secs(4);
 
 /// Time an observer must see a counter unchanged; longer than [`LEASE`] by more than the TCP user timeout.
-pub const TAKEOVER_AFTER: Duration = Duration::from_millis(6_000);
+pub const TAKEOVER_AFTER: Duration = Duration::from_secs(6);
 
 /// Longest gap between two successful reads that still count as one observation.
-pub const MAX_READ_GAP: Duration = Duration::from_millis(3_000);
+pub const MAX_READ_GAP: Duration = Duration::from_secs(3);
 
 /// A holder's view of its own lease.
 #[derive(Clone, Copy, Debug, Default)]
@@ -83,8 +83,8 @@
         }
         let lapsed = before.lapsed || sent.since(before.since) >= TAKEOVER_AFTER;
         Self {
-            settled,
             lapsed,
+            settled,
             ..before
         }
     }
@@ -112,7 +112,7 @@
         let mut next = HashMap::new();
         for (id, renewal) in records {
             let before = self.seen.get(id).filter(|_| !gap).copied();
-            next.insert(id.clone(), Seen::next(before, renewal, sent, done));
+            next.insert(Arc::clone(id), Seen::next(before, renewal, sent, done));
         }
         self.seen = next;
     }
--- a/src/link.rs
+++ b/src/link.rs
@@ -23,7 +23,7 @@
 const KEY_HEADER: &str = "carobfield-key";
 
 /// Longest wait for a connection and its HTTP/2 handshake.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest wait for the other side to accept a stream.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/src/object_api.rs
+++ b/src/object_api.rs
@@ -20,7 +20,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time added to a watch's own wait before it counts as lost.
-const WATCH_GRACE: Duration = Duration::from_millis(2_000);
+const WATCH_GRACE: Duration = Duration::from_secs(2);
 
 /// Version of an object; grows with every write to the store.
 pub type Version = u64;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -43,9 +43,7 @@
         };
         match event {
             Some(SyncEvent::Update {
-                address,
-                update,
-                at: _,
+                address, update, ..
             }) => {
                 take(&context, address, update).await;
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -7,7 +7,7 @@
     wire::{Residency, UpstreamStatus},
 };
 use rand::seq::IndexedRandom;
-use std::collections::HashSet;
+use std::{collections::HashSet, hash::BuildHasher, sync::Arc};
 
 /// Upstreams considered for an adapter that none of them has.
 const COLD_CANDIDATES: usize = 3;
@@ -70,11 +70,11 @@
 }
 
 /// Scores the upstreams that may take the request, the best first.
-pub fn rank(
+pub fn rank<S: BuildHasher>(
     rule: PlacementRule,
     demand: &Demand<'_>,
     candidates: &[Candidate<'_>],
-    excluded: &HashSet<UpstreamId>,
+    excluded: &HashSet<UpstreamId, S>,
 ) -> Vec<Scored> {
     let open: Vec<&Candidate<'_>> = candidates
         .iter()
@@ -102,7 +102,7 @@
     let resident = residency(candidate, demand.model).is_some();
     let score = delay + if remote { REMOTE_COST } else { 0.0 };
     Scored {
-        id: candidate.status.id.clone(),
+        id: Arc::clone(&candidate.status.id),
         score,
         resident,
     }
@@ -167,7 +167,7 @@
     ready
         .filter(|c| c.status.running < c.status.batch)
         .max_by_key(|c| pair_hash(&key, &c.status.id))
-        .map(|c| c.status.id.clone())
+        .map(|c| Arc::clone(&c.status.id))
 }
 
 fn by_hash(open: &[&Candidate<'_>], key: &str, demand: &Demand<'_>) -> Vec<Scored> {
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -4,7 +4,10 @@
     ident::UpstreamId,
     wire::{Strike, StrikeEvent},
 };
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 /// Upstreams lost to a request before it is refused for good.
 const MAX_LOST: usize = 2;
@@ -57,7 +60,7 @@
                     return false;
                 }
                 suspect.last_ms = suspect.last_ms.max(strike.at_ms);
-                suspect.lost.insert((upstream.clone(), *boot))
+                suspect.lost.insert((Arc::clone(upstream), *boot))
             }
             StrikeEvent::Cleared => {
                 if strike.at_ms <= suspect.cleared_ms || suspect.last_ms > strike.at_ms {
@@ -92,7 +95,7 @@
             suspect.lost.iter().map(|(upstream, boot)| Strike {
                 fingerprint: *fingerprint,
                 event: StrikeEvent::Lost {
-                    upstream: upstream.clone(),
+                    upstream: Arc::clone(upstream),
                     boot: *boot,
                 },
                 at_ms: suspect.last_ms,
--- a/src/popularity.rs
+++ b/src/popularity.rs
@@ -7,7 +7,7 @@
 const FAST_HALF_LIFE: Duration = Duration::from_secs(20);
 
 /// Half-life of the long rate.
-const SLOW_HALF_LIFE: Duration = Duration::from_secs(300);
+const SLOW_HALF_LIFE: Duration = Duration::from_mins(5);
 
 /// Adapters remembered for one upstream.
 const MAX_ADAPTERS: usize = 4_096;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -12,7 +12,7 @@
 };
 
 /// Slack below which a request is served by deadline rather than by fair share.
-const URGENT_SLACK: Duration = Duration::from_millis(2_000);
+const URGENT_SLACK: Duration = Duration::from_secs(2);
 
 /// Owners remembered for fair sharing.
 const MAX_OWNERS: usize = 4_096;
@@ -41,10 +41,16 @@
 /// Place of a ticket in its class.
 type Tag = (u64, u64);
 
+/// Key of a ticket in the queue.
+type Key = (Class, Tag);
+
+/// Rank of a ticket: class, deadline if urgent, place.
+type Rank = (Class, u64, Tag);
+
 /// The waiting requests of one upstream.
 #[derive(Debug, Default)]
 pub struct Queue {
-    waiting: BTreeMap<(Class, Tag), Ticket>,
+    waiting: BTreeMap<Key, Ticket>,
     owners: HashMap<Arc<str>, u64>,
     virtual_time: u64,
     sequence: u64,
@@ -70,7 +76,7 @@
         now: BootInstant,
         mut may_start: impl FnMut(&Ticket) -> bool,
     ) -> Option<Ticket> {
-        let mut best: Option<((Class, u64, Tag), (Class, Tag))> = None;
+        let mut best: Option<(Rank, Key)> = None;
         for (key, ticket) in &self.waiting {
             if best.as_ref().is_some_and(|(rank, _)| rank.0 < key.0) {
                 break;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -170,7 +170,7 @@
                     if !self.may_retry_refused(reason) {
                         return Some(self.give_up(reason, retry_ms));
                     }
-                    self.excluded.insert(located.status.id.clone());
+                    self.excluded.insert(Arc::clone(&located.status.id));
                     if matches!(reason, Refusal::NotHolder | Refusal::Leaving) {
                         tokio::time::sleep(MOVED_DELAY).await;
                     }
@@ -181,7 +181,7 @@
                     if !self.may_retry_failed(reason) {
                         return Some(self.failed(reason));
                     }
-                    self.excluded.insert(located.status.id.clone());
+                    self.excluded.insert(Arc::clone(&located.status.id));
                 }
             }
         }
@@ -314,7 +314,7 @@
         let dispatch = Dispatch {
             id: self.job.id,
             attempt: self.attempt,
-            upstream: located.status.id.clone(),
+            upstream: Arc::clone(&located.status.id),
             owner: Arc::clone(&self.job.owner),
             class: self.job.class,
             deadline_ms: left.as_millis() as u64,
--- a/src/sync_client.rs
+++ b/src/sync_client.rs
@@ -18,7 +18,7 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
 /// Time without an update after which a subscription counts as broken.
-pub const SILENCE: Duration = Duration::from_millis(3_000);
+pub const SILENCE: Duration = Duration::from_secs(3);
 
 /// What a subscription brings.
 #[derive(Debug)]
--- a/src/sync_server.rs
+++ b/src/sync_server.rs
@@ -23,7 +23,7 @@
 const LOAD_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Longest time without an update.
-pub const HEARTBEAT: Duration = Duration::from_millis(1_000);
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
 
 /// What one subscriber was told.
 #[derive(Debug, Default)]
@@ -132,7 +132,10 @@
     };
     told.sequence += 1;
     told.sent = now;
-    told.statuses = statuses.into_iter().map(|s| (s.id.clone(), s)).collect();
+    told.statuses = statuses
+        .into_iter()
+        .map(|s| (Arc::clone(&s.id), s))
+        .collect();
     if let Ok(encoded) = wire::encode(&update) {
         metrics::control_bytes("sync", encoded.len());
     }
--- a/src/view.rs
+++ b/src/view.rs
@@ -47,14 +47,14 @@
     pub fn update(&self, address: SocketAddr, update: &SyncUpdate, at: BootInstant) {
         let mut all = lock(&self.seen);
         let seen = all.entry(address).or_insert_with(|| Seen {
-            id: update.from.clone(),
+            id: Arc::clone(&update.from),
             at,
             upstreams: HashMap::new(),
         });
         if update.sequence == 0 {
             seen.upstreams.clear();
         }
-        seen.id = update.from.clone();
+        seen.id = Arc::clone(&update.from);
         seen.at = at;
         for (id, generation) in &update.released {
             if seen
@@ -66,7 +66,8 @@
             }
         }
         for status in &update.changed {
-            seen.upstreams.insert(status.id.clone(), status.clone());
+            seen.upstreams
+                .insert(Arc::clone(&status.id), status.clone());
         }
         drop(all);
         self.changed.notify_waiters();
@@ -98,7 +99,7 @@
                         status: status.clone(),
                         own,
                     };
-                    best.insert(status.id.clone(), located);
+                    best.insert(Arc::clone(&status.id), located);
                 }
             }
         }
@@ -107,10 +108,10 @@
 
     /// Counts a request at an upstream until the guard is dropped.
     pub fn count(&self, upstream: &UpstreamId) -> OwnCount {
-        *lock(&self.own).entry(upstream.clone()).or_insert(0) += 1;
+        *lock(&self.own).entry(Arc::clone(upstream)).or_insert(0) += 1;
         OwnCount {
             own: Arc::clone(&self.own),
-            upstream: upstream.clone(),
+            upstream: Arc::clone(upstream),
         }
     }
 
--- a/src/vm_list.rs
+++ b/src/vm_list.rs
@@ -10,7 +10,7 @@
 pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Longest wait for a read.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// State of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -115,11 +115,10 @@
 
     /// Whether another upstream may take the request at once.
     pub fn is_retriable(self) -> bool {
-        match self {
-            Self::NotHolder | Self::Leaving | Self::LoadFailed | Self::Upstream => true,
-            Self::NoUpstream | Self::Restricted | Self::Overload => true,
-            Self::Deadline | Self::Limit | Self::Poison | Self::NoClaim => false,
-        }
+        !matches!(
+            self,
+            Self::Deadline | Self::Limit | Self::Poison | Self::NoClaim
+        )
     }
 }
 
--- a/standin/src/bin/carobfield-local.rs
+++ b/standin/src/bin/carobfield-local.rs
@@ -8,7 +8,7 @@
 use tokio_graceful_shutdown::{SubsystemBuilder, SubsystemHandle, Toplevel};
 
 /// Longest time from a stop signal to the end.
-const SHUTDOWN_LIMIT: Duration = Duration::from_secs(60);
+const SHUTDOWN_LIMIT: Duration = Duration::from_mins(1);
 
 /// Command line.
 #[derive(Debug, Options)]
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -399,6 +399,10 @@
     body["lora_name"].as_str().map(ToOwned::to_owned)
 }
 
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each fault is switched by itself"
+)]
 /// Writes a run's tokens as events, with the faults that are switched on.
 struct StreamWriter {
     engine: Arc<Engine>,
@@ -505,7 +509,7 @@
         if self.foreign {
             self.foreign = false;
             let other = event.replace(&self.run.name, "00000000000000000000000000000000-1");
-            self.queued.push_back(other.replace("[", "<"));
+            self.queued.push_back(other.replace('[', "<"));
         }
         self.offset = end;
         if self.duplicate {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,9 +1,11 @@
 //! Stand-ins for what carobfield meets: the platform, model engines and plain services; and the
 //! load and experiment tool.
 
+pub mod client;
 pub mod engine;
 pub mod engine_state;
 pub mod generate;
+pub mod harness;
 pub mod local;
 pub mod object_api;
 pub mod platform;
--- a/standin/src/local.rs
+++ b/standin/src/local.rs
@@ -185,13 +185,12 @@
     }
     let client = http_client::build();
     wait_ready(&client).await?;
-    let result = match ask {
-        Some(text) => ask_once(&client, &text).await,
-        None => {
-            show_addresses();
-            tree.on_shutdown_requested().await;
-            Ok(())
-        }
+    let result = if let Some(text) = ask {
+        ask_once(&client, &text).await
+    } else {
+        show_addresses();
+        tree.on_shutdown_requested().await;
+        Ok(())
     };
     tree.request_shutdown();
     tree.wait_for_children().await;
--- a/standin/src/vm_list.rs
+++ b/standin/src/vm_list.rs
@@ -1,12 +1,12 @@
 //! Stand-in for the platform's VM list.
 
-use crate::web::{self, WebAnswer, WebRequest};
+use crate::web::{self, WebBody, WebRequest};
 use carobfield::{
     clock::BootInstant,
     holding::lock,
     vm_list::{Vm, VmList, VmState},
 };
-use http::{Method, StatusCode};
+use http::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::{
     net::SocketAddr,
@@ -73,29 +73,29 @@
     }));
     let handler = Arc::new(move |request| {
         let listed = Arc::clone(&listed);
-        Box::pin(async move { handle(&listed, lag, &request) }) as _
+        Box::pin(async move { Ok(handle(&listed, lag, &request)) }) as _
     });
     web::serve(listener, handler, stop).await;
     Ok(())
 }
 
-fn handle(listed: &Mutex<Listed>, lag: Duration, request: &WebRequest) -> WebAnswer {
+fn handle(listed: &Mutex<Listed>, lag: Duration, request: &WebRequest) -> Response<WebBody> {
     let now = BootInstant::now();
     let mut listed = lock(listed);
     if request.method == Method::POST && request.path == "/fault" {
-        return Ok(match serde_json::from_slice::<VmChange>(&request.body) {
+        return match serde_json::from_slice::<VmChange>(&request.body) {
             Ok(change) => {
                 listed.pending.push((now + lag, change));
                 web::empty(StatusCode::OK)
             }
             Err(e) => web::text(StatusCode::BAD_REQUEST, "text/plain", e.to_string()),
-        });
+        };
     }
     listed.settle(now);
-    Ok(web::json(
+    web::json(
         StatusCode::OK,
         &VmList {
             vms: listed.vms.clone(),
         },
-    ))
+    )
 }
--- /dev/null
+++ b/standin/tests/path.rs
@@ -0,0 +1,142 @@
+//! The whole path as separate processes.
+
+use bytes::Bytes;
+use carobfield_standin::{
+    client::{self, Ask, Told},
+    harness::{Deployment, Layout, get_json},
+};
+use http::Method;
+use serde_json::Value;
+
+/// Body, headers and the status expected.
+type BadInput<'a> = (&'a str, &'a [(&'static str, &'a str)], u16);
+
+/// Names each case and runs it on a runtime of its own.
+macro_rules! cases {
+    ($($name:ident),+ $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                tokio::runtime::Runtime::new().expect("a runtime starts").block_on(case::$name());
+            }
+        )+
+    };
+}
+
+cases!(
+    answers_whole_and_exact,
+    bad_input_is_refused,
+    services_and_entries
+);
+
+mod case {
+    use super::{Ask, BadInput, Bytes, Deployment, Layout, Method, Told, Value, client, get_json};
+
+    pub(super) async fn answers_whole_and_exact() {
+        let d = Deployment::start(Layout::default()).await;
+        for n in 0..d.layout.entries {
+            for (stream, version) in [(true, 1), (false, 2)] {
+                let model = format!("adapter-{n}@{version}");
+                let prompt = format!("draft for gateway {n}");
+                let ask = Ask {
+                    model: model.clone(),
+                    prompt,
+                    stream,
+                    ..Ask::default()
+                };
+                let reply = d.ask(n, &ask).await;
+                assert_eq!(reply.told, Told::Complete, "{reply:?}");
+                assert_eq!(reply.header("carobfield-model"), model);
+            }
+        }
+        let bare = Ask {
+            model: String::from("adapter-5"),
+            ..Ask::default()
+        };
+        let reply = d.ask(0, &bare).await;
+        assert_eq!(reply.header("carobfield-model"), "adapter-5@1");
+        let models: Value = get_json(&d.client, d.gateway(1), "/v1/models")
+            .await
+            .expect("a list");
+        assert_eq!(models["data"].as_array().map(Vec::len), Some(24));
+    }
+
+    pub(super) async fn bad_input_is_refused() {
+        let d = Deployment::start(Layout {
+            entries: 1,
+            engines: 1,
+            ..Layout::default()
+        })
+        .await;
+        let large = format!(
+            "{{\"model\":\"adapter-0\",\"prompt\":\"{}\"}}",
+            "x".repeat(2 << 20)
+        );
+        let good = r#"{"model":"adapter-0","prompt":"x"}"#;
+        let bad: [BadInput<'_>; 11] = [
+            (r#"{"model":"nobody","prompt":"x"}"#, &[], 404),
+            (r#"{"model":"adapter-0@9","prompt":"x"}"#, &[], 404),
+            (&large, &[], 413),
+            ("{", &[], 400),
+            (r#"{"model":"adapter-0"}"#, &[], 400),
+            (r#"{"prompt":"x"}"#, &[], 400),
+            (
+                r#"{"model":"adapter-0","prompt":"x","max_tokens":0}"#,
+                &[],
+                400,
+            ),
+            (good, &[("carobfield-timeout-ms", "0")], 400),
+            (good, &[("carobfield-timeout-ms", "99999999999")], 400),
+            (good, &[("carobfield-repeatable", "false")], 400),
+            (good, &[("carobfield-repeatable", "perhaps")], 400),
+        ];
+        for (body, headers, status) in bad {
+            let (at, body) = (d.gateway(0), Bytes::from(body.to_owned()));
+            let reply = client::send(
+                &d.client,
+                at,
+                &Method::POST,
+                "/v1/completions",
+                headers,
+                body,
+            )
+            .await;
+            assert_eq!(
+                (reply.status, reply.told),
+                (status, Told::NotRun),
+                "{reply:?}"
+            );
+            assert!(!reply.error_code().is_empty(), "{reply:?}");
+        }
+        let logs = d.all_logs().await;
+        assert!(logs.iter().all(|e| e.request.is_empty()), "{logs:?}");
+    }
+
+    pub(super) async fn services_and_entries() {
+        let d = Deployment::start(Layout {
+            engines: 1,
+            ..Layout::default()
+        })
+        .await;
+        let reply = client::send(
+            &d.client,
+            d.gateway(1),
+            &Method::GET,
+            "/v1/services/status/permits/7?full=1",
+            &[],
+            Bytes::new(),
+        )
+        .await;
+        assert_eq!(
+            (reply.status, reply.told),
+            (200, Told::Complete),
+            "{reply:?}"
+        );
+        assert!(reply.text.contains("/permits/7"), "{reply:?}");
+        d.wait_for("every entry to be listed", || async {
+            let list: Option<Value> = get_json(&d.client, d.gateway(0), "/v1/entries").await;
+            list.is_some_and(|l| l["entries"].as_array().map(Vec::len) == Some(3))
+        })
+        .await;
+    }
+}
