fix: end a stream's request with its last part; hold early parts; leave plain services unprobed

Cause: four tests were red on their first run. engine_refusals_and_failed_loads: a refusal reached the gateway as link_lost, for the dispatcher had answered and closed the stream before the gateway had ended its own half. parts_late_repeated_reordered_and_foreign: a part that came early broke the answer, and three resumes ran out. service_loses_its_answer, object_api_down: the second was the test's fault, it counted reads as ledger entries; the first was ours, a plain service whose answer was lost was asked for /v1/models, which it ran as a call. Ruled out: a second claim of the same key (the service's log showed one ledger path and GETs of ours). Change: the request's last part carries the end of the stream; up to 64 early parts are held; services are probed by a connection only; refusals in earlier tries are judged too.

--- a/src/dispatch_server.rs
+++ b/src/dispatch_server.rs
@@ -240,6 +240,8 @@
 /// Counts a crash against the request, and has the engine's state read anew.
 async fn strike(context: &Context, holding: &Arc<Holding>, dispatch: &Dispatch, boot: u64) {
     let upstream = Arc::clone(&holding.spec.id);
+    // A plain service does not tell its starts apart, so that each of its crashes counts.
+    let boot = if boot == 0 { clock::unix_ms() } else { boot };
     let event = StrikeEvent::Lost { upstream, boot };
     let at_ms = clock::unix_ms();
     context.record_strike(Strike {
--- a/src/engine_run.rs
+++ b/src/engine_run.rs
@@ -16,11 +16,14 @@
 use log::{info, warn};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::sync::mpsc;
 
 /// Tries to resume a broken answer before it fails.
-const MAX_RESUMES: u32 = 3;
+const MAX_RESUMES: u32 = 8;
+
+/// Events held back until an earlier part of the answer has come.
+const MAX_EARLY: usize = 64;
 
 /// Time an upstream gets to answer after a break before it counts as crashed.
 const CRASH_PROBE: Duration = Duration::from_millis(1_500);
@@ -103,6 +106,19 @@
     offset: u64,
     digest: AnswerDigest,
     tokens: u64,
+    /// Events that came before an earlier part of the answer, by their offset.
+    early: BTreeMap<u64, EngineEvent>,
+}
+
+impl Progress {
+    /// Takes an event that has become the next one, or an old one.
+    fn next_early(&mut self) -> Option<EngineEvent> {
+        let first = self.early.first_entry()?;
+        if *first.key() > self.offset {
+            return None;
+        }
+        Some(first.remove())
+    }
 }
 
 /// Why reading an answer stopped.
@@ -160,6 +176,7 @@
                 .client
                 .generate(path, &self.name(), body.clone(), resume)
                 .await;
+            progress.early.clear();
             let stop = match opened {
                 Ok(response) => match response.status().as_u16() {
                     200 => {
@@ -245,12 +262,33 @@
             warn!(request:% = self.dispatch.id, asked:% = model, got = event.model; "wrong model");
             return Some(Stop::End(RunEnd::Failed(Failure::WrongModel)));
         }
+        if event.offset > progress.offset {
+            if progress.early.len() >= MAX_EARLY {
+                return Some(Stop::Broken);
+            }
+            progress.early.insert(event.offset, event);
+            return None;
+        }
+        let mut next = Some(event);
+        while let Some(event) = next {
+            if let Some(stop) = self.apply_event(&event, model, progress).await {
+                return Some(stop);
+            }
+            next = progress.next_early();
+        }
+        None
+    }
+
+    /// Passes on what is new of an event that does not come too early.
+    async fn apply_event(
+        &self,
+        event: &EngineEvent,
+        model: &ModelRef,
+        progress: &mut Progress,
+    ) -> Option<Stop> {
         let choice = event.choices.first()?;
         let text = choice.text();
         let end = event.offset + text.len() as u64;
-        if event.offset > progress.offset {
-            return Some(Stop::Broken);
-        }
         let known = (progress.offset - event.offset) as usize;
         if end > progress.offset
             && let Some(fresh) = text.as_bytes().get(known..)
@@ -262,7 +300,7 @@
         if end < progress.offset {
             return None;
         }
-        progress.tokens = event.usage.map_or(0, |u| u.completion_tokens);
+        progress.tokens = event.usage.as_ref().map_or(0, |u| u.completion_tokens);
         let sent =
             self.start(Some(model), progress, 200, "").await && self.end(progress, finish).await;
         Some(Stop::End(if sent {
@@ -353,7 +391,7 @@
         let response = match opened {
             Ok(response) => response,
             Err(CallError::NotSent) => return RunEnd::Refused(Refusal::Upstream),
-            Err(_unknown) => return RunEnd::Failed(Failure::Crashed),
+            Err(_unknown) => return RunEnd::Failed(self.service_failure().await),
         };
         let status = response.status().as_u16();
         if matches!(status, 429 | 503) {
@@ -364,6 +402,15 @@
         self.pass_body(response.into_body(), status, &kind).await
     }
 
+    /// Whether a service that gave no answer went away, or only its answer did.
+    async fn service_failure(&self) -> Failure {
+        if self.holding.client.is_listening().await {
+            Failure::Upstream
+        } else {
+            Failure::Crashed
+        }
+    }
+
     async fn pass_body(&self, mut body: Incoming, status: u16, kind: &str) -> RunEnd {
         let mut progress = Progress::default();
         while let Some(frame) = body.frame().await {
--- a/src/holding.rs
+++ b/src/holding.rs
@@ -470,6 +470,9 @@
 
     /// Reads the model list, and starts afresh if the engine's process has changed.
     pub async fn check_restart(self: &Arc<Self>) -> bool {
+        if self.spec.kind == PoolKind::Service {
+            return false;
+        }
         let Ok(list) = self.client.models().await else {
             return false;
         };
--- a/src/link.rs
+++ b/src/link.rs
@@ -121,6 +121,10 @@
     /// # Errors
     /// The stream broke or the message is too large.
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
+        self.send_part(message, false).await
+    }
+
+    async fn send_part<T: Serialize>(&mut self, message: &T, last: bool) -> Result<(), LinkError> {
         let mut rest = Bytes::from(wire::encode(message)?);
         while !rest.is_empty() {
             self.stream.reserve_capacity(rest.len());
@@ -130,7 +134,7 @@
                 .map_err(|_e| LinkError::Broken)?;
             let part = rest.split_to(granted.min(rest.len()));
             self.stream
-                .send_data(part, false)
+                .send_data(part, last && rest.is_empty())
                 .map_err(|_e| LinkError::Broken)?;
         }
         Ok(())
@@ -181,11 +185,7 @@
     /// # Errors
     /// [`LinkError::NotSent`] only when no byte of `first` can have been handled.
     pub async fn open<T: Serialize>(&self, path: &str, first: &T) -> Result<Receiver, LinkError> {
-        let (mut sender, receiver) = self.open_duplex(path, first).await?;
-        sender
-            .stream
-            .send_data(Bytes::new(), true)
-            .map_err(|_e| LinkError::Broken)?;
+        let (_sender, receiver) = self.open_stream(path, first, true).await?;
         Ok(receiver)
     }
 
@@ -197,6 +197,15 @@
         &self,
         path: &str,
         first: &T,
+    ) -> Result<(Sender, Receiver), LinkError> {
+        self.open_stream(path, first, false).await
+    }
+
+    async fn open_stream<T: Serialize>(
+        &self,
+        path: &str,
+        first: &T,
+        last: bool,
     ) -> Result<(Sender, Receiver), LinkError> {
         let mut ready = self.connected().await?;
         let request = Request::post(format!("http://{}{path}", self.address))
@@ -207,7 +216,7 @@
             .send_request(request, false)
             .map_err(|_e| LinkError::NotSent)?;
         let mut sender = Sender { stream };
-        sender.send(first).await?;
+        sender.send_part(first, last).await?;
         let response = timeout(ACCEPT_TIMEOUT, response)
             .await
             .map_err(|_e| LinkError::Broken)?;
--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use tokio::net::TcpStream;
 
 /// Header of orders that carries the fencing number.
 pub const FENCING_HEADER: &str = "fencing-token";
@@ -102,6 +103,7 @@
 /// Client of one upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamClient {
+    address: SocketAddr,
     base: String,
     client: HttpClient,
 }
@@ -110,6 +112,7 @@
     /// A client of the upstream at `address`.
     pub fn new(address: SocketAddr, client: HttpClient) -> Self {
         Self {
+            address,
             base: format!("http://{address}"),
             client,
         }
@@ -184,6 +187,13 @@
         serde_json::from_slice(&answer.body).map_err(|_e| CallError::Unknown)
     }
 
+    /// Whether the upstream takes connections.
+    pub async fn is_listening(&self) -> bool {
+        let connected = TcpStream::connect(self.address);
+        let connected = tokio::time::timeout(ORDER_TIMEOUT, connected).await;
+        connected.is_ok_and(|c| c.is_ok())
+    }
+
     /// Ends a request at the engine; true once it certainly runs no more.
     pub async fn cancel(&self, request: &str) -> bool {
         let uri = format!("{}/v1/cancel/{request}", self.base);
--- a/standin/src/checks.rs
+++ b/standin/src/checks.rs
@@ -1,7 +1,7 @@
 //! Invariants judged from run logs and from what callers were told.
 
 use crate::{
-    client::Told,
+    client::{Reply, Told},
     run_log::{LogEntry, LogKind},
     traffic::Sample,
 };
@@ -37,13 +37,24 @@
     out
 }
 
-/// Samples that were told not to have run and that did.
-pub fn false_refusals(samples: &[Sample], log: &[LogEntry]) -> Vec<Sample> {
+/// Answers that a request was not run, of requests that were.
+pub fn false_refusals(samples: &[Sample], log: &[LogEntry]) -> Vec<Reply> {
     let ran = started(log);
-    let lied = |s: &&Sample| {
-        s.reply.told == Told::NotRun && ran.contains(s.reply.header("carobfield-request-id"))
-    };
-    samples.iter().filter(lied).cloned().collect()
+    let lied = |r: &&Reply| ran.contains(r.header("carobfield-request-id"));
+    refusals(samples)
+        .into_iter()
+        .filter(lied)
+        .cloned()
+        .collect()
+}
+
+/// Every answer that a request was not run.
+pub fn refusals(samples: &[Sample]) -> Vec<&Reply> {
+    let all = samples
+        .iter()
+        .flat_map(|s| s.refusals.iter().chain([&s.reply]));
+    all.filter(|r| r.told == Told::NotRun && r.status != 0)
+        .collect()
 }
 
 /// Samples whose answer was not whole, exact and the caller's own.
--- /dev/null
+++ b/standin/tests/at_most_once.rs
@@ -0,0 +1,216 @@
+//! A request that may not be repeated runs at most once.
+
+use bytes::Bytes;
+use carobfield_standin::{
+    checks,
+    client::{self, Ask, Reply, Told},
+    harness::{Deployment, Layout, Role},
+    object_api::ObjectFaults,
+    process_tests,
+    service::ServiceFaults,
+};
+use http::Method;
+use std::{net::SocketAddr, time::Duration};
+
+process_tests!(
+    one_key_at_two_gateways,
+    kills_around_the_claim,
+    claim_written_but_its_answer_lost,
+    object_api_down,
+    model_calls_and_replays,
+    service_loses_its_answer,
+);
+
+fn services() -> Layout {
+    Layout {
+        engines: 1,
+        services: 2,
+        work_ms: 150,
+        ..Layout::default()
+    }
+}
+
+/// Sends a ledger entry that may not be repeated.
+async fn enter(client: &carobfield::http_client::HttpClient, at: SocketAddr, key: &str) -> Reply {
+    let body = Bytes::from(format!("entry {key}"));
+    let headers = [("idempotency-key", key), ("carobfield-timeout-ms", "8000")];
+    client::send(
+        client,
+        at,
+        &Method::POST,
+        "/v1/services/status/ledger",
+        &headers,
+        body,
+    )
+    .await
+}
+
+mod case {
+    use super::{
+        Ask, Bytes, Deployment, Duration, Layout, Method, ObjectFaults, Role, ServiceFaults, Told,
+        checks, client, enter, services,
+    };
+
+    async fn no_entry_ran_twice(d: &Deployment) -> usize {
+        let mut log = d.service_log(0).await;
+        log.extend(d.service_log(1).await);
+        log.retain(|e| e.model.contains("ledger"));
+        let runs = checks::runs_by_body(&log);
+        let twice: Vec<_> = runs.iter().filter(|(_, n)| **n > 1).collect();
+        assert!(twice.is_empty(), "{twice:?}");
+        runs.len()
+    }
+
+    pub(super) async fn one_key_at_two_gateways() {
+        let d = Deployment::start(services()).await;
+        for n in 0..12 {
+            let key = format!("badge-{n}");
+            let (a, b, c) = tokio::join!(
+                enter(&d.client, d.gateway(0), &key),
+                enter(&d.client, d.gateway(1), &key),
+                enter(&d.client, d.gateway(2), &key),
+            );
+            let told = [a.told, b.told, c.told];
+            assert!(told.contains(&Told::Complete), "{told:?}");
+            assert!(
+                !told.contains(&Told::NotRun),
+                "a key that ran is never said not to have run"
+            );
+        }
+        assert_eq!(no_entry_ran_twice(&d).await, 12);
+    }
+
+    pub(super) async fn kills_around_the_claim() {
+        let mut d = Deployment::start(services()).await;
+        let delays = [0, 1, 3, 5, 8, 20, 60, 120, 160, 200];
+        for (round, delay) in delays.into_iter().enumerate() {
+            let key = format!("kill-{round}");
+            let role = if round % 2 == 0 {
+                Role::Gateway
+            } else {
+                Role::Dispatcher
+            };
+            let victim = if role == Role::Gateway {
+                Some(0)
+            } else {
+                d.holder("status-0").await
+            };
+            let (client, at, first) = (d.client.clone(), d.gateway(0), key.clone());
+            let sent = tokio::spawn(async move { enter(&client, at, &first).await });
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+            if let Some(n) = victim {
+                d.kill(role, n);
+            }
+            let told = sent.await.expect("the caller goes on").told;
+            let again = enter(&d.client, d.gateway(1), &key).await;
+            let ran = checks::runs_by_body(&d.all_logs().await);
+            if again.told == Told::NotRun {
+                // Only a claim that is free again lets it run later.
+                assert_ne!(told, Told::Complete, "{again:?}");
+            }
+            assert!(ran.values().all(|n| *n <= 1), "{ran:?}");
+            if let Some(n) = victim {
+                d.start_role(role, n);
+                d.wait_gateway(0).await;
+            }
+        }
+        no_entry_ran_twice(&d).await;
+    }
+
+    pub(super) async fn claim_written_but_its_answer_lost() {
+        let d = Deployment::start(services()).await;
+        for n in 0..6 {
+            let faults = ObjectFaults {
+                lose_writes: 1 + n % 3,
+                lose_prefix: String::from("claims/"),
+                ..ObjectFaults::default()
+            };
+            d.post(d.objects(), "/fault", &faults).await;
+            let key = format!("lost-{n}");
+            let first = enter(&d.client, d.gateway(0), &key).await;
+            let second = enter(&d.client, d.gateway(1), &key).await;
+            assert_eq!(first.told, Told::Complete, "{first:?}");
+            assert!(
+                matches!(second.told, Told::Complete | Told::Unknown),
+                "{second:?}"
+            );
+            d.post(d.objects(), "/fault", &ObjectFaults::default())
+                .await;
+        }
+        assert_eq!(no_entry_ran_twice(&d).await, 6);
+    }
+
+    pub(super) async fn object_api_down() {
+        let d = Deployment::start(services()).await;
+        let down = ObjectFaults {
+            outage: true,
+            ..ObjectFaults::default()
+        };
+        d.post(d.objects(), "/fault", &down).await;
+        let refused = enter(&d.client, d.gateway(0), "down").await;
+        assert_eq!(refused.told, Told::NotRun, "{refused:?}");
+        assert!(refused.number("retry-after").is_some(), "{refused:?}");
+        let reads = "/v1/services/status/permits/1";
+        let at = d.gateway(0);
+        let read = client::send(&d.client, at, &Method::GET, reads, &[], Bytes::new()).await;
+        assert_eq!(
+            read.told,
+            Told::Complete,
+            "a repeatable call needs no claim: {read:?}"
+        );
+        d.post(d.objects(), "/fault", &ObjectFaults::default())
+            .await;
+        let after = enter(&d.client, d.gateway(0), "down").await;
+        assert_eq!(after.told, Told::Complete, "{after:?}");
+        assert_eq!(no_entry_ran_twice(&d).await, 1);
+    }
+
+    pub(super) async fn model_calls_and_replays() {
+        let layout = Layout {
+            engines: 1,
+            services: 0,
+            ..Layout::default()
+        };
+        let d = Deployment::start(layout).await;
+        let ask = Ask {
+            key: Some(String::from("notice-7")),
+            ..Ask::default()
+        };
+        let first = d.ask(0, &ask).await;
+        assert_eq!(first.told, Told::Complete, "{first:?}");
+        let again = d.ask(2, &ask).await;
+        assert_eq!(again.told, Told::Complete, "{again:?}");
+        assert_eq!(again.header("carobfield-replayed"), "true");
+        assert!(again.text.contains(&first.text), "{again:?}");
+        let other = Ask {
+            prompt: String::from("another"),
+            ..ask
+        };
+        let reused = d.ask(1, &other).await;
+        assert_eq!(
+            (reused.status, reused.told),
+            (422, Told::NotRun),
+            "{reused:?}"
+        );
+        assert_eq!(checks::started(&d.all_logs().await).len(), 1);
+    }
+
+    pub(super) async fn service_loses_its_answer() {
+        let d = Deployment::start(services()).await;
+        for n in 0..2 {
+            let faults = ServiceFaults {
+                lose: 5,
+                ..ServiceFaults::default()
+            };
+            d.post(d.service(n), "/fault", &faults).await;
+        }
+        for n in 0..4 {
+            let key = format!("answer-{n}");
+            let first = enter(&d.client, d.gateway(0), &key).await;
+            assert_eq!(first.told, Told::Unknown, "{first:?}");
+            let second = enter(&d.client, d.gateway(1), &key).await;
+            assert_eq!(second.told, Told::Unknown, "{second:?}");
+        }
+        assert_eq!(no_entry_ran_twice(&d).await, 4);
+    }
+}
--- /dev/null
+++ b/standin/tests/leaving.rs
@@ -0,0 +1,165 @@
+//! Upstreams that leave get no new work; every planned stop is graceful.
+
+use carobfield::vm_list::VmState;
+use carobfield_standin::{
+    checks,
+    client::{Ask, Told},
+    harness::{Deployment, Layout, Role},
+    process_tests,
+    run_log::LogKind,
+    traffic::{Sample, Traffic},
+    vm_list::VmChange,
+};
+use rustix::process::Signal;
+use std::time::Duration;
+
+process_tests!(
+    leaving_upstream_gets_no_new_work,
+    each_role_stops_gracefully,
+    rolling_restart
+);
+
+/// Time after which a leaving upstream gets no new work, once the list shows it, in milliseconds.
+const LEAVE_LIMIT_MS: u64 = 3_000;
+
+/// Time for a process with streams of several seconds to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(40);
+
+/// Streams of about two seconds.
+fn long(caller: u64, n: u64) -> Ask {
+    Ask {
+        model: format!("adapter-{}@1", (caller + n) % 6),
+        prompt: format!("nonce {caller}/{n}"),
+        tokens: 150,
+        stream: true,
+        ..Ask::default()
+    }
+}
+
+fn layout() -> Layout {
+    Layout {
+        step_us: 12_000,
+        batch: 16,
+        slots: 6,
+        services: 0,
+        ..Layout::default()
+    }
+}
+
+/// No request was cut, and none was refused that another try did not serve.
+fn all_served(samples: &[Sample]) {
+    let bad: Vec<_> = samples
+        .iter()
+        .filter(|s| s.reply.told != Told::Complete)
+        .collect();
+    assert!(
+        bad.is_empty(),
+        "{} of {}: {:?}",
+        bad.len(),
+        samples.len(),
+        bad.first()
+    );
+}
+
+mod case {
+    use super::{
+        Deployment, Duration, LEAVE_LIMIT_MS, LogKind, Role, STOP_LIMIT, Signal, Traffic, VmChange,
+        VmState, all_served, checks, layout, long,
+    };
+
+    pub(super) async fn leaving_upstream_gets_no_new_work() {
+        let d = Deployment::start(layout()).await;
+        let traffic = Traffic::start(&d.gateways(), 12, |c, n| {
+            let mut ask = long(c, n);
+            ask.tokens = 60;
+            ask
+        });
+        d.wait_for("40 answers", || async { traffic.len() >= 40 })
+            .await;
+        let before = d.engine_log(1).await;
+        assert!(
+            !checks::started(&before).is_empty(),
+            "the engine has had work"
+        );
+        let change = VmChange {
+            id: String::from("engine-1"),
+            state: Some(VmState::Leaving),
+        };
+        d.post(d.vms(), "/fault", &change).await;
+        d.wait_for("the list to show it", || async {
+            let list: Option<carobfield::vm_list::VmList> =
+                carobfield_standin::harness::get_json(&d.client, d.vms(), "/vms").await;
+            list.is_some_and(|l| {
+                l.vms
+                    .iter()
+                    .any(|v| v.id == "engine-1" && v.state == VmState::Leaving)
+            })
+        })
+        .await;
+        let shown = carobfield::clock::unix_ms();
+        let after = traffic.len();
+        d.wait_for("100 more answers", || async {
+            traffic.len() >= after + 100
+        })
+        .await;
+        while carobfield::clock::unix_ms() < shown + 2 * LEAVE_LIMIT_MS {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let samples = traffic.finish().await;
+        all_served(&samples);
+        let log = d.engine_log(1).await;
+        let late = log
+            .iter()
+            .filter(|e| e.kind == LogKind::Start && e.at_ms > shown + LEAVE_LIMIT_MS)
+            .count();
+        assert_eq!(late, 0, "requests started after the limit");
+        let (starts, ends) = (LogKind::Start, LogKind::End);
+        let count = |kind| log.iter().filter(|e| e.kind == kind).count();
+        assert_eq!(count(starts), count(ends), "what was in flight finished");
+        assert_eq!(checks::evictions_in_flight(&d.all_logs().await), []);
+    }
+
+    /// Stops one process under load and starts it again.
+    async fn stop_and_start(d: &mut Deployment, traffic: &Traffic, role: Role, n: u8) {
+        let after = traffic.len();
+        d.wait_for("10 answers", || async { traffic.len() >= after + 10 })
+            .await;
+        d.signal(role, n, Signal::TERM);
+        let code = d.wait_exit(role, n, STOP_LIMIT).await;
+        assert_eq!(code, Some(0), "{role:?} {n}");
+        d.start_role(role, n);
+        if role == Role::Gateway {
+            d.wait_gateway(n).await;
+        }
+    }
+
+    pub(super) async fn each_role_stops_gracefully() {
+        let mut d = Deployment::start(layout()).await;
+        let traffic = Traffic::start(&d.gateways(), 9, long);
+        stop_and_start(&mut d, &traffic, Role::Gateway, 1).await;
+        stop_and_start(&mut d, &traffic, Role::Dispatcher, 2).await;
+        let samples = traffic.finish().await;
+        all_served(&samples);
+        let log = d.log(Role::Dispatcher, 2);
+        let (claims, releases) = (
+            log.matches("placement: claim up").count(),
+            log.matches("placement: release").count(),
+        );
+        assert!(
+            claims >= releases && !log.contains("left without a release"),
+            "{log}"
+        );
+    }
+
+    pub(super) async fn rolling_restart() {
+        let mut d = Deployment::start(layout()).await;
+        let traffic = Traffic::start(&d.gateways(), 9, long);
+        for n in 0..3 {
+            stop_and_start(&mut d, &traffic, Role::Dispatcher, n).await;
+            stop_and_start(&mut d, &traffic, Role::Gateway, n).await;
+        }
+        let samples = traffic.finish().await;
+        all_served(&samples);
+        assert_eq!(checks::evictions_in_flight(&d.all_logs().await), []);
+    }
+}
--- /dev/null
+++ b/standin/tests/not_run.rs
@@ -0,0 +1,124 @@
+//! When a request is refused with "not run", no upstream has run it.
+
+use carobfield_standin::{
+    checks,
+    client::{Ask, Told},
+    engine::EngineFaults,
+    harness::{Deployment, Layout, Role},
+    process_tests,
+    traffic::Traffic,
+};
+
+process_tests!(
+    kills_at_each_hop,
+    deadlines_and_overload,
+    engine_refusals_and_failed_loads
+);
+
+fn small() -> Layout {
+    Layout {
+        engines: 2,
+        open_engines: 1,
+        slots: 2,
+        batch: 4,
+        services: 0,
+        ..Layout::default()
+    }
+}
+
+/// Requests that mostly can't be met in time.
+fn hurried(caller: u64, n: u64) -> Ask {
+    Ask {
+        model: format!("adapter-{}@1", (caller + n) % 8),
+        prompt: format!("nonce {caller}/{n}"),
+        tokens: 20,
+        timeout: 150 + (caller * 37 + n * 61) % 600,
+        stream: n.is_multiple_of(2),
+        ..Ask::default()
+    }
+}
+
+mod case {
+    use super::{Ask, Deployment, EngineFaults, Role, Told, Traffic, checks, hurried, small};
+
+    pub(super) async fn kills_at_each_hop() {
+        let mut d = Deployment::start(small()).await;
+        let traffic = Traffic::start(&d.gateways(), 10, |caller, n| Ask {
+            timeout: 3_000,
+            ..hurried(caller, n)
+        });
+        for round in 0..2 {
+            for role in [Role::Dispatcher, Role::Gateway] {
+                let after = traffic.len();
+                d.wait_for("40 answers", || async { traffic.len() >= after + 40 })
+                    .await;
+                d.kill(role, round);
+                let after = traffic.len();
+                d.wait_for("20 answers", || async { traffic.len() >= after + 20 })
+                    .await;
+                d.start_role(role, round);
+            }
+        }
+        let samples = traffic.finish().await;
+        let log = d.all_logs().await;
+        let lies = checks::false_refusals(&samples, &log);
+        assert!(lies.is_empty(), "{:?}", lies.first());
+    }
+
+    pub(super) async fn deadlines_and_overload() {
+        let d = Deployment::start(small()).await;
+        let traffic = Traffic::start(&d.gateways(), 60, hurried);
+        d.wait_for("600 answers", || async { traffic.len() >= 600 })
+            .await;
+        let samples = traffic.finish().await;
+        let log = d.all_logs().await;
+        let lies = checks::false_refusals(&samples, &log);
+        assert!(lies.is_empty(), "{:?}", lies.first());
+        let refused = checks::refusals(&samples);
+        assert!(refused.len() > 50, "the run must refuse: {}", refused.len());
+        for reply in refused {
+            assert!(reply.number("retry-after").is_some(), "{reply:?}");
+        }
+        assert!(checks::wrong(&samples).is_empty());
+    }
+
+    pub(super) async fn engine_refusals_and_failed_loads() {
+        let d = Deployment::start(small()).await;
+        let faults = EngineFaults {
+            refuse: 60,
+            load_fail: 10,
+            fail_models: vec![String::from("adapter-3@1")],
+            ..EngineFaults::default()
+        };
+        for n in 0..2 {
+            d.post(d.engine(n), "/fault", &faults).await;
+        }
+        let patient = |caller: u64, n: u64| Ask {
+            timeout: 4_000,
+            ..hurried(caller, n)
+        };
+        let traffic = Traffic::start(&d.gateways(), 8, patient);
+        d.wait_for("200 answers", || async { traffic.len() >= 200 })
+            .await;
+        let samples = traffic.finish().await;
+        let log = d.all_logs().await;
+        let lies = checks::false_refusals(&samples, &log);
+        assert!(lies.is_empty(), "{:?}", lies.first());
+        let always = samples.iter().filter(|s| s.ask.model == "adapter-3@1");
+        assert!(
+            always.clone().all(|s| s.reply.told == Told::NotRun),
+            "{:?}",
+            always.last()
+        );
+        let last = samples
+            .iter()
+            .rev()
+            .filter(|s| s.ask.model != "adapter-3@1")
+            .take(20);
+        assert!(
+            last.clone().all(|s| s.reply.told == Told::Complete),
+            "{:?}",
+            last.last()
+        );
+    }
+}
