test: configuration, poison, outage and overload

Cause: the points on configuration and the faults besides had no proof. Change: tests of operators at once, a linearizable history of the root, every node in force within 14 s, one caller across nodes, nodes started during an outage; a poison request, an outage of 20 s, 6 times the callers.

--- /dev/null
+++ b/standin/tests/configuration.rs
@@ -0,0 +1,396 @@
+//! Once accepted, a configuration is in force everywhere within seconds and never reverts.
+
+use bytes::Bytes;
+use carobfield::{
+    catalogue_store::{ApplyError, CatalogueStore},
+    clock,
+};
+use carobfield_standin::{
+    client::{self, Ask, Told},
+    harness::{Deployment, Layout, Role, get_json},
+    object_api::ObjectFaults,
+    process_tests,
+};
+use http::Method;
+use serde_json::Value;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use todc_utils::{Action, History, WGLChecker, specifications::Specification};
+use tokio_util::sync::CancellationToken;
+
+process_tests!(
+    operators_at_once,
+    the_roots_history_is_linearizable,
+    in_force_everywhere_and_never_older,
+    one_caller_never_sees_an_older_revision,
+    started_during_an_outage,
+);
+
+/// Time for a change to be in force at every node, in milliseconds.
+const IN_FORCE_LIMIT_MS: u64 = 14_000;
+
+fn small() -> Layout {
+    Layout {
+        engines: 1,
+        open_engines: 0,
+        services: 0,
+        ..Layout::default()
+    }
+}
+
+/// The layout's declarations with another class for one adapter.
+fn with_class(text: &str, adapter: u32, class: &str) -> String {
+    let head = format!("[adapter adapter-{adapter}]\n");
+    let at = text.find(&head).expect("the adapter is declared");
+    let (before, rest) = text.split_at(at);
+    format!(
+        "{before}{}",
+        rest.replacen("class = standard", &format!("class = {class}"), 1)
+    )
+}
+
+/// An operation on the catalogue's root.
+#[derive(Clone, Copy, Debug)]
+enum RootOp {
+    /// A change that made this revision.
+    Apply(u64),
+    /// A read that saw this revision.
+    Read(u64),
+}
+
+/// The root as a counter of accepted changes.
+struct RootSpec;
+
+impl Specification for RootSpec {
+    type Operation = RootOp;
+    type State = u64;
+
+    fn init() -> u64 {
+        1
+    }
+
+    fn apply(operation: &RootOp, state: &u64) -> (bool, u64) {
+        match operation {
+            RootOp::Apply(revision) => (*revision == state + 1, *revision),
+            RootOp::Read(revision) => (revision == state, *state),
+        }
+    }
+}
+
+/// A recorded call or response of one process.
+type Recorded = (usize, Action<RootOp>);
+
+async fn revision_at(d: &Deployment, role: Role, n: u8) -> Option<u64> {
+    let at = match role {
+        Role::Gateway => d.gateway_operators(n),
+        _ => d.dispatcher_operators(n),
+    };
+    let status: Option<Value> = get_json(&d.client, at, "/status").await;
+    status.and_then(|s| s["revision"].as_u64())
+}
+
+mod case {
+    use super::{
+        Action, ApplyError, Arc, Ask, Bytes, CancellationToken, CatalogueStore, Deployment,
+        Duration, History, IN_FORCE_LIMIT_MS, Layout, Method, Mutex, ObjectFaults, Recorded, Role,
+        RootOp, RootSpec, Told, Value, WGLChecker, client, clock, get_json, revision_at, small,
+        with_class,
+    };
+
+    pub(super) async fn operators_at_once() {
+        let d = Deployment::platform_only(small()).await;
+        let first = d.catalogue();
+        let apart: Vec<String> = (0..4).map(|n| with_class(&first, n, "batch")).collect();
+        let (a, b, c, e) = tokio::join!(
+            d.apply(1, &apart[0]),
+            d.apply(1, &apart[1]),
+            d.apply(1, &apart[2]),
+            d.apply(1, &apart[3]),
+        );
+        let mut revisions: Vec<u64> = [a, b, c, e]
+            .into_iter()
+            .map(|r| r.expect("disjoint changes land").revision)
+            .collect();
+        revisions.sort_unstable();
+        assert_eq!(revisions, [2, 3, 4, 5]);
+        let all = (0..4).fold(first, |text, n| with_class(&text, n, "batch"));
+        let same: Vec<String> = (0..4)
+            .map(|n| {
+                all.replacen("in-flight", "", 1).replacen(
+                    "[adapter adapter-9]\n",
+                    &format!("[adapter adapter-9]\nin-flight = {}\n", n + 1),
+                    1,
+                )
+            })
+            .collect();
+        let (a, b, c, e) = tokio::join!(
+            d.apply(5, &same[0]),
+            d.apply(5, &same[1]),
+            d.apply(5, &same[2]),
+            d.apply(5, &same[3]),
+        );
+        let results = [a, b, c, e];
+        let landed = results.iter().filter(|r| r.is_ok()).count();
+        assert_eq!(landed, 1, "{results:?}");
+        for refused in results.into_iter().filter_map(Result::err) {
+            let ApplyError::Conflict {
+                base,
+                current,
+                keys,
+            } = refused
+            else {
+                panic!("{refused}");
+            };
+            assert_eq!((base, current), (5, 6));
+            assert_eq!(keys, ["adapter adapter-9"]);
+        }
+    }
+
+    pub(super) async fn the_roots_history_is_linearizable() {
+        let d = Arc::new(Deployment::platform_only(small()).await);
+        let faults = ObjectFaults {
+            lose_writes: 8,
+            lose_prefix: String::from("catalogue/root"),
+            ..ObjectFaults::default()
+        };
+        d.post(d.objects(), "/fault", &faults).await;
+        let history: Arc<Mutex<Vec<Recorded>>> = Arc::default();
+        let record = |history: &Mutex<Vec<Recorded>>, process, action| {
+            history
+                .lock()
+                .expect("no panic holds it")
+                .push((process, action));
+        };
+        let mut all = tokio::task::JoinSet::new();
+        for operator in 0..4_usize {
+            let (d, history) = (Arc::clone(&d), Arc::clone(&history));
+            all.spawn(async move {
+                for round in 0..5_u32 {
+                    let adapter = operator as u32 * 3 + round % 3;
+                    let class = if round % 2 == 0 {
+                        "batch"
+                    } else {
+                        "interactive"
+                    };
+                    let mut store = CatalogueStore::new(d.object_api());
+                    let (_, root) = store.root().await.expect("the root is read");
+                    let base = root.revision();
+                    let entries = store.entries(&root, base).await.expect("entries are read");
+                    let mut wanted = entries.clone();
+                    let key = format!("adapter adapter-{adapter}");
+                    let entry =
+                        carobfield::catalogue::Entry::Adapter(carobfield::catalogue::Adapter {
+                            base: String::from("base"),
+                            class: class.parse().expect("a class"),
+                            current: round + 1,
+                            owner: Arc::from("owner"),
+                            versions: vec![round + 1],
+                            ..carobfield::catalogue::Adapter::default()
+                        });
+                    wanted.insert(key, entry);
+                    record(&history, operator, Action::Call(RootOp::Apply(0)));
+                    let applied = store.apply(base, &wanted).await.expect("the change lands");
+                    record(
+                        &history,
+                        operator,
+                        Action::Response(RootOp::Apply(applied.revision)),
+                    );
+                }
+            });
+        }
+        for reader in 4..6_usize {
+            let (d, history) = (Arc::clone(&d), Arc::clone(&history));
+            all.spawn(async move {
+                let store = CatalogueStore::new(d.object_api());
+                for _ in 0..15 {
+                    record(&history, reader, Action::Call(RootOp::Read(0)));
+                    let (_, root) = store.root().await.expect("the root is read");
+                    let seen = RootOp::Read(root.revision());
+                    record(&history, reader, Action::Response(seen));
+                    tokio::time::sleep(Duration::from_millis(7)).await;
+                }
+            });
+        }
+        while let Some(ended) = all.join_next().await {
+            ended.expect("no operator fails");
+        }
+        let actions = history.lock().expect("no panic holds it").clone();
+        let last = CatalogueStore::new(d.object_api())
+            .root()
+            .await
+            .expect("the root")
+            .1;
+        assert_eq!(
+            last.revision(),
+            21,
+            "20 changes after the first, each exactly once"
+        );
+        let mut stale = actions.clone();
+        stale.push((6, Action::Call(RootOp::Read(0))));
+        stale.push((6, Action::Response(RootOp::Read(20))));
+        assert!(WGLChecker::<RootSpec>::is_linearizable(
+            History::from_actions(actions)
+        ));
+        let judged = WGLChecker::<RootSpec>::is_linearizable(History::from_actions(stale));
+        assert!(!judged, "the checker tells a stale read");
+    }
+
+    pub(super) async fn in_force_everywhere_and_never_older() {
+        let mut d = Deployment::start(Layout {
+            adapters: 60,
+            ..small()
+        })
+        .await;
+        let stop = CancellationToken::new();
+        let watcher = tokio::spawn(watch_revisions(
+            d.client.clone(),
+            (0..3)
+                .flat_map(|n| [d.gateway_operators(n), d.dispatcher_operators(n)])
+                .collect(),
+            stop.clone(),
+        ));
+        let first = d.catalogue();
+        for revision in 1..7_u64 {
+            let class = if revision % 2 == 1 {
+                "batch"
+            } else {
+                "interactive"
+            };
+            let text = with_class(&first, revision as u32, class);
+            let applied = d.apply(revision, &text).await.expect("the change lands");
+            let accepted = clock::unix_ms();
+            if revision == 3 {
+                d.kill(Role::Dispatcher, 1);
+                d.kill(Role::Gateway, 2);
+                d.start_role(Role::Dispatcher, 1);
+                d.start_role(Role::Gateway, 2);
+            }
+            for n in 0..3 {
+                for role in [Role::Gateway, Role::Dispatcher] {
+                    d.wait_for("the change at every node", || async {
+                        revision_at(&d, role, n).await == Some(applied.revision)
+                    })
+                    .await;
+                }
+            }
+            let took = clock::unix_ms() - accepted;
+            assert!(
+                took <= IN_FORCE_LIMIT_MS,
+                "in force everywhere after {took} ms"
+            );
+        }
+        stop.cancel();
+        let falls = watcher.await.expect("the watcher ends");
+        assert!(falls.is_empty(), "{falls:?}");
+    }
+
+    /// Looks at every node all the time; the revisions that fell, except from 0 after a start.
+    async fn watch_revisions(
+        client: carobfield::http_client::HttpClient,
+        nodes: Vec<std::net::SocketAddr>,
+        stop: CancellationToken,
+    ) -> Vec<(std::net::SocketAddr, u64, u64)> {
+        let mut highest = std::collections::HashMap::new();
+        let mut falls = Vec::new();
+        while !stop.is_cancelled() {
+            for node in &nodes {
+                let ready = carobfield_standin::harness::get(&client, *node, "/readyz").await;
+                let Some(status) = get_json::<Value>(&client, *node, "/status").await else {
+                    continue;
+                };
+                let seen = status["revision"].as_u64().unwrap_or(0);
+                if ready.is_none_or(|r| r.status != 200) {
+                    continue;
+                }
+                let before = highest.entry(*node).or_insert(seen);
+                if seen < *before {
+                    falls.push((*node, *before, seen));
+                }
+                *before = seen.max(*before);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        falls
+    }
+
+    pub(super) async fn one_caller_never_sees_an_older_revision() {
+        let d = Deployment::start(small()).await;
+        let mut seen = 0;
+        let first = d.catalogue();
+        for round in 0..12_u64 {
+            let class = if round % 2 == 0 { "batch" } else { "standard" };
+            d.apply(round + 1, &with_class(&first, 2, class))
+                .await
+                .expect("the change lands");
+            for n in [0, 1, 2, 1, 0] {
+                let least = seen.to_string();
+                let headers = [("carobfield-min-revision", least.as_str())];
+                let at = d.gateway(n);
+                let reply = client::send(
+                    &d.client,
+                    at,
+                    &Method::GET,
+                    "/v1/models",
+                    &headers,
+                    Bytes::new(),
+                )
+                .await;
+                let body = Bytes::from_static(br#"{"model":"adapter-2","prompt":"x"}"#);
+                let asked = client::send(
+                    &d.client,
+                    at,
+                    &Method::POST,
+                    "/v1/completions",
+                    &headers,
+                    body,
+                )
+                .await;
+                for answer in [reply, asked] {
+                    assert_eq!(answer.told, Told::Complete, "{answer:?}");
+                    let now = answer
+                        .number("carobfield-revision")
+                        .expect("answers say it");
+                    assert!(now >= seen, "{now} after {seen} at gateway {n}");
+                    seen = now;
+                }
+            }
+        }
+        assert!(seen > 6, "the caller saw changes: {seen}");
+    }
+
+    pub(super) async fn started_during_an_outage() {
+        let mut d = Deployment::start(small()).await;
+        let text = with_class(&d.catalogue(), 3, "interactive");
+        let latest = d.apply(1, &text).await.expect("the change lands").revision;
+        for n in 0..3 {
+            d.wait_for("the change", || async {
+                revision_at(&d, Role::Gateway, n).await == Some(latest)
+                    && revision_at(&d, Role::Dispatcher, n).await == Some(latest)
+            })
+            .await;
+        }
+        let down = ObjectFaults {
+            outage: true,
+            ..ObjectFaults::default()
+        };
+        d.post(d.objects(), "/fault", &down).await;
+        let holder = d.holder("engine-0").await.expect("the engine is held");
+        for n in 0..3 {
+            d.kill(Role::Gateway, n);
+            d.start_role(Role::Gateway, n);
+            if n != holder {
+                d.kill(Role::Dispatcher, n);
+                d.start_role(Role::Dispatcher, n);
+            }
+            d.wait_for("the latest revision from a peer", || async {
+                revision_at(&d, Role::Gateway, n).await == Some(latest)
+                    && revision_at(&d, Role::Dispatcher, n).await == Some(latest)
+            })
+            .await;
+            let reply = d.ask(n, &Ask::default()).await;
+            assert_eq!(reply.told, Told::Complete, "{reply:?}");
+        }
+    }
+}
--- /dev/null
+++ b/standin/tests/faults.rs
@@ -0,0 +1,237 @@
+//! Poison requests, outages of the platform, and overload.
+
+use carobfield_standin::{
+    checks,
+    client::{Ask, Told},
+    engine::EngineFaults,
+    harness::{Deployment, Layout, Role},
+    object_api::ObjectFaults,
+    process_tests,
+    run_log::LogKind,
+    traffic::Traffic,
+};
+use std::time::{Duration, Instant};
+
+process_tests!(
+    poison_request,
+    outage_of_the_object_api,
+    overload_keeps_its_goodput,
+    engines_work_through_an_outage_with_restarts,
+);
+
+fn plain(caller: u64, n: u64) -> Ask {
+    Ask {
+        model: format!("adapter-{}@1", (caller + n) % 6),
+        prompt: format!("nonce {caller}/{n}"),
+        stream: n.is_multiple_of(2),
+        ..Ask::default()
+    }
+}
+
+mod case {
+    use super::{
+        Ask, Deployment, Duration, EngineFaults, Instant, Layout, LogKind, ObjectFaults, Role,
+        Told, Traffic, checks, plain,
+    };
+
+    pub(super) async fn poison_request() {
+        let d = Deployment::start(Layout {
+            engines: 5,
+            open_engines: 2,
+            ..Layout::default()
+        })
+        .await;
+        let faults = EngineFaults {
+            crash_on: String::from("crash-me"),
+            ..EngineFaults::default()
+        };
+        for n in 0..5 {
+            d.post(d.engine(n), "/fault", &faults).await;
+        }
+        let traffic = Traffic::start(&d.gateways(), 6, plain);
+        d.wait_for("60 answers", || async { traffic.len() >= 60 })
+            .await;
+        let poison = Ask {
+            prompt: String::from("crash-me"),
+            ..Ask::default()
+        };
+        for n in 0..9 {
+            let started = Instant::now();
+            let reply = d.ask(n % 3, &poison).await;
+            assert_ne!(reply.told, Told::Complete, "{reply:?}");
+            if n > 0 {
+                assert_eq!((reply.status, reply.told), (422, Told::NotRun), "{reply:?}");
+                assert!(
+                    started.elapsed() < Duration::from_secs(1),
+                    "{:?}",
+                    started.elapsed()
+                );
+            }
+        }
+        let after = traffic.len();
+        d.wait_for("60 more answers", || async { traffic.len() >= after + 60 })
+            .await;
+        let samples = traffic.finish().await;
+        let log = d.all_logs().await;
+        let crashes = log.iter().filter(|e| e.kind == LogKind::Crash).count();
+        assert!((1..=2).contains(&crashes), "{crashes} engines lost");
+        let bad: Vec<_> = samples
+            .iter()
+            .filter(|s| s.reply.told != Told::Complete)
+            .collect();
+        let cut = bad
+            .iter()
+            .all(|s| s.ask.stream && s.reply.told == Told::Unknown);
+        assert!(
+            cut,
+            "only streams on a crashed engine may end early: {:?}",
+            bad.first()
+        );
+        assert_eq!(checks::evictions_in_flight(&log), []);
+    }
+
+    pub(super) async fn outage_of_the_object_api() {
+        let layout = Layout {
+            slots: 2,
+            ..Layout::default()
+        };
+        let d = Deployment::start(layout).await;
+        let traffic = Traffic::start(&d.gateways(), 8, plain);
+        d.wait_for("100 answers", || async { traffic.len() >= 100 })
+            .await;
+        // Long enough for the stable sets to be written.
+        tokio::time::sleep(Duration::from_secs(7)).await;
+        let down = ObjectFaults {
+            outage: true,
+            ..ObjectFaults::default()
+        };
+        d.post(d.objects(), "/fault", &down).await;
+        let from = traffic.len();
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            let before = traffic.len();
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            assert!(
+                traffic.len() > before,
+                "requests are served all through the outage"
+            );
+        }
+        d.post(d.objects(), "/fault", &ObjectFaults::default())
+            .await;
+        let after = traffic.len();
+        d.wait_for("100 more answers", || async {
+            traffic.len() >= after + 100
+        })
+        .await;
+        let samples = traffic.finish().await;
+        let log = d.all_logs().await;
+        assert_eq!(checks::evictions_in_flight(&log), []);
+        let bad: Vec<_> = samples[from..]
+            .iter()
+            .filter(|s| s.reply.told != Told::Complete)
+            .collect();
+        assert!(
+            bad.is_empty(),
+            "{} of {}: {:?}",
+            bad.len(),
+            samples.len() - from,
+            bad.first()
+        );
+    }
+
+    pub(super) async fn engines_work_through_an_outage_with_restarts() {
+        let layout = Layout {
+            engines: 2,
+            open_engines: 0,
+            services: 0,
+            ..Layout::default()
+        };
+        let mut d = Deployment::start(layout).await;
+        let down = ObjectFaults {
+            outage: true,
+            ..ObjectFaults::default()
+        };
+        d.post(d.objects(), "/fault", &down).await;
+        for n in 0..3 {
+            d.kill(Role::Gateway, n);
+            d.start_role(Role::Gateway, n);
+            d.wait_gateway(n).await;
+        }
+        for n in 0..3 {
+            d.kill(Role::Dispatcher, n);
+            d.start_role(Role::Dispatcher, n);
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+        let mut served = 0;
+        for n in 0..6 {
+            let reply = d
+                .ask(
+                    n % 3,
+                    &Ask {
+                        timeout: 5_000,
+                        ..plain(1, u64::from(n))
+                    },
+                )
+                .await;
+            served += u32::from(reply.told == Told::Complete);
+        }
+        assert_eq!(
+            served, 6,
+            "requests are served with every dispatcher restarted in the outage"
+        );
+    }
+
+    /// Answers a second of `callers` callers within `window`.
+    async fn goodput(d: &Deployment, callers: u64, window: Duration) -> (f64, f64) {
+        let hurried = |caller: u64, n: u64| Ask {
+            timeout: 2_000,
+            ..plain(caller, n)
+        };
+        let traffic = Traffic::start(&d.gateways(), callers, hurried);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let from = traffic.len();
+        tokio::time::sleep(window).await;
+        let within = traffic.so_far();
+        let served = checks::count(&within[from..], Told::Complete);
+        let all = traffic.finish().await;
+        let tries: usize = all.iter().map(|s| s.refusals.len()).sum();
+        (
+            served as f64 / window.as_secs_f64(),
+            tries as f64 / all.len() as f64,
+        )
+    }
+
+    pub(super) async fn overload_keeps_its_goodput() {
+        let layout = Layout {
+            engines: 2,
+            open_engines: 0,
+            slots: 6,
+            batch: 4,
+            services: 0,
+            ..Layout::default()
+        };
+        let d = Deployment::start(layout).await;
+        let window = Duration::from_secs(6);
+        let (peak, _) = goodput(&d, 10, window).await;
+        let (over, _) = goodput(&d, 60, window).await;
+        assert!(
+            over >= 0.9 * peak,
+            "{over:.1} a second at overload, {peak:.1} at the peak"
+        );
+        let mut attempts = 0;
+        let mut requests = 0;
+        for n in 0..3 {
+            let log = d.log(Role::Gateway, n);
+            attempts += log.matches("routing: chosen").count();
+            requests += log
+                .lines()
+                .filter(|l| l.contains("chosen") && l.contains("attempt=1 "))
+                .count();
+        }
+        let retries = attempts - requests;
+        assert!(
+            retries * 10 <= requests,
+            "{retries} retries of {requests} requests"
+        );
+    }
+}
