feat: load and experiment tool with baselines, scenarios of both deployments

Change: carobfield-load run and compare, seeded open-loop arrivals, figures with hdrhistogram, history file, plot, a clairvoyant bound on loads.

--- /dev/null
+++ b/standin/src/arrivals.rs
@@ -0,0 +1,120 @@
+//! Arrivals of a scenario: the same for the same seed, whatever serves them.
+
+use crate::{
+    client::Ask,
+    scenario::{EventKind, Scenario},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+use rand_distr::{Distribution, Exp, Zipf};
+
+/// One request and its time.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Seconds after the start of the run.
+    pub at: f64,
+    /// Adapter's number.
+    pub adapter: u32,
+    /// Request.
+    pub ask: Ask,
+    /// Class, 0 for the most urgent.
+    pub class: usize,
+    /// Gateway, before the choice among the live ones.
+    pub gateway: u8,
+}
+
+/// Draws every arrival of a run.
+pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let adapters = scenario.layout.adapters;
+    let mut by_rank: Vec<u32> = (0..adapters).collect();
+    by_rank.shuffle(&mut rng);
+    let gaps = Exp::new(scenario.rate).expect("the rate is above 0");
+    let ranks = Zipf::new(f64::from(adapters), scenario.zipf).expect("there are adapters");
+    let shift = scenario
+        .event
+        .filter(|e| e.kind == EventKind::PopularityShift);
+    let shift = shift.map(|e| e.at + scenario.warmup);
+    let end = scenario.warmup + scenario.duration;
+    let mut out = Vec::new();
+    let mut at = 0.0;
+    loop {
+        at += gaps.sample(&mut rng);
+        if at >= end {
+            return out;
+        }
+        let rank = (ranks.sample(&mut rng) as usize).clamp(1, adapters as usize) - 1;
+        let reversed = shift.is_some_and(|s| at >= s);
+        let rank = if reversed {
+            adapters as usize - 1 - rank
+        } else {
+            rank
+        };
+        let adapter = by_rank[rank];
+        let tokens = rng.random_range(scenario.tokens_min..=scenario.tokens_max);
+        let prefix = rng.random_range(0..scenario.prefixes.max(1));
+        let gateway = rng.random_range(0..scenario.layout.entries);
+        let class = class_number(adapter);
+        let prompt = format!(
+            "{:>256} request {}",
+            format!("instructions {prefix} of adapter {adapter}"),
+            out.len()
+        );
+        let ask = Ask {
+            model: format!("adapter-{adapter}@1"),
+            prompt,
+            tokens,
+            stream: true,
+            key: None,
+            timeout: scenario.deadlines[class],
+        };
+        out.push(Arrival {
+            at,
+            adapter,
+            ask,
+            class,
+            gateway,
+        });
+    }
+}
+
+/// Number of an adapter's class, 0 for the most urgent.
+pub fn class_number(adapter: u32) -> usize {
+    match crate::scenario::class_of(adapter) {
+        "interactive" => 0,
+        "standard" => 1,
+        _ => 2,
+    }
+}
+
+/// Loads that a clairvoyant eviction over all slots together would need for these arrivals.
+///
+/// It evicts the adapter that is needed again last, and serves every request at once, so that no real policy
+/// can need fewer.
+pub fn clairvoyant_loads(arrivals: &[Arrival], slots: usize, from: f64) -> usize {
+    let mut next_use = vec![usize::MAX; arrivals.len()];
+    let mut last_seen = std::collections::HashMap::new();
+    for (i, arrival) in arrivals.iter().enumerate().rev() {
+        if let Some(next) = last_seen.insert(arrival.adapter, i) {
+            next_use[i] = next;
+        }
+    }
+    let mut resident = std::collections::HashMap::new();
+    let mut loads = 0;
+    for (i, arrival) in arrivals.iter().enumerate() {
+        if resident.insert(arrival.adapter, next_use[i]).is_some() {
+            continue;
+        }
+        loads += usize::from(arrival.at >= from);
+        if resident.len() > slots {
+            let furthest = resident
+                .iter()
+                .filter(|(adapter, _)| **adapter != arrival.adapter)
+                .max_by_key(|(adapter, next)| (**next, **adapter))
+                .map(|(adapter, _)| *adapter);
+            if let Some(adapter) = furthest {
+                resident.remove(&adapter);
+            }
+        }
+    }
+    loads
+}
--- /dev/null
+++ b/standin/src/bin/carobfield-load.rs
@@ -0,0 +1,137 @@
+//! Load and experiment tool: runs scenarios on deployments of separate processes.
+
+use carobfield_standin::{
+    experiment::{self, Outcome, POLICIES, Policy},
+    report,
+    scenario::{self, Scenario},
+};
+use futures_util::future::join_all;
+use gumdrop::Options;
+use std::{path::PathBuf, process::ExitCode};
+
+/// Exit code of unusable options or scenarios.
+const EXIT_USAGE: u8 = 2;
+
+/// Command line.
+#[derive(Debug, Options)]
+struct LoadOptions {
+    #[options(help = "show this help and stop")]
+    help: bool,
+    #[options(help = "show the version and stop", short = "V")]
+    version: bool,
+    #[options(command)]
+    command: Option<LoadCommand>,
+}
+
+/// What to do.
+#[derive(Debug, Options)]
+enum LoadCommand {
+    #[options(help = "run a scenario under one policy")]
+    Run(RunOptions),
+    #[options(help = "run the baselines and the policy on the same arrivals, side by side")]
+    Compare(RunOptions),
+}
+
+/// Options of a run.
+#[derive(Debug, Options)]
+struct RunOptions {
+    #[options(help = "show this help and stop")]
+    help: bool,
+    #[options(help = "scenario file (INI)", meta = "FILE", required)]
+    scenario: PathBuf,
+    #[options(help = "seed of the arrivals", meta = "N", default = "1")]
+    seed: u64,
+    #[options(
+        help = "policy of `run`; `compare` takes a list",
+        meta = "NAMES",
+        no_short
+    )]
+    policy: Option<String>,
+    #[options(
+        help = "run the policies at once, each on its own deployment",
+        no_short
+    )]
+    together: bool,
+    #[options(help = "print the figures as JSON")]
+    json: bool,
+    #[options(help = "write every request's record", meta = "FILE", no_short)]
+    history: Option<PathBuf>,
+    #[options(help = "draw the load stalls as SVG", meta = "FILE", no_short)]
+    plot: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = LoadOptions::parse_args_default_or_exit();
+    if options.version {
+        println!("carobfield-load {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let (run, default) = match &options.command {
+        Some(LoadCommand::Run(run)) => (run, "policy"),
+        Some(LoadCommand::Compare(run)) => (run, ""),
+        None => {
+            eprintln!("carobfield-load: a command is needed; see --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let scenario = match scenario::read(&run.scenario) {
+        Ok(scenario) => scenario,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let policies = choose(run.policy.as_deref().unwrap_or(default));
+    if policies.is_empty() {
+        let names: Vec<&str> = POLICIES.iter().map(|p| p.name).collect();
+        eprintln!("carobfield-load: --policy is of {}", names.join(", "));
+        return ExitCode::from(EXIT_USAGE);
+    }
+    match execute(run, &scenario, &policies) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("carobfield-load: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The named policies; all of them for an empty text.
+fn choose(names: &str) -> Vec<&'static Policy> {
+    let named = |p: &&Policy| names.is_empty() || names.split(',').any(|n| n == p.name);
+    POLICIES.iter().filter(named).collect()
+}
+
+fn execute(
+    options: &RunOptions,
+    scenario: &Scenario,
+    policies: &[&Policy],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let runs = policies
+        .iter()
+        .map(|policy| experiment::run(scenario, policy, options.seed));
+    let outcomes: Vec<Outcome> = if options.together {
+        runtime.block_on(join_all(runs))
+    } else {
+        runs.map(|run| runtime.block_on(run)).collect()
+    };
+    let figures: Vec<_> = outcomes.iter().map(|o| o.figures.clone()).collect();
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&figures)?);
+    } else {
+        print!("{}", report::table(&figures));
+        if figures.len() > 1 {
+            print!("{}", report::ratios(&figures));
+        }
+    }
+    if let (Some(path), Some(last)) = (&options.history, outcomes.last()) {
+        experiment::write_history(path, last)?;
+    }
+    if let Some(path) = &options.plot {
+        report::plot(path, &outcomes)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standin/src/experiment.rs
@@ -0,0 +1,444 @@
+//! Runs a scenario on a deployment of separate processes and collects its figures.
+
+use crate::{
+    arrivals::{self, Arrival},
+    client::{self, Ask, Reply, Told},
+    engine::EngineFaults,
+    engine_state::EngineStats,
+    harness::{Deployment, Role, get, get_json},
+    scenario::{EventKind, Scenario},
+    weight_store::WeightStats,
+};
+use carobfield::http_client;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    io::{IsTerminal, Write},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::task::JoinSet;
+
+/// Text of the prompt that crashes engines in a poison event.
+const POISON: &str = "crash-me";
+
+/// Time that gateways need before they see every engine.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Highest figure of the histograms, in milliseconds.
+const MAX_MS: u64 = 300_000;
+
+/// How upstreams are chosen and adapters evicted.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// Name, for reports.
+    pub name: &'static str,
+    /// Placement, as in the gateway's settings.
+    pub placement: &'static str,
+    /// Eviction, as in the dispatcher's settings.
+    pub eviction: &'static str,
+}
+
+/// The baselines, and the policy last.
+pub const POLICIES: [Policy; 5] = [
+    Policy {
+        name: "random-lru",
+        placement: "random",
+        eviction: "lru",
+    },
+    Policy {
+        name: "least-loaded-lru",
+        placement: "least-loaded",
+        eviction: "lru",
+    },
+    Policy {
+        name: "hash-lru",
+        placement: "hash",
+        eviction: "lru",
+    },
+    Policy {
+        name: "cost-lru",
+        placement: "cost",
+        eviction: "lru",
+    },
+    Policy {
+        name: "policy",
+        placement: "cost",
+        eviction: "value",
+    },
+];
+
+/// One request's record, as in the history file.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Record {
+    /// Seconds after the start of the measured part.
+    pub at: f64,
+    /// Adapter's number.
+    pub adapter: u32,
+    /// Owner's number.
+    pub owner: u32,
+    /// Class, 0 for the most urgent.
+    pub class: usize,
+    /// What the caller was told.
+    pub told: String,
+    /// Error code of a refusal or failure.
+    pub code: String,
+    /// Time waited for loads, in milliseconds.
+    pub stall_ms: u64,
+    /// Time to the first part, in milliseconds.
+    pub first_ms: f64,
+    /// Time to the end, in milliseconds.
+    pub total_ms: f64,
+    /// Request identifier, as in the logs.
+    pub request: String,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Figures {
+    /// Scenario.
+    pub scenario: String,
+    /// Policy.
+    pub policy: String,
+    /// Seed.
+    pub seed: u64,
+    /// Requests in the measured part.
+    pub requests: usize,
+    /// Share answered whole and in time.
+    pub goodput: f64,
+    /// Share that missed their deadline or were refused.
+    pub misses: f64,
+    /// Total time waited for loads, in seconds.
+    pub stall_total: f64,
+    /// Share that waited for a load.
+    pub stalled: f64,
+    /// Median of the time waited, in milliseconds.
+    pub stall_p50: u64,
+    /// 99th percentile of the time waited, in milliseconds.
+    pub stall_p99: u64,
+    /// Total time waited, by class, in seconds.
+    pub stall_by_class: [f64; 3],
+    /// Share answered whole, by class.
+    pub served_by_class: [f64; 3],
+    /// Batch places used over places paid for.
+    pub efficiency: f64,
+    /// Lowest and highest of the same by engine.
+    pub efficiency_range: [f64; 2],
+    /// Loads in the measured part.
+    pub loads: u64,
+    /// Loads of adapters that were loaded before in the run.
+    pub repeated_loads: u64,
+    /// Loads for each 1,000 requests.
+    pub loads_per_1000: f64,
+    /// Loads that a clairvoyant eviction would need.
+    pub clairvoyant_loads: usize,
+    /// Most loads begun in one second.
+    pub peak_loads: u32,
+    /// Median time to the first part of whole answers, in milliseconds.
+    pub first_p50: u64,
+    /// 95th percentile of the same.
+    pub first_p95: u64,
+    /// Highest over lowest share served, over owners with at least 20 requests.
+    pub fairness: f64,
+    /// Seconds after the event until 90% of the served rate before it; -1 if not within the run.
+    pub recovery: f64,
+}
+
+/// A run's figures and every request's record.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Figures.
+    pub figures: Figures,
+    /// Records of the measured part.
+    pub records: Vec<Record>,
+}
+
+/// What stand-ins counted so far.
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    engines: Vec<EngineStats>,
+    weights: WeightStats,
+}
+
+async fn counts(d: &Deployment) -> Counts {
+    let mut engines = Vec::new();
+    for n in 0..d.layout.engines {
+        engines.push(
+            get_json(&d.client, d.engine(n), "/stats")
+                .await
+                .unwrap_or_default(),
+        );
+    }
+    let weights = get_json(&d.client, d.weights(), "/stats")
+        .await
+        .unwrap_or_default();
+    Counts { engines, weights }
+}
+
+/// Runs `scenario` under `policy` with the arrivals of `seed`.
+pub async fn run(scenario: &Scenario, policy: &Policy, seed: u64) -> Outcome {
+    let mut scenario = scenario.clone();
+    policy.placement.clone_into(&mut scenario.layout.placement);
+    policy.eviction.clone_into(&mut scenario.layout.eviction);
+    let arrivals = arrivals::draw(&scenario, seed);
+    let mut d = Deployment::start(scenario.layout.clone()).await;
+    tokio::time::sleep(SETTLE).await;
+    let started = Instant::now();
+    let (records, before) = drive(&mut d, &scenario, &arrivals, started).await;
+    let after = counts(&d).await;
+    let records: Vec<Record> = records.into_iter().filter(|r| r.at >= 0.0).collect();
+    let mut figures = summarize(&scenario, &records, &before, &after);
+    figures.policy = policy.name.to_owned();
+    figures.seed = seed;
+    let slots = usize::from(scenario.layout.engines) * scenario.layout.slots as usize;
+    figures.clairvoyant_loads = arrivals::clairvoyant_loads(&arrivals, slots, scenario.warmup);
+    Outcome { figures, records }
+}
+
+async fn drive(
+    d: &mut Deployment,
+    scenario: &Scenario,
+    arrivals: &[Arrival],
+    started: Instant,
+) -> (Vec<Record>, Counts) {
+    let client = http_client::build();
+    let mut open = JoinSet::new();
+    let mut before = None;
+    let mut event = scenario.event;
+    for arrival in arrivals {
+        let due = started + Duration::from_secs_f64(arrival.at);
+        tokio::time::sleep_until(due.into()).await;
+        if before.is_none() && arrival.at >= scenario.warmup {
+            before = Some(counts(d).await);
+        }
+        if let Some(e) = event.filter(|e| arrival.at >= e.at + scenario.warmup) {
+            event = None;
+            strike(d, e.kind).await;
+        }
+        show_progress(arrival.at, scenario);
+        let at = gateway_for(d, arrival.gateway, scenario);
+        let (client, arrival) = (client.clone(), arrival.clone());
+        let offset = scenario.warmup;
+        open.spawn(async move {
+            let reply = client::ask(&client, at, &arrival.ask).await;
+            record(&arrival, &reply, offset)
+        });
+    }
+    let mut records = Vec::new();
+    while let Some(ended) = open.join_next().await {
+        records.extend(ended.ok());
+    }
+    records.sort_by(|a, b| a.at.total_cmp(&b.at));
+    (records, before.unwrap_or_default())
+}
+
+fn show_progress(at: f64, scenario: &Scenario) {
+    let mut out = std::io::stderr();
+    if out.is_terminal() {
+        let whole = scenario.warmup + scenario.duration;
+        let _best_effort = write!(out, "\r{}: {at:5.1} of {whole:.0} s", scenario.name);
+    }
+}
+
+/// The gateway of an arrival; callers leave a killed one.
+fn gateway_for(d: &Deployment, n: u8, scenario: &Scenario) -> SocketAddr {
+    let killed = scenario
+        .event
+        .is_some_and(|e| e.kind == EventKind::EntryKill);
+    let n = if killed && n == 0 { 1 } else { n };
+    d.gateway(n)
+}
+
+async fn strike(d: &mut Deployment, kind: EventKind) {
+    match kind {
+        EventKind::PopularityShift => {}
+        EventKind::EngineRestart => d.post(d.engine(0), "/restart", &()).await,
+        EventKind::EntryKill => {
+            d.kill(Role::Gateway, 0);
+            d.kill(Role::Dispatcher, 0);
+        }
+        EventKind::WeightsHalved => {
+            drop(get(&d.client, d.weights(), "/fault?factor=0.5").await);
+        }
+        EventKind::Poison => {
+            let faults = EngineFaults {
+                crash_on: POISON.to_owned(),
+                ..EngineFaults::default()
+            };
+            for n in 0..d.layout.engines {
+                d.post(d.engine(n), "/fault", &faults).await;
+            }
+            let (client, gateways) = (d.client.clone(), d.gateways());
+            tokio::spawn(async move {
+                let ask = Ask {
+                    prompt: POISON.to_owned(),
+                    ..Ask::default()
+                };
+                for n in 0..20 {
+                    client::ask(&client, gateways[n % gateways.len()], &ask).await;
+                    tokio::time::sleep(Duration::from_millis(200)).await;
+                }
+            });
+        }
+    }
+}
+
+fn record(arrival: &Arrival, reply: &Reply, warmup: f64) -> Record {
+    Record {
+        at: arrival.at - warmup,
+        adapter: arrival.adapter,
+        owner: arrival.adapter % 20,
+        class: arrival.class,
+        told: format!("{:?}", reply.told),
+        code: reply.error_code(),
+        stall_ms: reply.number("carobfield-stall-ms").unwrap_or(0),
+        first_ms: reply.first_ms,
+        total_ms: reply.total_ms,
+        request: reply.header("carobfield-request-id").to_owned(),
+    }
+}
+
+fn is_served(record: &Record) -> bool {
+    record.told == format!("{:?}", Told::Complete)
+}
+
+fn histogram(values: impl Iterator<Item = u64>) -> Histogram<u64> {
+    let mut out = Histogram::new_with_bounds(1, MAX_MS, 3).expect("the bounds are valid");
+    for value in values {
+        out.saturating_record(value);
+    }
+    out
+}
+
+fn share(part: usize, whole: usize) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
+
+fn summarize(scenario: &Scenario, records: &[Record], before: &Counts, after: &Counts) -> Figures {
+    let served: Vec<&Record> = records.iter().filter(|r| is_served(r)).collect();
+    let stalls = histogram(records.iter().map(|r| r.stall_ms));
+    let firsts = histogram(served.iter().map(|r| r.first_ms as u64));
+    let seconds = |rs: &mut dyn Iterator<Item = &Record>| {
+        rs.map(|r| r.stall_ms as f64 / 1_000.0).sum::<f64>()
+    };
+    let of_class = |class: usize| records.iter().filter(move |r| r.class == class);
+    let classes = [0, 1, 2];
+    let goodput = share(served.len(), records.len());
+    let (efficiency, efficiency_range) = efficiency(before, after);
+    let loads = after.weights.loads.saturating_sub(before.weights.loads);
+    Figures {
+        scenario: scenario.name.clone(),
+        requests: records.len(),
+        goodput,
+        misses: 1.0 - goodput,
+        stall_total: seconds(&mut records.iter()),
+        stalled: share(
+            records.iter().filter(|r| r.stall_ms > 0).count(),
+            records.len(),
+        ),
+        stall_p50: stalls.value_at_quantile(0.5),
+        stall_p99: stalls.value_at_quantile(0.99),
+        stall_by_class: classes.map(|c| seconds(&mut of_class(c))),
+        served_by_class: classes.map(|c| {
+            share(
+                of_class(c).filter(|r| is_served(r)).count(),
+                of_class(c).count(),
+            )
+        }),
+        efficiency,
+        efficiency_range,
+        loads,
+        repeated_loads: repeated(before, after),
+        loads_per_1000: loads as f64 * 1_000.0 / records.len().max(1) as f64,
+        peak_loads: after.weights.peak_second,
+        first_p50: firsts.value_at_quantile(0.5),
+        first_p95: firsts.value_at_quantile(0.95),
+        fairness: fairness(records),
+        recovery: recovery(scenario, records),
+        ..Figures::default()
+    }
+}
+
+fn efficiency(before: &Counts, after: &Counts) -> (f64, [f64; 2]) {
+    let mut totals = (0.0, 0.0);
+    let mut range = [f64::MAX, 0.0_f64];
+    for (b, a) in before.engines.iter().zip(&after.engines) {
+        // A restarted engine counts afresh.
+        let b = if a.paid < b.paid {
+            EngineStats::default()
+        } else {
+            b.clone()
+        };
+        let (used, paid) = (a.used - b.used, a.paid - b.paid);
+        totals = (totals.0 + used, totals.1 + paid);
+        range = [range[0].min(used / paid), range[1].max(used / paid)];
+    }
+    (totals.0 / totals.1, range)
+}
+
+fn repeated(before: &Counts, after: &Counts) -> u64 {
+    let loads = after.weights.by_model.iter().map(|(model, n)| {
+        let earlier = before.weights.by_model.get(model).copied().unwrap_or(0);
+        let fresh = u64::from(n.saturating_sub(earlier));
+        if earlier > 0 {
+            fresh
+        } else {
+            fresh.saturating_sub(1)
+        }
+    });
+    loads.sum()
+}
+
+fn fairness(records: &[Record]) -> f64 {
+    let mut owners = BTreeMap::<u32, (usize, usize)>::new();
+    for record in records {
+        let counts = owners.entry(record.owner).or_default();
+        counts.0 += usize::from(is_served(record));
+        counts.1 += 1;
+    }
+    let shares = owners
+        .values()
+        .filter(|c| c.1 >= 20)
+        .map(|c| share(c.0, c.1));
+    let (low, high) = shares.fold((1.0_f64, 0.0_f64), |(l, h), s| (l.min(s), h.max(s)));
+    if low > 0.0 { high / low } else { 0.0 }
+}
+
+/// Seconds from the event to the first three seconds in which 90% of the earlier share is served.
+fn recovery(scenario: &Scenario, records: &[Record]) -> f64 {
+    const WINDOW: f64 = 3.0;
+    let Some(event) = scenario.event else {
+        return 0.0;
+    };
+    let served = |from: f64, to: f64| {
+        let within = || records.iter().filter(|r| r.at >= from && r.at < to);
+        share(within().filter(|r| is_served(r)).count(), within().count())
+    };
+    let steady = served(0.0, event.at);
+    let mut at = event.at;
+    while at + WINDOW <= scenario.duration {
+        if served(at, at + WINDOW) >= 0.9 * steady {
+            return at - event.at;
+        }
+        at += 0.5;
+    }
+    -1.0
+}
+
+/// Writes the history file: a JSON object for each request.
+///
+/// # Errors
+/// The file could not be written.
+pub fn write_history(path: &std::path::Path, outcome: &Outcome) -> std::io::Result<()> {
+    let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
+    for record in &outcome.records {
+        serde_json::to_writer(&mut file, record)?;
+        writeln!(file)?;
+    }
+    file.flush()
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,16 +1,20 @@
 //! Stand-ins for what carobfield meets: the platform, model engines and plain services; and the
 //! load and experiment tool.
 
+pub mod arrivals;
 pub mod checks;
 pub mod client;
 pub mod engine;
 pub mod engine_state;
+pub mod experiment;
 pub mod generate;
 pub mod harness;
 pub mod local;
 pub mod object_api;
 pub mod platform;
+pub mod report;
 pub mod run_log;
+pub mod scenario;
 pub mod service;
 pub mod traffic;
 pub mod vm_list;
