perf: ask for a load permit only once there is room; heaviest wish first, hopeless ones denied

Change 1: a load asks for its permit only when a slot is free or an idle adapter can go; the stable set takes half of the slots. Change 2: a wish's weight is the sum over its waiters (4, 2, 1 by class) and is kept current; wishes that can't be met any more are denied and their requests refused at once with Retry-After.

--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -32,8 +32,8 @@
 /// Interval between two changes of a stable set.
 const STABLE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Slots kept out of the stable set, so that cold adapters can be loaded without a write.
-const UNSTABLE_SLOTS: usize = 2;
+/// One slot in this many may be in the stable set; the others take cold adapters without a write.
+const STABLE_SHARE: usize = 2;
 
 /// Longest wait for a handed-over upstream to finish.
 const DRAIN_LIMIT: Duration = Duration::from_secs(125);
@@ -307,7 +307,7 @@
 }
 
 async fn write_stable_set(context: &Context, holding: &Holding) {
-    let count = holding.spec.size.slots.saturating_sub(UNSTABLE_SLOTS);
+    let count = holding.spec.size.slots / STABLE_SHARE;
     let (old, new) = {
         let core = holding.core();
         (
--- a/src/catalogue.rs
+++ b/src/catalogue.rs
@@ -28,6 +28,15 @@
     /// Every class, the most urgent first.
     pub const ALL: [Self; 3] = [Self::Interactive, Self::Standard, Self::Batch];
 
+    /// Weight of a waiting request against those of other classes.
+    pub fn weight(self) -> u32 {
+        match self {
+            Self::Interactive => 4,
+            Self::Standard => 2,
+            Self::Batch => 1,
+        }
+    }
+
     /// Name in declarations, logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/core.rs
+++ b/src/core.rs
@@ -41,8 +41,10 @@
 /// State of an adapter on the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
-    /// Waits for a load permit; takes no slot yet.
+    /// Waits until room can be made for it; takes no slot yet.
     Wanted,
+    /// Waits for a load permit; takes no slot yet.
+    Asked,
     /// Being loaded; takes a slot.
     Loading,
     /// Serves requests.
@@ -79,12 +81,23 @@
 pub enum Step {
     /// Send the request to the upstream, after it waited this long for a load.
     Start(Ticket, Duration),
-    /// Get a permit, then call [`Core::begin_load`].
+    /// Call [`Core::prepare_load`], get a permit, then call [`Core::begin_load`].
     Want(ModelRef),
     /// Answer that the request was not run.
     Refuse(Ticket, Refusal),
 }
 
+/// Whether a load may ask for its permit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Preparation {
+    /// Ask now.
+    Ask,
+    /// No room can be made yet.
+    Wait,
+    /// Nobody waits for the adapter any more.
+    Drop,
+}
+
 /// What to do with a granted load.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LoadPlan {
@@ -216,7 +229,7 @@
     pub fn residents(&self) -> Vec<Resident> {
         let visible = |(model, slot): (&ModelRef, &Slot)| {
             let state = match slot.phase {
-                Phase::Wanted | Phase::Loading => Residency::Loading,
+                Phase::Wanted | Phase::Asked | Phase::Loading => Residency::Loading,
                 Phase::Ready => Residency::Ready,
                 Phase::Retiring | Phase::Evicting => return None,
             };
@@ -352,7 +365,8 @@
         if self.mode != Mode::Full {
             return;
         }
-        let under_way = |s: &&Slot| matches!(s.phase, Phase::Wanted | Phase::Loading);
+        let under_way =
+            |s: &&Slot| matches!(s.phase, Phase::Wanted | Phase::Asked | Phase::Loading);
         let mut room = MAX_LOADING.saturating_sub(self.slots.values().filter(under_way).count());
         let mut wanted: Vec<&Ticket> = self
             .queue
@@ -375,32 +389,85 @@
         }
     }
 
-    /// Requests waiting for `model`: how many, the most urgent class and the earliest deadline.
-    pub fn waiters(&self, model: &ModelRef) -> Option<(u32, crate::catalogue::Class, BootInstant)> {
-        let mut all = self
-            .queue
+    fn waiters(&self, model: &ModelRef) -> impl Iterator<Item = &Ticket> {
+        self.queue
             .iter()
-            .filter(|t| t.model.as_ref() == Some(model));
-        let first = all.next()?;
-        let start = (1, first.class, first.deadline);
-        Some(all.fold(start, |(n, class, deadline), t| {
-            (n + 1, class.min(t.class), deadline.min(t.deadline))
-        }))
+            .filter(move |t| t.model.as_ref() == Some(model))
+    }
+
+    fn is_waited_for(&self, model: &ModelRef) -> bool {
+        self.waiters(model).next().is_some()
+    }
+
+    /// Requests that wait for `model`, each counted by the weight of its class.
+    pub fn load_weight(&self, model: &ModelRef) -> u32 {
+        self.waiters(model).map(|t| t.class.weight()).sum()
+    }
+
+    /// When a load of `model` would come too late for the last of those who wait; `None` if nobody does.
+    pub fn load_until(&self, model: &ModelRef) -> Option<BootInstant> {
+        let last = self.waiters(model).map(|t| t.deadline).max()?;
+        let service = (self.service * 1e9) as u64;
+        Some(BootInstant(last.0.saturating_sub(service)))
+    }
+
+    /// A load will not come in time: refuses everyone who waits for it.
+    pub fn denied(&mut self, model: &ModelRef) -> Vec<Step> {
+        if matches!(self.slot(model), Some(s) if matches!(s.phase, Phase::Wanted | Phase::Asked)) {
+            self.slots.remove(model);
+        }
+        self.revive();
+        let waiting = self.queue.drain_where(|t| t.model.as_ref() == Some(model));
+        let refuse = |t| Step::Refuse(t, Refusal::LoadQueue);
+        waiting.into_iter().map(refuse).collect()
+    }
+
+    /// Decides whether a permit may be asked for, so that none is held while nothing can be evicted.
+    pub fn prepare_load(&mut self, model: &ModelRef, now: BootInstant) -> Preparation {
+        if self.mode != Mode::Full || !self.is_waited_for(model) {
+            self.slots.remove(model);
+            self.revive();
+            return Preparation::Drop;
+        }
+        let asked = |s: &&Slot| s.phase == Phase::Asked;
+        let asked = self.slots.values().filter(asked).count();
+        if self.free_slots() + self.idle_victims() > asked {
+            self.set_phase(model, Phase::Asked);
+            return Preparation::Ask;
+        }
+        if let Some(victim) = self.victim(now)
+            && self.in_flight(&victim) > 0
+        {
+            self.set_phase(&victim, Phase::Retiring);
+        }
+        Preparation::Wait
+    }
+
+    fn free_slots(&self) -> usize {
+        let takes = |s: &&Slot| !matches!(s.phase, Phase::Wanted | Phase::Asked);
+        self.size
+            .slots
+            .saturating_sub(self.slots.values().filter(takes).count())
+    }
+
+    fn idle_victims(&self) -> usize {
+        let idle = |(model, slot): &(&ModelRef, &Slot)| {
+            matches!(slot.phase, Phase::Ready | Phase::Retiring)
+                && slot.settled
+                && self.in_flight(model) == 0
+                && !self.stable.contains(*model)
+        };
+        self.slots.iter().filter(idle).count()
     }
 
     /// Decides on a load whose permit was granted.
     pub fn begin_load(&mut self, model: &ModelRef, now: BootInstant) -> LoadPlan {
-        if self.mode != Mode::Full || self.waiters(model).is_none() {
+        if self.mode != Mode::Full || !self.is_waited_for(model) {
             self.slots.remove(model);
             self.revive();
             return LoadPlan::Drop;
         }
-        let taken = self
-            .slots
-            .values()
-            .filter(|s| s.phase != Phase::Wanted)
-            .count();
-        if taken < self.size.slots {
+        if self.free_slots() > 0 {
             self.set_phase(model, Phase::Loading);
             self.revive();
             return LoadPlan::Go(None);
@@ -437,13 +504,13 @@
             let evictable = match slot.phase {
                 Phase::Retiring => self.in_flight(model) == 0,
                 Phase::Ready => self.in_flight(model) == 0 || !retiring,
-                Phase::Wanted | Phase::Loading | Phase::Evicting => false,
+                Phase::Wanted | Phase::Asked | Phase::Loading | Phase::Evicting => false,
             };
             evictable && slot.settled && !self.stable.contains(*model)
         });
         candidates
             .map(|(model, slot)| {
-                let waited_for = self.waiters(model).is_some();
+                let waited_for = self.is_waited_for(model);
                 let rank = (
                     waited_for,
                     self.in_flight(model) > 0,
@@ -551,7 +618,7 @@
     pub fn adopt(&mut self, models: &[ModelRef], settled: bool) {
         // Orders under way end by themselves.
         self.slots
-            .retain(|_, s| matches!(s.phase, Phase::Wanted | Phase::Loading | Phase::Evicting));
+            .retain(|_, s| !matches!(s.phase, Phase::Ready | Phase::Retiring));
         for model in models {
             let slot = Slot {
                 phase: Phase::Ready,
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -33,7 +33,7 @@
 use log::{info, warn};
 use serde_json::json;
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -52,9 +52,36 @@
 /// Strikes kept for subscribers that are behind.
 const STRIKE_BUFFER: usize = 1_024;
 
+/// Releases remembered for subscribers that connect later.
+const MAX_RELEASES: usize = 1_024;
+
 /// Interval between looks at whether the allowance of loads changed.
 const ALLOWANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The latest releases, counted from the process's start.
+#[derive(Debug, Default)]
+struct Releases {
+    forgotten: usize,
+    latest: VecDeque<(UpstreamId, Generation)>,
+}
+
+impl Releases {
+    fn push(&mut self, release: (UpstreamId, Generation)) {
+        self.latest.push_back(release);
+        if self.latest.len() > MAX_RELEASES {
+            self.latest.pop_front();
+            self.forgotten += 1;
+        }
+    }
+
+    /// Releases after the `known` first ones, and how many there were in all.
+    fn since(&self, known: usize) -> (Vec<(UpstreamId, Generation)>, usize) {
+        let skip = known.saturating_sub(self.forgotten);
+        let news = self.latest.iter().skip(skip).cloned().collect();
+        (news, self.forgotten + self.latest.len())
+    }
+}
+
 /// A holding, who held the upstream before, and the task that tends it.
 #[derive(Debug)]
 struct Held {
@@ -105,7 +132,7 @@
     ending: CancellationToken,
     held: Mutex<BTreeMap<UpstreamId, Held>>,
     listed: Mutex<HashSet<String>>,
-    released: Mutex<Vec<(UpstreamId, Generation)>>,
+    released: Mutex<Releases>,
     suspects: Mutex<Suspects>,
     leaving: AtomicBool,
     registered: AtomicBool,
@@ -266,11 +293,11 @@
         let context = Arc::downgrade(self);
         Surroundings {
             lease: Arc::clone(&self.lease),
-            permits: Arc::new(move |ask| {
+            permits: Arc::new(move |source| {
                 let context = std::sync::Weak::clone(&context);
                 Box::pin(async move {
                     match context.upgrade() {
-                        Some(context) => permit_service::obtain(&context, ask).await,
+                        Some(context) => permit_service::obtain(&context, source).await,
                         None => std::future::pending().await,
                     }
                 })
@@ -297,12 +324,9 @@
         self.changed.notify_waiters();
     }
 
-    /// Releases since the `known` first ones.
-    pub fn released_since(&self, known: usize) -> Vec<(UpstreamId, Generation)> {
-        lock(&self.released)
-            .get(known..)
-            .unwrap_or_default()
-            .to_vec()
+    /// Releases after the `known` first ones, and how many there were in all.
+    pub fn released_since(&self, known: usize) -> (Vec<(UpstreamId, Generation)>, usize) {
+        lock(&self.released).since(known)
     }
 
     /// Whether the stable set of an upstream may be changed again.
--- a/src/holding.rs
+++ b/src/holding.rs
@@ -4,10 +4,11 @@
     authority::{Authority, Origin},
     catalogue::{Fencing, PoolKind},
     clock::BootInstant,
-    core::{Core, LoadPlan, Mode, Size, Step},
+    core::{Core, LoadPlan, Mode, Preparation, Size, Step},
     ident::{Generation, ModelRef, RequestId, UpstreamId},
     lease::{HolderLease, RENEW_INTERVAL},
     metrics,
+    permit_service::{Denied, Permit, WishSource},
     queue::Ticket,
     settings::EvictionRule,
     upstream_client::{LoadReport, OrderResult, UpstreamClient},
@@ -60,13 +61,11 @@
     Refuse(Refusal, Duration),
 }
 
-/// A permit to load; ends when dropped.
-#[derive(Debug)]
-pub struct Permit(pub oneshot::Sender<()>);
+/// A permit, or why there is none.
+type Permission = Pin<Box<dyn Future<Output = Result<Permit, Denied>> + Send>>;
 
 /// Gets permits from whoever coordinates loads at present.
-pub type PermitSource =
-    Arc<dyn Fn(PermitAsk) -> Pin<Box<dyn Future<Output = Permit> + Send>> + Send + Sync>;
+pub type PermitSource = Arc<dyn Fn(WishSource) -> Permission + Send + Sync>;
 
 /// Outside parts that a held upstream works with.
 #[derive(Clone)]
@@ -251,25 +250,31 @@
 
     /// Gets a permit for an adapter, makes room and loads it.
     async fn load(self: Arc<Self>, model: ModelRef) {
-        let Some(ask) = self.permit_ask(&model) else {
-            self.core().begin_load(&model, BootInstant::now());
-            return;
+        loop {
+            let preparation = self.core().prepare_load(&model, BootInstant::now());
+            match preparation {
+                Preparation::Ask => break,
+                Preparation::Drop => return self.around.changed.notify_waiters(),
+                Preparation::Wait => self.wait_for_room().await,
+            }
+        }
+        let (holding, wished) = (Arc::clone(&self), model.clone());
+        let source: WishSource = Arc::new(move || holding.permit_ask(&wished));
+        let permit = match (self.around.permits)(source).await {
+            Ok(permit) => permit,
+            Err(denied) => return self.give_up_load(&model, denied),
         };
-        let waiters = ask.waiters;
-        let permit = (self.around.permits)(ask).await;
+        let weight = self.core().load_weight(&model);
         let victim = loop {
             let plan = self.core().begin_load(&model, BootInstant::now());
             match plan {
                 LoadPlan::Go(victim) => break victim,
                 LoadPlan::Drop => return self.around.changed.notify_waiters(),
-                LoadPlan::Wait => {
-                    let changed = self.wake.notified();
-                    let _elapsed = tokio::time::timeout(SLOT_RETRY_DELAY, changed).await;
-                }
+                LoadPlan::Wait => self.wait_for_room().await,
             }
         };
         info!(
-            upstream = &*self.spec.id, model:% = model, waiters = waiters,
+            upstream = &*self.spec.id, model:% = model, weight = weight,
             victim:% = victim.as_ref().map_or_else(String::new, ToString::to_string),
             generation = self.generation;
             "placement: load"
@@ -285,20 +290,36 @@
         self.end_load(&model, ok);
     }
 
+    async fn wait_for_room(&self) {
+        let changed = self.wake.notified();
+        let _elapsed = tokio::time::timeout(SLOT_RETRY_DELAY, changed).await;
+    }
+
     fn permit_ask(&self, model: &ModelRef) -> Option<PermitAsk> {
-        let (waiters, class, deadline) = self.core().waiters(model)?;
-        let left = deadline.since(BootInstant::now());
-        let upstream = Arc::clone(&self.spec.id);
-        let deadline_ms = left.as_millis() as u64;
+        let core = self.core();
+        let until = core.load_until(model)?;
+        let left = until.since(BootInstant::now());
         Some(PermitAsk {
             model: model.clone(),
-            upstream,
-            class,
-            waiters,
-            deadline_ms,
+            upstream: Arc::clone(&self.spec.id),
+            weight: core.load_weight(model),
+            left_ms: left.as_millis() as u64,
         })
     }
 
+    /// Refuses everyone who waits for an adapter whose load would come too late.
+    fn give_up_load(self: &Arc<Self>, model: &ModelRef, denied: Denied) {
+        let retry_ms = denied.retry_ms;
+        info!(upstream = &*self.spec.id, model:% = model, retry_ms = retry_ms; "placement: load denied");
+        let now = BootInstant::now();
+        let steps = self.core().denied(model);
+        for step in steps {
+            self.carry_out(step, now);
+        }
+        self.around.changed.notify_waiters();
+        self.pump();
+    }
+
     fn end_load(self: &Arc<Self>, model: &ModelRef, ok: bool) {
         let now = BootInstant::now();
         let steps = self.core().loaded(model, ok, now);
--- a/src/permit_service.rs
+++ b/src/permit_service.rs
@@ -5,11 +5,11 @@
 use crate::{
     clock::BootInstant,
     dispatcher::Context,
-    holding::{Permit, lock},
+    holding::lock,
     ident::{RequestId, rendezvous},
-    link::{Incoming, Link, LinkError},
+    link::{Incoming, Link, LinkError, Receiver, Sender},
     permits::{Allowance, Permits, Wish},
-    wire::{PermitAsk, PermitGrant},
+    wire::{PermitAnswer, PermitAsk},
 };
 use log::{debug, info};
 use std::{
@@ -29,17 +29,39 @@
 /// Longest wait between two looks at the queue.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval between looks at what has become of a wish.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Wait after the coordinator could not be reached.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Tries to reach the coordinator before this process grants from its own share.
 const MAX_TRIES: u32 = 3;
 
+/// What a wish has become; `None` once nobody waits for the load.
+pub type WishSource = Arc<dyn Fn() -> Option<PermitAsk> + Send + Sync>;
+
+/// A permit to load; ends when dropped.
+#[derive(Debug)]
+pub enum Permit {
+    /// From the coordinator.
+    Remote(Sender, Receiver),
+    /// From this process.
+    Local(PermitGuard),
+}
+
+/// The load's turn would come too late.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Denied {
+    /// When its turn would come, in milliseconds.
+    pub retry_ms: u64,
+}
+
 /// The coordinator's queue and those who wait in it.
 #[derive(Debug)]
 pub struct Coordinator {
     permits: Mutex<Permits>,
-    grants: Mutex<HashMap<RequestId, oneshot::Sender<()>>>,
+    answers: Mutex<HashMap<RequestId, oneshot::Sender<PermitAnswer>>>,
     wake: Notify,
 }
 
@@ -49,7 +71,7 @@
         let permits = Mutex::new(Permits::new(allowance, BootInstant::now()));
         Self {
             permits,
-            grants: Mutex::default(),
+            answers: Mutex::default(),
             wake: Notify::new(),
         }
     }
@@ -64,41 +86,37 @@
         lock(&self.permits).waiting()
     }
 
-    /// Waits for a permit; it ends when the returned guard is dropped.
-    pub async fn acquire(self: &Arc<Self>, ask: &PermitAsk) -> PermitGuard {
+    /// Queues a wish; it is withdrawn, and its permit ends, when the guard is dropped.
+    fn ask(self: &Arc<Self>, ask: &PermitAsk) -> (PermitGuard, oneshot::Receiver<PermitAnswer>) {
         let id = RequestId::random();
         let guard = PermitGuard {
             coordinator: Arc::clone(self),
             id,
         };
         let (sender, receiver) = oneshot::channel();
-        lock(&self.grants).insert(id, sender);
-        let deadline = BootInstant::now() + Duration::from_millis(ask.deadline_ms);
-        let (class, waiters) = (ask.class, ask.waiters);
-        lock(&self.permits).ask(Wish {
-            id,
-            model: ask.model.clone(),
-            class,
-            deadline,
-            waiters,
-        });
+        lock(&self.answers).insert(id, sender);
+        lock(&self.permits).ask(wish(id, ask));
         self.wake.notify_one();
-        if receiver.await.is_err() {
-            debug!("a permit's wait was dropped");
+        (guard, receiver)
+    }
+
+    /// Notes what has become of a wish that still waits.
+    fn update(&self, id: RequestId, ask: &PermitAsk) {
+        let mut permits = lock(&self.permits);
+        if permits.is_waiting(id) {
+            permits.ask(wish(id, ask));
         }
-        guard
     }
 
-    /// Grants permits until `stop`.
+    /// Answers wishes until `stop`.
     pub async fn run(&self, stop: CancellationToken) {
         while !stop.is_cancelled() {
-            let granted = lock(&self.permits).grant(BootInstant::now());
-            for wish in granted {
-                info!(model:% = wish.model, waiters = wish.waiters, class:% = wish.class; "placement: permit");
-                if let Some(sender) = lock(&self.grants).remove(&wish.id)
-                    && sender.send(()).is_err()
-                {
-                    lock(&self.permits).end(wish.id);
+            let settled = lock(&self.permits).settle(BootInstant::now());
+            for (id, answer) in settled {
+                info!(wish:% = id, answer:? = answer; "placement: permit");
+                let sender = lock(&self.answers).remove(&id);
+                if sender.is_none_or(|s| s.send(answer).is_err()) {
+                    lock(&self.permits).end(id);
                 }
             }
             let next = lock(&self.permits).next_token().unwrap_or(LOOK_INTERVAL);
@@ -110,6 +128,15 @@
     }
 }
 
+fn wish(id: RequestId, ask: &PermitAsk) -> Wish {
+    let until = BootInstant::now() + Duration::from_millis(ask.left_ms);
+    Wish {
+        id,
+        weight: ask.weight,
+        until,
+    }
+}
+
 /// A granted or wished-for permit; ends when dropped.
 #[derive(Debug)]
 pub struct PermitGuard {
@@ -119,13 +146,13 @@
 
 impl Drop for PermitGuard {
     fn drop(&mut self) {
-        lock(&self.coordinator.grants).remove(&self.id);
+        lock(&self.coordinator.answers).remove(&self.id);
         lock(&self.coordinator.permits).end(self.id);
         self.coordinator.wake.notify_one();
     }
 }
 
-/// Serves one `/permit` stream: the grant, then the wait for the client to close.
+/// Serves one `/permit` stream: the wish and its changes, the answer, the wait for the client to close.
 pub async fn serve(context: Arc<Context>, incoming: Incoming) {
     let Ok((mut sender, mut receiver)) = incoming.accept() else {
         return;
@@ -133,56 +160,85 @@
     let Ok(Some(ask)) = receiver.next::<PermitAsk>().await else {
         return;
     };
-    let guard = tokio::select! {
-        guard = context.coordinator.acquire(&ask) => guard,
-        () = sender.cancelled() => return,
+    let (guard, mut answer) = context.coordinator.ask(&ask);
+    let answer = loop {
+        tokio::select! {
+            answer = &mut answer => break answer,
+            change = receiver.next::<PermitAsk>() => match change {
+                Ok(Some(ask)) => context.coordinator.update(guard.id, &ask),
+                Ok(None) | Err(_) => return,
+            },
+        }
     };
-    if sender.send(&PermitGrant).await.is_ok() {
-        let end = receiver.next::<PermitGrant>().await;
-        debug!("permit for {} ended: {end:?}", ask.model);
+    let Ok(answer) = answer else { return };
+    if sender.send(&answer).await.is_ok() && answer == PermitAnswer::Granted {
+        while let Ok(Some(_late)) = receiver.next::<PermitAsk>().await {}
     }
     drop(guard);
 }
 
-/// Gets a permit from the coordinator, or from this process's own share if it can't be reached.
-pub async fn obtain(context: &Arc<Context>, ask: PermitAsk) -> Permit {
-    let (ended, end) = oneshot::channel::<()>();
+/// Gets a permit from the coordinator, or from this process if it can't be reached.
+///
+/// # Errors
+/// The load's turn would come too late.
+pub async fn obtain(context: &Arc<Context>, source: WishSource) -> Result<Permit, Denied> {
     for _ in 0..MAX_TRIES {
         let Some(link) = coordinator_link(context) else {
             break;
         };
-        match ask_remote(&link, &ask).await {
-            Ok(stream) => {
-                tokio::spawn(async move {
-                    let _dropped = end.await;
-                    drop(stream);
-                });
-                return Permit(ended);
-            }
+        match ask_remote(&link, &source).await {
+            Ok(settled) => return settled,
             Err(e) => {
                 debug!("coordinator {}: {e}", link.address());
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
-    let guard = context.coordinator.acquire(&ask).await;
-    tokio::spawn(async move {
-        let _dropped = end.await;
-        drop(guard);
-    });
-    Permit(ended)
+    ask_local(context, &source).await
 }
 
-/// An open `/permit` stream.
-type PermitStream = (crate::link::Sender, crate::link::Receiver);
+async fn ask_local(context: &Arc<Context>, source: &WishSource) -> Result<Permit, Denied> {
+    let Some(ask) = source() else {
+        return Err(Denied { retry_ms: 0 });
+    };
+    let (guard, mut answer) = context.coordinator.ask(&ask);
+    loop {
+        tokio::select! {
+            answer = &mut answer => return match answer {
+                Ok(PermitAnswer::Denied { retry_ms }) => Err(Denied { retry_ms }),
+                Ok(PermitAnswer::Granted) | Err(_) => Ok(Permit::Local(guard)),
+            },
+            () = tokio::time::sleep(UPDATE_INTERVAL) => {
+                let Some(ask) = source() else { return Err(Denied { retry_ms: 0 }) };
+                context.coordinator.update(guard.id, &ask);
+            }
+        }
+    }
+}
 
-async fn ask_remote(link: &Link, ask: &PermitAsk) -> Result<PermitStream, LinkError> {
-    let (sender, mut receiver) = link.open_duplex(PERMIT_PATH, ask).await?;
-    receiver
-        .next::<PermitGrant>()
-        .await?
-        .ok_or(LinkError::Broken)?;
-    Ok((sender, receiver))
+async fn ask_remote(link: &Link, source: &WishSource) -> Result<Result<Permit, Denied>, LinkError> {
+    let nobody = Ok(Err(Denied { retry_ms: 0 }));
+    let Some(mut last) = source() else {
+        return nobody;
+    };
+    let (mut sender, mut receiver) = link.open_duplex(PERMIT_PATH, &last).await?;
+    loop {
+        tokio::select! {
+            answer = receiver.next::<PermitAnswer>() => {
+                return match answer?.ok_or(LinkError::Broken)? {
+                    PermitAnswer::Granted => Ok(Ok(Permit::Remote(sender, receiver))),
+                    PermitAnswer::Denied { retry_ms } => Ok(Err(Denied { retry_ms })),
+                };
+            }
+            () = tokio::time::sleep(UPDATE_INTERVAL) => {
+                let Some(ask) = source() else { return nobody };
+                if ask.weight != last.weight {
+                    sender.send(&ask).await?;
+                    last = ask;
+                }
+            }
+        }
+    }
 }
 
 /// Link to the coordinator; `None` if it is this process.
--- a/src/permits.rs
+++ b/src/permits.rs
@@ -1,11 +1,7 @@
-//! Shares the weight store's allowance: a queue of load permits, the most urgent first.
+//! Shares the weight store's allowance: a queue of load permits, the one that helps most first.
 
-use crate::{
-    catalogue::Class,
-    clock::BootInstant,
-    ident::{ModelRef, RequestId},
-};
-use std::time::Duration;
+use crate::{clock::BootInstant, ident::RequestId, wire::PermitAnswer};
+use std::{cmp::Reverse, time::Duration};
 
 /// Time after which a permit whose end was never reported counts as ended.
 const PERMIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -22,19 +18,27 @@
     pub streams: u32,
 }
 
+impl Allowance {
+    /// Time that one load takes at full speed.
+    pub fn load_time(&self) -> Duration {
+        Duration::from_secs_f64(f64::from(self.streams) / self.rate)
+    }
+
+    /// Time until a load's turn comes after `ahead` others.
+    fn turn(&self, ahead: usize) -> Duration {
+        Duration::from_secs_f64(ahead as f64 / self.rate)
+    }
+}
+
 /// A wish for a load.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Wish {
     /// Identifies the wish.
     pub id: RequestId,
-    /// Adapter.
-    pub model: ModelRef,
-    /// Most urgent class among the waiters.
-    pub class: Class,
-    /// Earliest deadline among the waiters.
-    pub deadline: BootInstant,
-    /// Requests waiting.
-    pub waiters: u32,
+    /// Requests waiting, each counted by the weight of its class.
+    pub weight: u32,
+    /// When the last of them can't be answered any more.
+    pub until: BootInstant,
 }
 
 /// Permits under way and wishes waiting.
@@ -65,9 +69,17 @@
         self.allowance = allowance;
     }
 
-    /// Queues a wish.
+    /// Queues a wish, or replaces it by what has become of it.
     pub fn ask(&mut self, wish: Wish) {
-        self.waiting.push(wish);
+        match self.waiting.iter_mut().find(|w| w.id == wish.id) {
+            Some(known) => *known = wish,
+            None => self.waiting.push(wish),
+        }
+    }
+
+    /// Whether a wish still waits.
+    pub fn is_waiting(&self, id: RequestId) -> bool {
+        self.waiting.iter().any(|w| w.id == id)
     }
 
     /// Ends a permit or withdraws a wish.
@@ -81,22 +93,39 @@
         self.waiting.len()
     }
 
-    /// Grants what the allowance gives at `now`, the most urgent wish first.
-    pub fn grant(&mut self, now: BootInstant) -> Vec<Wish> {
+    /// Grants what the allowance gives at `now`, the heaviest wish first, and denies what would come too late.
+    pub fn settle(&mut self, now: BootInstant) -> Vec<(RequestId, PermitAnswer)> {
         self.refill(now);
         self.active
             .retain(|(_, since)| now.since(*since) < PERMIT_TIMEOUT);
-        let mut granted = Vec::new();
-        while self.tokens >= 1.0 && self.active.len() < self.allowance.streams as usize + OVERLAP {
-            let Some(next) = self.most_urgent() else {
-                break;
-            };
-            let wish = self.waiting.swap_remove(next);
+        self.waiting.sort_by_key(|w| (Reverse(w.weight), w.until));
+        let mut out = Vec::new();
+        while self.tokens >= 1.0
+            && self.active.len() < self.allowance.streams as usize + OVERLAP
+            && !self.waiting.is_empty()
+        {
+            let wish = self.waiting.remove(0);
             self.tokens -= 1.0;
             self.active.push((wish.id, now));
-            granted.push(wish);
+            out.push((wish.id, PermitAnswer::Granted));
         }
-        granted
+        out.extend(self.deny_hopeless(now));
+        out
+    }
+
+    fn deny_hopeless(&mut self, now: BootInstant) -> Vec<(RequestId, PermitAnswer)> {
+        let (allowance, mut ahead, mut out) = (self.allowance, 0, Vec::new());
+        self.waiting.retain(|wish| {
+            let turn = allowance.turn(ahead);
+            if now + turn + allowance.load_time() <= wish.until {
+                ahead += 1;
+                return true;
+            }
+            let retry_ms = turn.as_millis() as u64;
+            out.push((wish.id, PermitAnswer::Denied { retry_ms }));
+            false
+        });
+        out
     }
 
     /// Time until a token is there, if tokens are what is missing.
@@ -114,9 +143,4 @@
         self.tokens = (self.tokens + gained).min(f64::from(self.allowance.streams));
         self.filled = now;
     }
-
-    fn most_urgent(&self) -> Option<usize> {
-        let rank = |w: &Wish| (w.class, std::cmp::Reverse(w.waiters), w.deadline);
-        (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]))
-    }
 }
--- a/src/sync_server.rs
+++ b/src/sync_server.rs
@@ -113,13 +113,13 @@
         .filter(|s| told.statuses.get(&s.id) != Some(s))
         .cloned()
         .collect();
-    let released: Vec<_> = context.released_since(told.released);
+    let (released, known) = context.released_since(told.released);
     let now = BootInstant::now();
     let due = told.sequence == 0 || now.since(told.sent) >= HEARTBEAT;
     if changed.is_empty() && released.is_empty() && strikes.is_empty() && !due {
         return Ok(());
     }
-    told.released += released.len();
+    told.released = known;
     let update = SyncUpdate {
         from: context.id(),
         incarnation: context.incarnation,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -93,6 +93,8 @@
     NoUpstream,
     /// Loads are not allowed at present.
     Restricted,
+    /// The load's turn would come too late.
+    LoadQueue,
 }
 
 impl Refusal {
@@ -110,6 +112,7 @@
             Self::NoClaim => "no_claim",
             Self::NoUpstream => "no_upstream",
             Self::Restricted => "restricted",
+            Self::LoadQueue => "load_queue",
         }
     }
 
@@ -117,7 +120,7 @@
     pub fn is_retriable(self) -> bool {
         !matches!(
             self,
-            Self::Deadline | Self::Limit | Self::Poison | Self::NoClaim
+            Self::Deadline | Self::Limit | Self::Poison | Self::NoClaim | Self::LoadQueue
         )
     }
 }
@@ -323,24 +326,30 @@
     pub leaving: bool,
 }
 
-/// Asks the load coordinator for a permit, on a `/permit` stream.
+/// Asks the load coordinator for a permit, on a `/permit` stream; sent again when it has changed.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PermitAsk {
     /// Adapter to load.
     pub model: ModelRef,
     /// Upstream to load it to.
     pub upstream: UpstreamId,
-    /// Urgency of the most urgent waiter.
-    pub class: Class,
-    /// Requests waiting for the adapter.
-    pub waiters: u32,
-    /// Time to the earliest deadline among them, in milliseconds.
-    pub deadline_ms: u64,
+    /// Requests waiting for the adapter, each counted by the weight of its class.
+    pub weight: u32,
+    /// Time until the last of them can't be answered any more, in milliseconds.
+    pub left_ms: u64,
 }
 
-/// Grants a load.
+/// Answer to a wish for a load.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PermitGrant;
+pub enum PermitAnswer {
+    /// The load may begin.
+    Granted,
+    /// Its turn would come too late for everyone who waits for it.
+    Denied {
+        /// When its turn would come, in milliseconds.
+        retry_ms: u64,
+    },
+}
 
 /// Asks a peer for the catalogue, on a `/catalogue` stream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/standin/src/bin/carobfield-load.rs
+++ b/standin/src/bin/carobfield-load.rs
@@ -4,10 +4,11 @@
     experiment::{self, Outcome, POLICIES, Policy},
     report,
     scenario::{self, Scenario},
+    slopes::{self, Sizes},
 };
 use futures_util::future::join_all;
 use gumdrop::Options;
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 /// Exit code of unusable options or scenarios.
 const EXIT_USAGE: u8 = 2;
@@ -30,6 +31,38 @@
     Run(RunOptions),
     #[options(help = "run the baselines and the policy on the same arrivals, side by side")]
     Compare(RunOptions),
+    #[options(help = "measure what control costs at one size")]
+    Slope(SlopeOptions),
+    #[options(help = "measure what the path adds to a request")]
+    Path(PathOptions),
+}
+
+/// Options of `slope`.
+#[derive(Debug, Options)]
+struct SlopeOptions {
+    #[options(help = "show this help and stop")]
+    help: bool,
+    #[options(help = "entry VMs", default = "6", no_short)]
+    entries: u8,
+    #[options(help = "engines", default = "12", no_short)]
+    engines: u8,
+    #[options(help = "adapters", default = "3000", no_short)]
+    adapters: u32,
+    #[options(help = "requests a second", default = "0", no_short)]
+    rate: f64,
+    #[options(help = "seconds measured", default = "10", no_short)]
+    seconds: u64,
+}
+
+/// Options of `path`.
+#[derive(Debug, Options)]
+struct PathOptions {
+    #[options(help = "show this help and stop")]
+    help: bool,
+    #[options(help = "requests a second", default = "200", no_short)]
+    rate: f64,
+    #[options(help = "seconds measured", default = "15", no_short)]
+    seconds: u64,
 }
 
 /// Options of a run.
@@ -69,6 +102,8 @@
     let (run, default) = match &options.command {
         Some(LoadCommand::Run(run)) => (run, "policy"),
         Some(LoadCommand::Compare(run)) => (run, ""),
+        Some(LoadCommand::Slope(slope)) => return finish(measure_slope(slope)),
+        Some(LoadCommand::Path(path)) => return finish(measure_path(path)),
         None => {
             eprintln!("carobfield-load: a command is needed; see --help");
             return ExitCode::from(EXIT_USAGE);
@@ -87,7 +122,11 @@
         eprintln!("carobfield-load: --policy is of {}", names.join(", "));
         return ExitCode::from(EXIT_USAGE);
     }
-    match execute(run, &scenario, &policies) {
+    finish(execute(run, &scenario, &policies))
+}
+
+fn finish(result: Result<(), Box<dyn std::error::Error>>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("carobfield-load: {e}");
@@ -96,6 +135,32 @@
     }
 }
 
+fn measure_slope(options: &SlopeOptions) -> Result<(), Box<dyn std::error::Error>> {
+    let sizes = Sizes {
+        entries: options.entries,
+        engines: options.engines,
+        adapters: options.adapters,
+        rate: options.rate,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let window = Duration::from_secs(options.seconds);
+    let spent = runtime.block_on(slopes::measure(sizes, window));
+    println!("{}", serde_json::to_string(&spent)?);
+    Ok(())
+}
+
+fn measure_path(options: &PathOptions) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let length = Duration::from_secs(options.seconds);
+    let cost = runtime.block_on(slopes::path_cost(options.rate, length));
+    println!("{}", serde_json::to_string_pretty(&cost)?);
+    Ok(())
+}
+
 /// The named policies; all of them for an empty text.
 fn choose(names: &str) -> Vec<&'static Policy> {
     let named = |p: &&Policy| names.is_empty() || names.split(',').any(|n| n == p.name);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod run_log;
 pub mod scenario;
 pub mod service;
+pub mod slopes;
 pub mod traffic;
 pub mod vm_list;
 pub mod web;
--- a/standin/src/object_api.rs
+++ b/standin/src/object_api.rs
@@ -54,7 +54,7 @@
 }
 
 /// Calls counted by kind.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct CallCounts {
     /// Reads.
     pub reads: u64,
--- /dev/null
+++ b/standin/src/slopes.rs
@@ -0,0 +1,295 @@
+//! Measures what control and forwarding cost at several sizes, for docs/CAPACITY.md.
+
+use crate::{
+    client::{self, Ask, Told},
+    harness::{Deployment, Layout, Role, get, get_json},
+    object_api::CallCounts,
+};
+use carobfield::http_client;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::task::JoinSet;
+
+/// Clock ticks of processor time in a second, as the kernel shows them.
+const TICKS: f64 = 100.0;
+
+/// Time that a deployment runs before it is measured.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Sizes of one measurement.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Sizes {
+    /// Entry VMs.
+    pub entries: u8,
+    /// Engines.
+    pub engines: u8,
+    /// Adapters in the catalogue.
+    pub adapters: u32,
+    /// Requests a second.
+    pub rate: f64,
+}
+
+/// What one node spends, as a mean over nodes.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Spent {
+    /// Sizes.
+    pub sizes: Sizes,
+    /// Processor time of a dispatcher, in percent of a core.
+    pub dispatcher_cpu: f64,
+    /// Processor time of a gateway, in percent of a core.
+    pub gateway_cpu: f64,
+    /// Memory of a dispatcher, in MB.
+    pub dispatcher_mb: f64,
+    /// Memory of a gateway, in MB.
+    pub gateway_mb: f64,
+    /// Control bytes that a dispatcher sends in a second.
+    pub control_bytes: f64,
+    /// Object API reads a second, of the whole system, watches included.
+    pub reads: f64,
+    /// Object API writes a second, of the whole system.
+    pub writes: f64,
+    /// Tokens forwarded a second, by the whole system.
+    pub tokens: f64,
+}
+
+/// Counts at one moment.
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    dispatcher_ticks: u64,
+    gateway_ticks: u64,
+    dispatcher_kb: u64,
+    gateway_kb: u64,
+    control: f64,
+    calls: CallCounts,
+}
+
+async fn counts(d: &mut Deployment) -> Counts {
+    let mut out = Counts::default();
+    for n in 0..d.layout.entries {
+        let (kb, ticks) = d.usage(Role::Dispatcher, n).unwrap_or_default();
+        out.dispatcher_kb += kb;
+        out.dispatcher_ticks += ticks;
+        let (kb, ticks) = d.usage(Role::Gateway, n).unwrap_or_default();
+        out.gateway_kb += kb;
+        out.gateway_ticks += ticks;
+        out.control += metric(d, d.dispatcher_operators(n), "carobfield_control_bytes").await;
+    }
+    out.calls = get_json(&d.client, d.objects(), "/stats")
+        .await
+        .unwrap_or_default();
+    out
+}
+
+/// Sum of a metric over its labels.
+async fn metric(d: &Deployment, at: SocketAddr, name: &str) -> f64 {
+    let Some(answer) = get(&d.client, at, "/metrics").await else {
+        return 0.0;
+    };
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let lines = text.lines().filter(|l| l.starts_with(name));
+    lines
+        .filter_map(|l| l.rsplit_once(' ')?.1.parse::<f64>().ok())
+        .sum()
+}
+
+/// Measures a deployment of these sizes for `window`.
+pub async fn measure(sizes: Sizes, window: Duration) -> Spent {
+    let layout = Layout {
+        entries: sizes.entries,
+        engines: sizes.engines,
+        open_engines: sizes.engines / 2,
+        services: 0,
+        slots: 8,
+        batch: 16,
+        adapters: sizes.adapters,
+        load_rate: 50.0,
+        step_us: 10_000,
+        log: String::from("info"),
+        ..Layout::default()
+    };
+    let mut d = Deployment::start(layout).await;
+    let load = tokio::spawn(steady_load(d.gateways(), sizes, window + SETTLE));
+    tokio::time::sleep(SETTLE).await;
+    let before = counts(&mut d).await;
+    let started = Instant::now();
+    tokio::time::sleep(window).await;
+    let after = counts(&mut d).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let tokens = load.await.unwrap_or(0.0);
+    spent(sizes, &before, &after, seconds, tokens)
+}
+
+fn spent(sizes: Sizes, before: &Counts, after: &Counts, seconds: f64, tokens: f64) -> Spent {
+    let nodes = f64::from(sizes.entries);
+    let percent = |b: u64, a: u64| (a - b) as f64 * 100.0 / TICKS / seconds / nodes;
+    let per_second = |b: u64, a: u64| (a - b) as f64 / seconds;
+    Spent {
+        sizes,
+        dispatcher_cpu: percent(before.dispatcher_ticks, after.dispatcher_ticks),
+        gateway_cpu: percent(before.gateway_ticks, after.gateway_ticks),
+        dispatcher_mb: after.dispatcher_kb as f64 / 1_024.0 / nodes,
+        gateway_mb: after.gateway_kb as f64 / 1_024.0 / nodes,
+        control_bytes: (after.control - before.control) / seconds / nodes,
+        reads: per_second(before.calls.reads, after.calls.reads),
+        writes: per_second(before.calls.writes, after.calls.writes),
+        tokens,
+    }
+}
+
+/// Asks at a steady rate, spread over gateways and a few hot adapters; tokens answered a second.
+async fn steady_load(gateways: Vec<SocketAddr>, sizes: Sizes, length: Duration) -> f64 {
+    if sizes.rate <= 0.0 {
+        return 0.0;
+    }
+    let client = http_client::build();
+    let mut open = JoinSet::new();
+    let started = Instant::now();
+    let mut n = 0_u64;
+    while started.elapsed() < length {
+        let at = gateways[n as usize % gateways.len()];
+        let ask = Ask {
+            model: format!("adapter-{}@1", n % u64::from(sizes.engines)),
+            prompt: format!("request {n}"),
+            tokens: 100,
+            stream: true,
+            ..Ask::default()
+        };
+        let client = client.clone();
+        open.spawn(async move {
+            let reply = client::ask(&client, at, &ask).await;
+            u64::from(reply.told == Told::Complete) * ask.tokens
+        });
+        n += 1;
+        let due = started + Duration::from_secs_f64(n as f64 / sizes.rate);
+        tokio::time::sleep_until(due.into()).await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let mut tokens = 0;
+    while let Some(ended) = open.join_next().await {
+        tokens += ended.unwrap_or(0);
+    }
+    tokens as f64 / seconds
+}
+
+/// What the path adds to a request, against the same request sent straight to the engine.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct PathCost {
+    /// Requests a second.
+    pub rate: f64,
+    /// Pairs measured.
+    pub pairs: usize,
+    /// Median time added to the first token, in milliseconds.
+    pub first_p50: f64,
+    /// 99th percentile of the same.
+    pub first_p99: f64,
+    /// Median time added to the whole answer, in milliseconds.
+    pub whole_p50: f64,
+    /// 99th percentile of the same.
+    pub whole_p99: f64,
+    /// Requests a second for each core that gateways spent.
+    pub gateway_per_core: f64,
+    /// Requests a second for each core that dispatchers spent.
+    pub dispatcher_per_core: f64,
+}
+
+/// Sends pairs of requests at `rate`, one through the system and one straight to the engine.
+pub async fn path_cost(rate: f64, length: Duration) -> PathCost {
+    let layout = Layout {
+        entries: 6,
+        engines: 4,
+        open_engines: 0,
+        services: 0,
+        slots: 4,
+        batch: 256,
+        adapters: 4,
+        step_us: 2_000,
+        log: String::from("info"),
+        ..Layout::default()
+    };
+    let mut d = Deployment::start(layout).await;
+    let homes = warm(&d).await;
+    let client = http_client::build();
+    let before = counts(&mut d).await;
+    let (mut open, started, mut n) = (JoinSet::new(), Instant::now(), 0_u64);
+    while started.elapsed() < length {
+        let adapter = n % 4;
+        let (gateway, engine) = (d.gateway((n % 6) as u8), homes[adapter as usize]);
+        let ask = Ask {
+            model: format!("adapter-{adapter}@1"),
+            prompt: format!("pair {n}"),
+            tokens: 8,
+            stream: true,
+            ..Ask::default()
+        };
+        let client = client.clone();
+        open.spawn(async move {
+            let direct = client::ask(&client, engine, &ask).await;
+            let routed = client::ask(&client, gateway, &ask).await;
+            (routed.told == Told::Complete).then(|| {
+                (
+                    routed.first_ms - direct.first_ms,
+                    routed.total_ms - direct.total_ms,
+                )
+            })
+        });
+        n += 1;
+        let due = started + Duration::from_secs_f64(n as f64 / rate);
+        tokio::time::sleep_until(due.into()).await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let mut pairs = Vec::new();
+    while let Some(ended) = open.join_next().await {
+        pairs.extend(ended.ok().flatten());
+    }
+    let after = counts(&mut d).await;
+    summarize(rate, n as f64 / seconds, &pairs, &before, &after, seconds)
+}
+
+/// Loads each adapter once; the engine that has it.
+async fn warm(d: &Deployment) -> Vec<SocketAddr> {
+    let mut homes = Vec::new();
+    for n in 0..4 {
+        let ask = Ask {
+            model: format!("adapter-{n}@1"),
+            ..Ask::default()
+        };
+        let reply = d.ask(0, &ask).await;
+        let engine = reply
+            .header("carobfield-upstream")
+            .trim_start_matches("engine-");
+        homes.push(d.engine(engine.parse().unwrap_or(0)));
+    }
+    homes
+}
+
+fn summarize(
+    rate: f64,
+    reached: f64,
+    pairs: &[(f64, f64)],
+    before: &Counts,
+    after: &Counts,
+    seconds: f64,
+) -> PathCost {
+    let quantile = |value: fn(&(f64, f64)) -> f64, q: f64| {
+        let mut h = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
+        for pair in pairs {
+            h.saturating_record((value(pair).max(0.0) * 1_000.0) as u64);
+        }
+        h.value_at_quantile(q) as f64 / 1_000.0
+    };
+    let cores = |b: u64, a: u64| (a - b) as f64 / TICKS / seconds;
+    PathCost {
+        rate,
+        pairs: pairs.len(),
+        first_p50: quantile(|p| p.0, 0.5),
+        first_p99: quantile(|p| p.0, 0.99),
+        whole_p50: quantile(|p| p.1, 0.5),
+        whole_p99: quantile(|p| p.1, 0.99),
+        gateway_per_core: reached / cores(before.gateway_ticks, after.gateway_ticks),
+        dispatcher_per_core: reached / cores(before.dispatcher_ticks, after.dispatcher_ticks),
+    }
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,7 +4,7 @@
 use carobfield::{
     catalogue::Class,
     clock::BootInstant,
-    core::{Core, LoadPlan, Mode, Phase, Size, Step},
+    core::{Core, LoadPlan, Mode, Phase, Preparation, Size, Step},
     ident::{ModelRef, RequestId},
     queue::Ticket,
     settings::EvictionRule,
@@ -94,6 +94,14 @@
             return;
         }
         let model = self.wanted.swap_remove(at % self.wanted.len());
+        match self.core.prepare_load(&model, self.now) {
+            Preparation::Ask => {}
+            Preparation::Wait => {
+                self.wanted.push(model);
+                return self.plan();
+            }
+            Preparation::Drop => return self.plan(),
+        }
         match self.core.begin_load(&model, self.now) {
             LoadPlan::Go(victim) => {
                 if let Some(victim) = &victim {
