--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -10,6 +10,7 @@
     holding::{Holding, Spec, lock},
     ident::{DispatcherId, ModelRef, UpstreamId, rendezvous},
     object_api::{Condition, ObjectError},
+    outage,
     vm_list::VmState,
 };
 use log::{info, warn};
@@ -62,7 +63,10 @@
                 context.follow_peers();
                 look(&context, &mut looks).await;
             }
-            Err(e) => warn!("reading the fleet: {e}"),
+            Err(e) => {
+                warn!("reading the fleet: {e}");
+                outage::resume(&context).await;
+            }
         }
         write_stable_sets(&context).await;
         tokio::select! {
@@ -91,7 +95,10 @@
                     tokio::spawn(hand_over(Arc::clone(context), holding));
                 }
             }
-            Some(_) => drop(looks.elsewhere.remove(&spec.id)),
+            Some(holding) => {
+                looks.elsewhere.remove(&spec.id);
+                confirm(context, &holding).await;
+            }
             None if !context.is_leaving() && context.is_registered() => {
                 consider(context, &spec, mine, &mut looks.free).await;
             }
@@ -119,6 +126,33 @@
     }
 }
 
+/// Writes the record of an upstream that was taken up without one during an outage.
+async fn confirm(context: &Context, holding: &Holding) {
+    let known = lock(&context.fleet)
+        .upstreams
+        .get(&holding.spec.id)
+        .cloned();
+    let behind = |k: &Versioned<UpstreamRecord>| k.record.generation < holding.generation;
+    let Some(mut known) = known.filter(behind) else {
+        return;
+    };
+    known.record.holder = Some(context.as_holder());
+    known.record.generation = holding.generation;
+    known.record.write = rand::random();
+    let key = upstream_key(&holding.spec.id);
+    let condition = Condition::At(known.version);
+    let written = match context.api.put(&key, &known.record, condition).await {
+        Err(ObjectError::Unknown) => read_back(context, &key, known.record.write).await,
+        result => result,
+    };
+    info!(upstream = &*holding.spec.id, generation = holding.generation, written:? = written; "placement: confirm");
+    if let Ok(version) = written {
+        known.version = version;
+        let id = Arc::clone(&holding.spec.id);
+        lock(&context.fleet).upstreams.insert(id, known);
+    }
+}
+
 /// How the upstream can be taken; `None` if its holder may still act.
 fn claimable(context: &Context, known: Option<&Versioned<UpstreamRecord>>) -> Option<Origin> {
     let Some(known) = known else {
@@ -154,7 +188,7 @@
     let record = UpstreamRecord {
         id: Arc::clone(&spec.id),
         holder: Some(context.as_holder()),
-        generation: before.map_or(1, |r| r.generation + 1),
+        generation: outage::next_generation(before.map_or(0, |r| r.generation)),
         fencing: spec.fencing,
         stable: before.map(|r| r.stable.clone()).unwrap_or_default(),
         write,
--- a/src/bin/carobfield-ctl.rs
+++ b/src/bin/carobfield-ctl.rs
@@ -1,6 +1,6 @@
 //! Checks and applies the catalogue, and shows the fleet.
 
-use carobfield::control::{self, ControlOptions, EXIT_FINDINGS, EXIT_STORE};
+use carobfield::control::{self, ControlOptions, EXIT_STORE};
 use gumdrop::Options;
 use std::process::ExitCode;
 
@@ -23,8 +23,8 @@
     match runtime.block_on(control::run(&options)) {
         Ok(code) => ExitCode::from(code),
         Err(e) => {
-            eprintln!("carobfield-ctl: {e}");
-            ExitCode::from(if e.code == 0 { EXIT_FINDINGS } else { e.code })
+            eprintln!("carobfield-ctl: {e:?}");
+            ExitCode::from(e.current_context().code())
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,9 +8,10 @@
     fleet::{DispatcherRecord, FLEET_PREFIX, Fleet},
     http_client::{self, HttpClient},
     ident::Revision,
-    object_api::{ObjectApi, ObjectError},
+    object_api::ObjectApi,
 };
 use bytes::Bytes;
+use error_stack::{Report, ResultExt};
 use gumdrop::Options;
 use http::Method;
 use serde_json::{Value, json};
@@ -129,51 +130,60 @@
 }
 
 /// Why a command ended without success.
-#[derive(Debug)]
-pub struct ControlError {
-    /// Exit code.
-    pub code: u8,
-    /// Message.
-    pub message: String,
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ControlError {
+    /// Declarations or options have findings.
+    Findings,
+    /// Another operator changed the same entries.
+    Conflict,
+    /// The object API could not be used.
+    Store,
 }
 
 impl ControlError {
-    fn new(code: u8, message: impl Display) -> Self {
-        Self {
-            code,
-            message: message.to_string(),
+    /// Exit code.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Findings => EXIT_FINDINGS,
+            Self::Conflict => EXIT_CONFLICT,
+            Self::Store => EXIT_STORE,
         }
     }
 }
 
 impl Display for ControlError {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.message)
+        f.write_str(match self {
+            Self::Findings => "declarations or options have findings",
+            Self::Conflict => "the change conflicts with another",
+            Self::Store => "the object API could not be used",
+        })
     }
 }
 
 impl std::error::Error for ControlError {}
 
-impl From<ObjectError> for ControlError {
-    fn from(e: ObjectError) -> Self {
-        Self::new(EXIT_STORE, format_args!("object API: {e}"))
-    }
+/// Result of a command's step.
+type ControlResult<T> = Result<T, Report<ControlError>>;
+
+fn fail(error: ControlError, message: impl Display) -> Report<ControlError> {
+    Report::new(error).attach(message.to_string())
 }
 
 /// Runs a command and returns its exit code.
 ///
 /// # Errors
 /// The message to print and the exit code.
-pub async fn run(options: &ControlOptions) -> Result<u8, ControlError> {
+pub async fn run(options: &ControlOptions) -> ControlResult<u8> {
     let Some(command) = &options.command else {
-        return Err(ControlError::new(
-            EXIT_FINDINGS,
+        return Err(fail(
+            ControlError::Findings,
             "a command is needed; see --help",
         ));
     };
     let api = || {
         let address = options.object_api;
-        let missing = || ControlError::new(EXIT_FINDINGS, "--object-api IP:PORT is needed");
+        let missing = || fail(ControlError::Findings, "--object-api IP:PORT is needed");
         address.map(ObjectApi::new).ok_or_else(missing)
     };
     match command {
@@ -185,21 +195,24 @@
     }
 }
 
-fn read(dir: &Path) -> Result<Entries, ControlError> {
-    declarations::read_dir(dir).map_err(|findings| ControlError::new(EXIT_FINDINGS, findings))
+fn read(dir: &Path) -> ControlResult<Entries> {
+    declarations::read_dir(dir).map_err(|findings| fail(ControlError::Findings, findings))
 }
 
-fn check(dir: &Path) -> Result<u8, ControlError> {
+fn check(dir: &Path) -> ControlResult<u8> {
     let entries = read(dir)?;
     println!("{}: {} entries, no findings", dir.display(), entries.len());
     Ok(EXIT_OK)
 }
 
-async fn show_diff(api: ObjectApi, dir: &Path) -> Result<u8, ControlError> {
+async fn show_diff(api: ObjectApi, dir: &Path) -> ControlResult<u8> {
     let wanted = read(dir)?;
     let mut store = CatalogueStore::new(api);
-    let (_, root) = store.root().await?;
-    let current = store.entries(&root, root.revision()).await?;
+    let (_, root) = store.root().await.change_context(ControlError::Store)?;
+    let current = store
+        .entries(&root, root.revision())
+        .await
+        .change_context(ControlError::Store)?;
     let changes = diff(&current, &wanted);
     for (key, entry) in &changes {
         let sign = match (entry, current.contains_key(key)) {
@@ -221,41 +234,45 @@
     })
 }
 
-async fn apply(api: ObjectApi, options: &ApplyOptions) -> Result<u8, ControlError> {
+async fn apply(api: ObjectApi, options: &ApplyOptions) -> ControlResult<u8> {
     let wanted = read(&options.dir)?;
     let mut store = CatalogueStore::new(api);
     let base = base(&store, options).await?;
     let Applied { revision, changed } = store.apply(base, &wanted).await.map_err(|e| {
-        let code = match e {
-            ApplyError::Conflict { .. } | ApplyError::UnknownBase(_) => EXIT_CONFLICT,
-            ApplyError::Invalid(_) => EXIT_FINDINGS,
-            ApplyError::Store(_) => EXIT_STORE,
+        let error = match e {
+            ApplyError::Conflict { .. } | ApplyError::UnknownBase(_) => ControlError::Conflict,
+            ApplyError::Invalid(_) => ControlError::Findings,
+            ApplyError::Store(_) => ControlError::Store,
         };
-        ControlError::new(code, e)
+        fail(error, e)
     })?;
     let file = options.dir.join(BASE_FILE);
-    std::fs::write(&file, format!("{revision}\n"))
-        .map_err(|e| ControlError::new(EXIT_FINDINGS, format_args!("{}: {e}", file.display())))?;
+    std::fs::write(&file, format!("{revision}\n")).map_err(|e| {
+        fail(
+            ControlError::Findings,
+            format_args!("{}: {e}", file.display()),
+        )
+    })?;
     println!("revision {revision} in force, {changed} change(s)");
     Ok(EXIT_OK)
 }
 
 /// The revision that the operator's declarations start from.
-async fn base(store: &CatalogueStore, options: &ApplyOptions) -> Result<Revision, ControlError> {
+async fn base(store: &CatalogueStore, options: &ApplyOptions) -> ControlResult<Revision> {
     if let Some(base) = options.base {
         return Ok(base);
     }
     let file = options.dir.join(BASE_FILE);
     if let Ok(text) = std::fs::read_to_string(&file) {
         let bad = |_e| {
-            ControlError::new(
-                EXIT_FINDINGS,
+            fail(
+                ControlError::Findings,
                 format_args!("{}: not a number", file.display()),
             )
         };
         return text.trim().parse().map_err(bad);
     }
-    let (_, root) = store.root().await?;
+    let (_, root) = store.root().await.change_context(ControlError::Store)?;
     if root.revision() == 0 {
         return Ok(0);
     }
@@ -264,13 +281,16 @@
         root.revision(),
         file.display()
     );
-    Err(ControlError::new(EXIT_CONFLICT, message))
+    Err(fail(ControlError::Conflict, message))
 }
 
-async fn read_fleet(api: &ObjectApi) -> Result<Fleet, ControlError> {
+async fn read_fleet(api: &ObjectApi) -> ControlResult<Fleet> {
     let mut fleet = Fleet::default();
     let sent = BootInstant::now();
-    let listing = api.list(FLEET_PREFIX).await?;
+    let listing = api
+        .list(FLEET_PREFIX)
+        .await
+        .change_context(ControlError::Store)?;
     fleet.update(&listing, sent, BootInstant::now());
     Ok(fleet)
 }
@@ -284,9 +304,9 @@
     }
 }
 
-async fn status(api: ObjectApi, as_json: bool) -> Result<u8, ControlError> {
+async fn status(api: ObjectApi, as_json: bool) -> ControlResult<u8> {
     let store = CatalogueStore::new(api.clone());
-    let (_, root) = store.root().await?;
+    let (_, root) = store.root().await.change_context(ControlError::Store)?;
     let fleet = read_fleet(&api).await?;
     let client = http_client::build();
     let mut dispatchers = Vec::new();
@@ -327,10 +347,13 @@
     Ok(EXIT_OK)
 }
 
-async fn explain(api: ObjectApi, options: &ExplainOptions) -> Result<u8, ControlError> {
+async fn explain(api: ObjectApi, options: &ExplainOptions) -> ControlResult<u8> {
     let mut store = CatalogueStore::new(api.clone());
-    let (_, root) = store.root().await?;
-    let entries = store.entries(&root, root.revision()).await?;
+    let (_, root) = store.root().await.change_context(ControlError::Store)?;
+    let entries = store
+        .entries(&root, root.revision())
+        .await
+        .change_context(ControlError::Store)?;
     let catalogue = Catalogue::from_entries(root.revision(), &entries);
     let Ok((model, adapter)) = catalogue.resolve(&options.model) else {
         println!("{} is not in revision {}", options.model, root.revision());
--- a/src/core.rs
+++ b/src/core.rs
@@ -11,12 +11,13 @@
     wire::{Refusal, Residency, Resident},
 };
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 /// Loads under way on one upstream at once, permits waited for included.
-const MAX_LOADING: usize = 2;
+const MAX_LOADING: usize = 4;
 
 /// Wait before an adapter whose load failed is tried again on this upstream.
 const LOAD_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -368,17 +369,14 @@
         let under_way =
             |s: &&Slot| matches!(s.phase, Phase::Wanted | Phase::Asked | Phase::Loading);
         let mut room = MAX_LOADING.saturating_sub(self.slots.values().filter(under_way).count());
-        let mut wanted: Vec<&Ticket> = self
+        let missing: BTreeSet<&ModelRef> = self
             .queue
             .iter()
-            .filter(|t| {
-                t.model
-                    .as_ref()
-                    .is_some_and(|m| !self.slots.contains_key(m))
-            })
+            .filter_map(|t| t.model.as_ref())
+            .filter(|m| !self.slots.contains_key(*m))
             .collect();
-        wanted.sort_by_key(|t| (t.class, t.deadline));
-        let models: Vec<ModelRef> = wanted.into_iter().filter_map(|t| t.model.clone()).collect();
+        let mut models: Vec<ModelRef> = missing.into_iter().cloned().collect();
+        models.sort_by_key(|m| (Reverse(self.load_weight(m)), self.load_until(m)));
         for model in models {
             if room == 0 || self.slots.contains_key(&model) {
                 continue;
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -18,6 +18,7 @@
     metrics,
     object_api::ObjectApi,
     operators::{self, Probe},
+    outage::{self, FLEET_PATH},
     peers,
     permit_service::{self, Coordinator, PERMIT_PATH},
     permits::Allowance,
@@ -606,6 +607,7 @@
             ending.run_until_cancelled(serve).await.unwrap_or_default();
         }
         CATALOGUE_PATH => give_catalogue(&context, incoming).await,
+        FLEET_PATH => outage::serve(context, incoming).await,
         _ => incoming.refuse(),
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,6 +6,7 @@
     ident::{DispatcherId, Generation, ModelRef, UpstreamId},
     lease::{Observer, Renewal},
     object_api::{Listing, Version},
+    wire::FleetGive,
 };
 use log::warn;
 use serde::{Deserialize, Serialize};
@@ -103,6 +104,10 @@
     pub upstreams: BTreeMap<UpstreamId, Versioned<UpstreamRecord>>,
     /// Leases as observed.
     pub observer: Observer,
+    /// The object API's version when it was read; 0 before the first read.
+    pub version: Version,
+    /// What a peer said, while this process has read nothing itself.
+    pub heard: Option<FleetGive>,
 }
 
 impl Fleet {
@@ -143,6 +148,19 @@
         self.observer.observe(sent, done, renewals);
         self.dispatchers = dispatchers;
         self.upstreams = upstreams;
+        self.version = listing.version;
+    }
+
+    /// The upstreams' records for a peer that can't read them.
+    pub fn give(&self) -> FleetGive {
+        if let Some(heard) = self.heard.as_ref().filter(|h| h.version > self.version) {
+            return heard.clone();
+        }
+        let records: Vec<&UpstreamRecord> = self.upstreams.values().map(|u| &u.record).collect();
+        FleetGive {
+            version: self.version,
+            upstreams: serde_json::to_string(&records).unwrap_or_default(),
+        }
     }
 
     /// Dispatchers whose lease has not lapsed.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -84,7 +84,6 @@
             node: config.id.clone(),
             gateway: Some(config.callers.to_string()),
             leaving: false,
-            revision: 0,
         };
         Arc::new(Self {
             claims: Claims::new(api.clone(), config.claim_retention),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod object_api;
 pub mod openai;
 pub mod operators;
+pub mod outage;
 pub mod peers;
 pub mod permit_service;
 pub mod permits;
--- /dev/null
+++ b/src/outage.rs
@@ -0,0 +1,112 @@
+//! Takes up again, during an outage of the object API, what an earlier process of this name held.
+//!
+//! Only engines that check fencing numbers are taken up: they arbitrate by themselves. A number between two
+//! of the object API's generations is used, so that whoever holds the upstream by a record is above it.
+
+use crate::{
+    authority::Origin,
+    catalogue::{Fencing, PoolKind},
+    dispatcher::Context,
+    fleet::{Holder, UpstreamRecord},
+    holding::{Spec, lock},
+    ident::Generation,
+    link::{Incoming, Link, LinkError},
+    wire::{FleetAsk, FleetGive},
+};
+use log::{debug, info};
+use std::sync::Arc;
+
+/// Path of the streams by which dispatchers give each other the fleet as last read.
+pub const FLEET_PATH: &str = "/fleet";
+
+/// Distance between two generations of the object API.
+pub const GENERATION_STRIDE: Generation = 1_000;
+
+/// The generation of the next holder by a record.
+pub fn next_generation(before: Generation) -> Generation {
+    (before / GENERATION_STRIDE + 1) * GENERATION_STRIDE
+}
+
+/// The generation under which a restarted process goes on without a record.
+fn interim_generation(before: Generation) -> Generation {
+    before + 1
+}
+
+/// Gives a peer the fleet as last read.
+pub async fn serve(context: Arc<Context>, incoming: Incoming) {
+    let Ok((mut sender, mut receiver)) = incoming.accept() else {
+        return;
+    };
+    let Ok(Some(FleetAsk)) = receiver.next::<FleetAsk>().await else {
+        return;
+    };
+    let give = lock(&context.fleet).give();
+    if sender.send(&give).await.is_ok() {
+        sender.finish();
+    }
+}
+
+/// Takes up what an earlier process of this name held, while this one can't write its record.
+pub async fn resume(context: &Arc<Context>) {
+    if context.is_registered() || context.is_leaving() {
+        return;
+    }
+    let Some(records) = latest_records(context).await else {
+        return;
+    };
+    let specs = context.specs();
+    for record in records {
+        let spec = specs.iter().find(|s| s.id == record.id);
+        let Some(spec) = spec.filter(|_| context.holding(&record.id).is_none()) else {
+            continue;
+        };
+        if let Some(holder) = record
+            .holder
+            .clone()
+            .filter(|h| may_resume(context, spec, h))
+        {
+            let generation = interim_generation(record.generation);
+            info!(upstream = &*spec.id, generation = generation; "placement: resume without a record");
+            let stable = record.stable.into_iter().collect();
+            let earlier = Some((holder, record.generation));
+            context.take(spec.clone(), generation, Origin::Replaced, stable, earlier);
+        }
+    }
+}
+
+/// Whether `holder` is an earlier process of this name, which has ended, at an engine that arbitrates.
+fn may_resume(context: &Context, spec: &Spec, holder: &Holder) -> bool {
+    let arbitrates = spec.kind == PoolKind::Engine && spec.fencing == Fencing::Checked;
+    let own = context.as_holder();
+    // This process listens at the address, so the earlier one does not any more.
+    arbitrates
+        && holder.id == own.id
+        && holder.link == own.link
+        && holder.incarnation < own.incarnation
+}
+
+/// The records of the peer that read the fleet last.
+async fn latest_records(context: &Context) -> Option<Vec<UpstreamRecord>> {
+    let mut latest: Option<FleetGive> = None;
+    for address in &context.config.peers.0 {
+        let Some(link) = context.peer_link(*address) else {
+            continue;
+        };
+        match ask(&link).await {
+            Ok(give) if latest.as_ref().is_none_or(|l| give.version > l.version) => {
+                latest = Some(give);
+            }
+            Ok(_older) => {}
+            Err(e) => debug!("fleet from {address}: {e}"),
+        }
+    }
+    let latest = latest.filter(|l| l.version > 0)?;
+    let records = serde_json::from_str(&latest.upstreams).ok();
+    lock(&context.fleet).heard = Some(latest);
+    records
+}
+
+async fn ask(link: &Link) -> Result<FleetGive, LinkError> {
+    let mut answer = link.open(FLEET_PATH, &FleetAsk).await?;
+    answer.next().await?.ok_or(LinkError::Broken)
+}
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -29,7 +29,6 @@
         node: context.config.id.clone(),
         gateway: None,
         leaving: false,
-        revision: 0,
     };
     let (_hello, hellos) = watch::channel(hello);
     let key = Arc::from(context.config.key.as_str());
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -318,7 +318,6 @@
             owner: Arc::clone(&self.job.owner),
             class: self.job.class,
             deadline_ms: left.as_millis() as u64,
-            repeatable: self.job.repeatable,
             suspect: self.crashes > 0,
             revision: self.job.revision,
             fingerprint: self.job.fingerprint,
--- a/src/sync_server.rs
+++ b/src/sync_server.rs
@@ -128,7 +128,6 @@
         released,
         strikes,
         revision: context.catalogue.revision(),
-        leaving: context.is_leaving(),
     };
     told.sequence += 1;
     told.sent = now;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -56,8 +56,6 @@
     pub class: Class,
     /// Time left until the deadline, in milliseconds.
     pub deadline_ms: u64,
-    /// Whether a second run would do no harm.
-    pub repeatable: bool,
     /// Whether the gateway knows that an earlier try crashed its upstream.
     pub suspect: bool,
     /// Catalogue revision under which the request was admitted.
@@ -301,8 +299,6 @@
     pub gateway: Option<String>,
     /// Whether that gateway is leaving.
     pub leaving: bool,
-    /// Catalogue revision in force at the asking process.
-    pub revision: Revision,
 }
 
 /// Messages of a `/sync` stream towards its subscriber.
@@ -322,8 +318,6 @@
     pub strikes: Vec<Strike>,
     /// Catalogue revision in force.
     pub revision: Revision,
-    /// Whether the dispatcher is leaving.
-    pub leaving: bool,
 }
 
 /// Asks the load coordinator for a permit, on a `/permit` stream; sent again when it has changed.
@@ -367,6 +361,19 @@
     pub entries: String,
 }
 
+/// Asks a peer for the fleet as it last read it, on a `/fleet` stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FleetAsk;
+
+/// The fleet as a peer last read it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FleetGive {
+    /// The object API's version at that time; 0 if it was never read.
+    pub version: u64,
+    /// Records of upstreams as JSON text.
+    pub upstreams: String,
+}
+
 /// A message could not be encoded or decoded.
 #[derive(Debug)]
 pub struct CodecError;
--- a/standin/src/experiment.rs
+++ b/standin/src/experiment.rs
@@ -185,8 +185,7 @@
     let mut d = Deployment::start(scenario.layout.clone()).await;
     tokio::time::sleep(SETTLE).await;
     let started = Instant::now();
-    let (records, before) = drive(&mut d, &scenario, &arrivals, started).await;
-    let after = counts(&d).await;
+    let (records, before, after) = drive(&mut d, &scenario, &arrivals, started).await;
     let records: Vec<Record> = records.into_iter().filter(|r| r.at >= 0.0).collect();
     let mut figures = summarize(&scenario, &records, &before, &after);
     figures.policy = policy.name.to_owned();
@@ -201,7 +200,7 @@
     scenario: &Scenario,
     arrivals: &[Arrival],
     started: Instant,
-) -> (Vec<Record>, Counts) {
+) -> (Vec<Record>, Counts, Counts) {
     let client = http_client::build();
     let mut open = JoinSet::new();
     let mut before = None;
@@ -225,12 +224,13 @@
             record(&arrival, &reply, offset)
         });
     }
+    let after = counts(d).await;
     let mut records = Vec::new();
     while let Some(ended) = open.join_next().await {
         records.extend(ended.ok());
     }
     records.sort_by(|a, b| a.at.total_cmp(&b.at));
-    (records, before.unwrap_or_default())
+    (records, before.unwrap_or_default(), after)
 }
 
 fn show_progress(at: f64, scenario: &Scenario) {
--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -574,6 +574,35 @@
         Some((memory, ticks))
     }
 
+    /// Runs the operators' command; its exit code and what it printed.
+    ///
+    /// # Panics
+    /// The command could not be started.
+    pub fn control(&self, args: &[&str]) -> (Option<i32>, String) {
+        let output = Command::new(binary_dir().join("carobfield-ctl"))
+            .arg("--object-api")
+            .arg(self.objects().to_string())
+            .args(args)
+            .output()
+            .expect("the command can be started");
+        let printed = [output.stdout, output.stderr].concat();
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&printed).into_owned(),
+        )
+    }
+
+    /// A folder with the layout's declarations, below the deployment's own.
+    ///
+    /// # Panics
+    /// The folder could not be written.
+    pub fn catalogue_dir(&self, name: &str, text: &str) -> PathBuf {
+        let dir = self.dir.join(name);
+        std::fs::create_dir_all(&dir).expect("the folder can be made");
+        std::fs::write(dir.join("catalogue.ini"), text).expect("declarations can be written");
+        dir
+    }
+
     /// Waits until `holds`, at most half a minute.
     ///
     /// # Panics
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -26,6 +26,7 @@
     in_force_everywhere_and_never_older,
     one_caller_never_sees_an_older_revision,
     started_during_an_outage,
+    adapters_of_the_aim_fit,
 );
 
 /// Time for a change to be in force at every node, in milliseconds.
@@ -393,4 +394,15 @@
             assert_eq!(reply.told, Told::Complete, "{reply:?}");
         }
     }
+
+    pub(super) async fn adapters_of_the_aim_fit() {
+        let d = Deployment::platform_only(Layout {
+            adapters: 24_000,
+            ..small()
+        })
+        .await;
+        let text = d.catalogue();
+        let applied = d.apply(1, &with_class(&text, 23_999, "batch")).await;
+        assert_eq!(applied.expect("the change lands").changed, 1);
+    }
 }
--- /dev/null
+++ b/standin/tests/listeners.rs
@@ -0,0 +1,124 @@
+//! Malformed, oversized and unwelcome input at each listener: no panic, bounded memory.
+
+use arbtest::arbtest;
+use carobfield::{
+    link::{Link, LinkError},
+    wire::{CatalogueAsk, SyncHello},
+};
+use carobfield_standin::{
+    client::{Ask, Told},
+    harness::{Deployment, Layout, Role, get},
+    process_tests,
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+process_tests!(garbage_at_every_listener, no_key_no_stream);
+
+/// Connections with garbage at each listener; the seed of each is its number.
+const SEEDS: u64 = 60;
+const GARBAGE_BYTES: u64 = 4_096;
+
+/// Memory that one of our processes may use after all of it, in kilobytes: the control budget of a node.
+const MEMORY_LIMIT_KB: u64 = 64 << 10;
+
+/// Random bytes, some behind the start of a valid request.
+fn garbage(seed: u64) -> Vec<u8> {
+    let mut out = Vec::new();
+    arbtest(|u| {
+        let start: &[u8] = match u.int_in_range(0..=4)? {
+            0 => b"",
+            1 => b"POST /v1/completions HTTP/1.1\r\ncontent-length: 99999999999\r\n",
+            2 => b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+            3 => b"GET /v1/entries HTTP/1.1\r\nx: ",
+            _ => b"POST /v1/completions HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nffffffffffff\r\n",
+        };
+        out = start.to_vec();
+        out.extend_from_slice(u.bytes(u.len())?);
+        Ok(())
+    })
+    .seed(seed << 32 | GARBAGE_BYTES);
+    out
+}
+
+async fn throw(at: SocketAddr, data: &[u8]) {
+    let Ok(mut stream) = TcpStream::connect(at).await else {
+        return;
+    };
+    let _refused = stream.write_all(data).await;
+    tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
+mod case {
+    use super::{
+        Arc, Ask, CatalogueAsk, Deployment, Layout, Link, LinkError, MEMORY_LIMIT_KB, Role, SEEDS,
+        SyncHello, Told, garbage, get, throw,
+    };
+
+    fn one() -> Layout {
+        Layout {
+            entries: 1,
+            engines: 1,
+            open_engines: 0,
+            services: 0,
+            ..Layout::default()
+        }
+    }
+
+    pub(super) async fn garbage_at_every_listener() {
+        let mut d = Deployment::start(one()).await;
+        let listeners = [
+            d.gateway(0),
+            d.gateway_operators(0),
+            d.dispatcher_link(0),
+            d.dispatcher_operators(0),
+        ];
+        let endless = vec![b'a'; 1 << 20];
+        for at in listeners {
+            for seed in 0..SEEDS {
+                throw(at, &garbage(seed)).await;
+            }
+            throw(at, &endless).await;
+        }
+        let reply = d.ask(0, &Ask::default()).await;
+        assert_eq!(reply.told, Told::Complete, "{reply:?}");
+        for at in [d.gateway_operators(0), d.dispatcher_operators(0)] {
+            let health = get(&d.client, at, "/healthz").await;
+            assert!(health.is_some_and(|h| h.status == 200));
+        }
+        for role in [Role::Gateway, Role::Dispatcher] {
+            let (kb, _) = d.usage(role, 0).expect("the process runs");
+            assert!(kb < MEMORY_LIMIT_KB, "{role:?} uses {kb} KB");
+            assert!(!d.log(role, 0).contains("panicked"), "{role:?}");
+        }
+    }
+
+    pub(super) async fn no_key_no_stream() {
+        let d = Deployment::start(one()).await;
+        let at = d.dispatcher_link(0);
+        for key in ["", "harness-kez", "harness-key-and-more"] {
+            let link = Link::new(at, at.ip(), Arc::from(key));
+            let asked = link.open("/catalogue", &CatalogueAsk { have: 0 }).await;
+            assert!(
+                matches!(asked, Err(LinkError::NotSent | LinkError::Broken)),
+                "{key}"
+            );
+            let hello = SyncHello {
+                node: String::from("intruder"),
+                gateway: None,
+                leaving: false,
+            };
+            assert!(link.open("/sync", &hello).await.is_err(), "{key}");
+        }
+        let link = Link::new(at, at.ip(), Arc::from("harness-key"));
+        let mut asked = link
+            .open("/catalogue", &CatalogueAsk { have: 0 })
+            .await
+            .expect("the key");
+        let given = asked
+            .next::<carobfield::wire::CatalogueGive>()
+            .await
+            .expect("an answer");
+        assert_eq!(given.map(|g| g.revision), Some(1));
+    }
+}
--- a/standin/tests/path.rs
+++ b/standin/tests/path.rs
@@ -15,7 +15,8 @@
 process_tests!(
     answers_whole_and_exact,
     bad_input_is_refused,
-    services_and_entries
+    services_and_entries,
+    operators_command
 );
 
 mod case {
@@ -128,4 +129,66 @@
         })
         .await;
     }
+
+    pub(super) async fn operators_command() {
+        let d = Deployment::start(Layout {
+            engines: 1,
+            ..Layout::default()
+        })
+        .await;
+        let text = d.catalogue();
+        let dir = d.catalogue_dir("operators", &text.replace("current = 1", "current = 2"));
+        let path = dir.to_str().expect("the path is text");
+        let (code, said) = d.control(&["check", path]);
+        assert_eq!(code, Some(0), "{said}");
+        let (code, said) = d.control(&["diff", path]);
+        assert_eq!(code, Some(1), "{said}");
+        assert!(said.contains("~ adapter adapter-3"), "{said}");
+        let (code, said) = d.control(&["apply", path]);
+        assert_eq!(
+            code,
+            Some(3),
+            "a directory that names no base may undo others' changes: {said}"
+        );
+        let (code, said) = d.control(&["apply", "--base", "1", path]);
+        assert_eq!(code, Some(0), "{said}");
+        let (code, said) = d.control(&["diff", path]);
+        assert_eq!(code, Some(0), "{said}");
+        let stale = d.catalogue_dir(
+            "stale",
+            &text.replace("current = 1", "in-flight = 3\ncurrent = 1"),
+        );
+        let (code, said) = d.control(&["apply", "--base", "1", stale.to_str().expect("text")]);
+        assert_eq!(code, Some(3), "{said}");
+        assert!(
+            said.contains("revision 2 changed what this change to 1 does"),
+            "{said}"
+        );
+        let (code, said) = d.control(&["status", "--json"]);
+        let status: Value = serde_json::from_str(&said).expect("JSON");
+        assert_eq!((code, status["revision"].as_u64()), (Some(0), Some(2)));
+        assert_eq!(status["dispatchers"].as_array().map(Vec::len), Some(3));
+        let reply = d
+            .ask(
+                0,
+                &Ask {
+                    model: String::from("adapter-4@2"),
+                    ..Ask::default()
+                },
+            )
+            .await;
+        assert_eq!(reply.told, Told::Complete, "{reply:?}");
+        let (code, said) = d.control(&["explain", "adapter-4"]);
+        assert_eq!(code, Some(0), "{said}");
+        assert!(
+            said.contains("adapter-4@2") && said.contains("engine-0"),
+            "{said}"
+        );
+        let (code, _) = d.control(&["explain", "nobody"]);
+        assert_eq!(code, Some(1));
+        let broken = d.catalogue_dir("broken", "[adapter a]\nowner = o\nbase = none\n");
+        let (code, said) = d.control(&["check", broken.to_str().expect("text")]);
+        assert_eq!(code, Some(2), "{said}");
+        assert!(said.contains("catalogue.ini:1: [adapter a]"), "{said}");
+    }
 }
--- /dev/null
+++ b/tests/policy.rs
@@ -0,0 +1,192 @@
+//! Decisions that share what is scarce: load permits, places in the queue, retries, suspects.
+
+use arbtest::arbtest;
+use carobfield::{
+    catalogue::Class,
+    clock::BootInstant,
+    ident::{ModelRef, RequestId, UpstreamId},
+    permits::{Allowance, Permits, Wish},
+    poison::{Suspects, Verdict},
+    queue::{Queue, Ticket},
+    retry_budget::RetryBudget,
+    wire::{PermitAnswer, Strike, StrikeEvent},
+};
+use std::sync::Arc;
+
+const ALLOWANCE: Allowance = Allowance {
+    rate: 6.0,
+    streams: 2,
+};
+const SEEDS: u64 = 500;
+const SCHEDULE_BYTES: u64 = 2_048;
+
+fn at_ms(ms: u64) -> BootInstant {
+    BootInstant(1_000_000_000 + ms * 1_000_000)
+}
+
+fn wish(id: u128, weight: u32, until_ms: u64) -> Wish {
+    Wish {
+        id: RequestId(id),
+        weight,
+        until: at_ms(until_ms),
+    }
+}
+
+/// Grants never exceed the rate, beyond the burst of the parallel streams, over any window.
+#[test]
+fn permits_never_exceed_the_rate() {
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let mut permits = Permits::new(ALLOWANCE, at_ms(0));
+            let (mut now, mut next, mut granted) = (0, 0, Vec::new());
+            while !u.is_empty() {
+                now += u.int_in_range(0..=200)?;
+                next += 1;
+                permits.ask(wish(next, u.int_in_range(1..=9)?, now + 60_000));
+                for (id, answer) in permits.settle(at_ms(now)) {
+                    if answer == PermitAnswer::Granted {
+                        granted.push(now);
+                        permits.end(id);
+                    }
+                }
+            }
+            for (i, from) in granted.iter().enumerate() {
+                for (j, to) in granted.iter().enumerate().skip(i) {
+                    let seconds = (to - from) as f64 / 1_000.0;
+                    let most = ALLOWANCE.rate * seconds + f64::from(ALLOWANCE.streams);
+                    assert!((j - i + 1) as f64 <= most + 1e-6, "{granted:?}");
+                }
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | SCHEDULE_BYTES);
+    }
+}
+
+#[test]
+fn the_heaviest_wish_is_granted_first() {
+    let mut permits = Permits::new(ALLOWANCE, at_ms(0));
+    for (id, weight) in [(1, 1), (2, 8), (3, 4), (4, 2)] {
+        permits.ask(wish(id, weight, 60_000));
+    }
+    permits.ask(wish(1, 9, 60_000));
+    let granted: Vec<u128> = permits
+        .settle(at_ms(0))
+        .into_iter()
+        .map(|(id, _)| id.0)
+        .collect();
+    assert_eq!(granted, [1, 2], "a wish's weight is the one it has now");
+}
+
+#[test]
+fn a_wish_that_comes_too_late_is_denied_at_once() {
+    let mut permits = Permits::new(ALLOWANCE, at_ms(0));
+    for id in 1..=20 {
+        permits.ask(wish(id, 5, 60_000));
+    }
+    permits.ask(wish(99, 1, 1_000));
+    let denied: Vec<_> = permits
+        .settle(at_ms(0))
+        .into_iter()
+        .filter(|(_, answer)| *answer != PermitAnswer::Granted)
+        .collect();
+    assert_eq!(
+        denied,
+        [(RequestId(99), PermitAnswer::Denied { retry_ms: 3_000 })]
+    );
+}
+
+fn ticket(id: u128, owner: &str, class: Class, deadline_ms: u64) -> Ticket {
+    Ticket {
+        id: RequestId(id),
+        attempt: 1,
+        model: Some(ModelRef::new("a", 1)),
+        owner: Arc::from(owner),
+        class,
+        deadline: at_ms(deadline_ms),
+        queued: at_ms(0),
+        probation: false,
+    }
+}
+
+fn drain(queue: &mut Queue, now_ms: u64) -> Vec<u128> {
+    std::iter::from_fn(|| queue.pop(at_ms(now_ms), |_| true))
+        .map(|t| t.id.0)
+        .collect()
+}
+
+#[test]
+fn owners_share_fairly_within_a_class() {
+    let mut queue = Queue::default();
+    for id in 1..=6 {
+        queue.push(ticket(id, "busy", Class::Standard, 60_000));
+    }
+    queue.push(ticket(7, "quiet", Class::Standard, 60_000));
+    let order = drain(&mut queue, 0);
+    assert!(order.iter().position(|id| *id == 7) <= Some(1), "{order:?}");
+}
+
+#[test]
+fn classes_and_urgent_deadlines_go_first() {
+    let mut queue = Queue::default();
+    queue.push(ticket(1, "a", Class::Batch, 60_000));
+    queue.push(ticket(2, "a", Class::Standard, 60_000));
+    queue.push(ticket(3, "a", Class::Standard, 1_500));
+    queue.push(ticket(4, "b", Class::Interactive, 60_000));
+    assert_eq!(drain(&mut queue, 0), [4, 3, 2, 1]);
+}
+
+#[test]
+fn retries_are_a_tenth_of_the_requests() {
+    let budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        retries += u32::from(budget.take());
+    }
+    assert!((1_000..=1_010).contains(&retries), "{retries}");
+}
+
+fn lost(upstream: &str, boot: u64, at_ms: u64) -> Strike {
+    let event = StrikeEvent::Lost {
+        upstream: UpstreamId::from(upstream),
+        boot,
+    };
+    Strike {
+        fingerprint: 7,
+        event,
+        at_ms,
+    }
+}
+
+#[test]
+fn two_lost_upstreams_end_it_in_whatever_order_they_are_heard_of() {
+    let mut suspects = Suspects::default();
+    assert_eq!(suspects.verdict(7, 10), Verdict::Free);
+    assert!(suspects.record(&lost("a", 1, 10)));
+    assert!(
+        !suspects.record(&lost("a", 1, 10)),
+        "the same strike twice is no news"
+    );
+    assert_eq!(suspects.verdict(7, 11), Verdict::Probation);
+    assert!(suspects.record(&lost("b", 1, 20)));
+    assert_eq!(suspects.verdict(7, 21), Verdict::Refuse);
+    assert_eq!(suspects.verdict(7, 700_000), Verdict::Free, "it expires");
+}
+
+#[test]
+fn completing_clears_a_suspect() {
+    let mut suspects = Suspects::default();
+    suspects.record(&lost("a", 1, 10));
+    let cleared = Strike {
+        fingerprint: 7,
+        event: StrikeEvent::Cleared,
+        at_ms: 30,
+    };
+    assert!(suspects.record(&cleared));
+    assert_eq!(suspects.verdict(7, 31), Verdict::Free);
+    assert!(
+        !suspects.record(&lost("a", 1, 10)),
+        "an old strike does not come back"
+    );
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,113 @@
+//! Messages between our processes: malformed, truncated and oversized ones are errors, never panics.
+
+use arbtest::arbtest;
+use bytes::BytesMut;
+use carobfield::{
+    ident::{ModelRef, RequestId},
+    sse::EventSplitter,
+    wire::{
+        Dispatch, LENGTH_BYTES, MAX_MESSAGE_BYTES, Refusal, Reply, SyncHello, SyncUpdate, Work,
+        decode, encode,
+    },
+};
+use std::sync::Arc;
+
+const SEEDS: u64 = 3_000;
+const MESSAGE_BYTES: u64 = 512;
+
+fn dispatch() -> Dispatch {
+    Dispatch {
+        id: RequestId(7),
+        attempt: 2,
+        upstream: Arc::from("engine-1"),
+        owner: Arc::from("dyers"),
+        class: carobfield::catalogue::Class::Batch,
+        deadline_ms: 1_234,
+        suspect: false,
+        revision: 9,
+        fingerprint: 99,
+        work: Work::Generate {
+            model: ModelRef::new("a", 1),
+            body: Arc::from("{}"),
+            chat: false,
+        },
+    }
+}
+
+#[test]
+fn a_message_comes_back_whole_from_any_split() {
+    let whole = encode(&dispatch()).expect("it can be encoded");
+    for at in 0..whole.len() {
+        let mut buffer = BytesMut::from(&whole[..at]);
+        assert!(
+            decode::<Dispatch>(&mut buffer).expect("no error").is_none(),
+            "at {at}"
+        );
+        buffer.extend_from_slice(&whole[at..]);
+        assert_eq!(
+            decode::<Dispatch>(&mut buffer).expect("no error"),
+            Some(dispatch())
+        );
+        assert!(buffer.is_empty());
+    }
+}
+
+#[test]
+fn any_bytes_are_an_error_or_a_message() {
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let bytes = u.bytes(u.len())?.to_vec();
+            let mut framed = (bytes.len() as u32).to_be_bytes().to_vec();
+            framed.extend_from_slice(&bytes);
+            for data in [&bytes, &framed] {
+                drop(decode::<Dispatch>(&mut BytesMut::from(&data[..])));
+                drop(decode::<Reply>(&mut BytesMut::from(&data[..])));
+                drop(decode::<SyncUpdate>(&mut BytesMut::from(&data[..])));
+                drop(decode::<SyncHello>(&mut BytesMut::from(&data[..])));
+            }
+            let mut events = EventSplitter::default();
+            events.push(&bytes).expect("it is small");
+            while events.next_event().is_some() {}
+            Ok(())
+        })
+        .seed(seed << 32 | MESSAGE_BYTES);
+    }
+}
+
+#[test]
+fn a_flipped_byte_is_never_a_panic() {
+    let whole = encode(&dispatch()).expect("it can be encoded");
+    for at in LENGTH_BYTES..whole.len() {
+        for bit in 0..8 {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << bit;
+            drop(decode::<Dispatch>(&mut BytesMut::from(&bytes[..])));
+        }
+    }
+}
+
+#[test]
+fn a_length_above_the_limit_is_refused_before_anything_is_kept() {
+    let length = (MAX_MESSAGE_BYTES as u32 + 1).to_be_bytes();
+    assert!(decode::<Reply>(&mut BytesMut::from(&length[..])).is_err());
+    let reply = Reply::Refused {
+        reason: Refusal::Poison,
+        retry_ms: 1,
+        stall_ms: 0,
+    };
+    let mut long = encode(&reply).expect("it can be encoded");
+    long[LENGTH_BYTES - 1] += 1;
+    long.push(0);
+    assert!(
+        decode::<Reply>(&mut BytesMut::from(&long[..])).is_err(),
+        "bytes left over"
+    );
+}
+
+#[test]
+fn an_event_without_an_end_is_bounded() {
+    let mut events = EventSplitter::default();
+    let part = vec![b'x'; 64 << 10];
+    let kept = (0..64).take_while(|_| events.push(&part).is_ok()).count();
+    assert!(kept <= 16, "{kept} parts of 64 KiB were kept");
+}
