--- a/standin/src/arrivals.rs
+++ b/standin/src/arrivals.rs
@@ -23,6 +23,9 @@
 }
 
 /// Draws every arrival of a run.
+///
+/// # Panics
+/// The scenario has no adapters or no rate.
 pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
     let mut rng = StdRng::seed_from_u64(seed);
     let adapters = scenario.layout.adapters;
--- a/standin/src/experiment.rs
+++ b/standin/src/experiment.rs
@@ -188,7 +188,7 @@
     let (records, before, after) = drive(&mut d, &scenario, &arrivals, started).await;
     let records: Vec<Record> = records.into_iter().filter(|r| r.at >= 0.0).collect();
     let mut figures = summarize(&scenario, &records, &before, &after);
-    figures.policy = policy.name.to_owned();
+    policy.name.clone_into(&mut figures.policy);
     figures.seed = seed;
     let slots = usize::from(scenario.layout.engines) * scenario.layout.slots as usize;
     figures.clairvoyant_loads = arrivals::clairvoyant_loads(&arrivals, slots, scenario.warmup);
--- a/standin/src/report.rs
+++ b/standin/src/report.rs
@@ -25,7 +25,7 @@
     ("loads", |f| f.loads as f64),
     ("loads for 1,000 requests", |f| f.loads_per_1000),
     ("repeated loads", |f| f.repeated_loads as f64),
-    ("most loads in a second", |f| f.peak_loads as f64),
+    ("most loads in a second", |f| f64::from(f.peak_loads)),
     ("first token p95, ms", |f| f.first_p95 as f64),
     ("owners, highest/lowest share", |f| f.fairness),
     ("recovery, s", |f| f.recovery),
--- a/standin/src/slopes.rs
+++ b/standin/src/slopes.rs
@@ -229,7 +229,7 @@
         open.spawn(async move {
             let direct = client::ask(&client, engine, &ask).await;
             let routed = client::ask(&client, gateway, &ask).await;
-            (routed.told == Told::Complete).then(|| {
+            (routed.told == Told::Complete).then_some({
                 (
                     routed.first_ms - direct.first_ms,
                     routed.total_ms - direct.total_ms,
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -11,6 +11,7 @@
     object_api::ObjectFaults,
     process_tests,
 };
+use futures_util::future::join_all;
 use http::Method;
 use serde_json::Value;
 use std::{
@@ -72,8 +73,8 @@
         1
     }
 
-    fn apply(operation: &RootOp, state: &u64) -> (bool, u64) {
-        match operation {
+    fn apply(op: &RootOp, state: &u64) -> (bool, u64) {
+        match op {
             RootOp::Apply(revision) => (*revision == state + 1, *revision),
             RootOp::Read(revision) => (revision == state, *state),
         }
@@ -96,21 +97,16 @@
     use super::{
         Action, ApplyError, Arc, Ask, Bytes, CancellationToken, CatalogueStore, Deployment,
         Duration, History, IN_FORCE_LIMIT_MS, Layout, Method, Mutex, ObjectFaults, Recorded, Role,
-        RootOp, RootSpec, Told, Value, WGLChecker, client, clock, get_json, revision_at, small,
-        with_class,
+        RootOp, RootSpec, Told, Value, WGLChecker, client, clock, get_json, join_all, revision_at,
+        small, with_class,
     };
 
     pub(super) async fn operators_at_once() {
         let d = Deployment::platform_only(small()).await;
         let first = d.catalogue();
         let apart: Vec<String> = (0..4).map(|n| with_class(&first, n, "batch")).collect();
-        let (a, b, c, e) = tokio::join!(
-            d.apply(1, &apart[0]),
-            d.apply(1, &apart[1]),
-            d.apply(1, &apart[2]),
-            d.apply(1, &apart[3]),
-        );
-        let mut revisions: Vec<u64> = [a, b, c, e]
+        let applied = join_all(apart.iter().map(|text| d.apply(1, text))).await;
+        let mut revisions: Vec<u64> = applied
             .into_iter()
             .map(|r| r.expect("disjoint changes land").revision)
             .collect();
@@ -126,13 +122,7 @@
                 )
             })
             .collect();
-        let (a, b, c, e) = tokio::join!(
-            d.apply(5, &same[0]),
-            d.apply(5, &same[1]),
-            d.apply(5, &same[2]),
-            d.apply(5, &same[3]),
-        );
-        let results = [a, b, c, e];
+        let results = join_all(same.iter().map(|text| d.apply(5, text))).await;
         let landed = results.iter().filter(|r| r.is_ok()).count();
         assert_eq!(landed, 1, "{results:?}");
         for refused in results.into_iter().filter_map(Result::err) {
--- a/standin/tests/eviction.rs
+++ b/standin/tests/eviction.rs
@@ -185,11 +185,11 @@
         let log = d.all_logs().await;
         assert_eq!(checks::evictions_in_flight(&log), []);
         assert!(checks::wrong(&samples).is_empty());
-        let last = samples.iter().rev().take(40);
+        let mut last = samples.iter().rev().take(40);
         assert!(
             last.clone().all(|s| s.reply.told == Told::Complete),
             "{:?}",
-            last.last()
+            last.next_back()
         );
     }
 
--- a/standin/tests/not_run.rs
+++ b/standin/tests/not_run.rs
@@ -104,11 +104,11 @@
         let log = d.all_logs().await;
         let lies = checks::false_refusals(&samples, &log);
         assert!(lies.is_empty(), "{:?}", lies.first());
-        let always = samples.iter().filter(|s| s.ask.model == "adapter-3@1");
+        let mut always = samples.iter().filter(|s| s.ask.model == "adapter-3@1");
         assert!(
             always.clone().all(|s| s.reply.told == Told::NotRun),
             "{:?}",
-            always.last()
+            always.next_back()
         );
         let last = samples
             .iter()
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -58,7 +58,7 @@
                 self.renewal = Some(OnTheWay {
                     sent: self.now,
                     written: false,
-                })
+                });
             }
             Some(way) if !way.written => {
                 self.record.counter += 1;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -60,10 +60,10 @@
             let mut framed = (bytes.len() as u32).to_be_bytes().to_vec();
             framed.extend_from_slice(&bytes);
             for data in [&bytes, &framed] {
-                drop(decode::<Dispatch>(&mut BytesMut::from(&data[..])));
-                drop(decode::<Reply>(&mut BytesMut::from(&data[..])));
-                drop(decode::<SyncUpdate>(&mut BytesMut::from(&data[..])));
-                drop(decode::<SyncHello>(&mut BytesMut::from(&data[..])));
+                drop(decode::<Dispatch>(&mut BytesMut::from(&**data)));
+                drop(decode::<Reply>(&mut BytesMut::from(&**data)));
+                drop(decode::<SyncUpdate>(&mut BytesMut::from(&**data)));
+                drop(decode::<SyncHello>(&mut BytesMut::from(&**data)));
             }
             let mut events = EventSplitter::default();
             events.push(&bytes).expect("it is small");
@@ -81,7 +81,7 @@
         for bit in 0..8 {
             let mut bytes = whole.clone();
             bytes[at] ^= 1 << bit;
-            drop(decode::<Dispatch>(&mut BytesMut::from(&bytes[..])));
+            drop(decode::<Dispatch>(&mut BytesMut::from(&*bytes)));
         }
     }
 }
@@ -89,7 +89,7 @@
 #[test]
 fn a_length_above_the_limit_is_refused_before_anything_is_kept() {
     let length = (MAX_MESSAGE_BYTES as u32 + 1).to_be_bytes();
-    assert!(decode::<Reply>(&mut BytesMut::from(&length[..])).is_err());
+    decode::<Reply>(&mut BytesMut::from(&length[..])).unwrap_err();
     let reply = Reply::Refused {
         reason: Refusal::Poison,
         retry_ms: 1,
@@ -99,7 +99,7 @@
     long[LENGTH_BYTES - 1] += 1;
     long.push(0);
     assert!(
-        decode::<Reply>(&mut BytesMut::from(&long[..])).is_err(),
+        decode::<Reply>(&mut BytesMut::from(&*long)).is_err(),
         "bytes left over"
     );
 }
