refactor: one writer of upstream records; releases and layout in files of their own

Cause: reading as a newcomer: the write of a record with its reading back stood four times in assignment.rs; dispatcher.rs and harness.rs had grown long. Change: write_record; releases.rs; layout.rs. Behaviour as before.

--- a/src/assignment.rs
+++ b/src/assignment.rs
@@ -9,7 +9,7 @@
     fleet::{Holder, UpstreamRecord, Versioned, upstream_key},
     holding::{Holding, Spec, lock},
     ident::{DispatcherId, ModelRef, UpstreamId, rendezvous},
-    object_api::{Condition, ObjectError},
+    object_api::{Condition, ObjectError, Version},
     outage,
     vm_list::VmState,
 };
@@ -139,12 +139,8 @@
     known.record.holder = Some(context.as_holder());
     known.record.generation = holding.generation;
     known.record.write = rand::random();
-    let key = upstream_key(&holding.spec.id);
     let condition = Condition::At(known.version);
-    let written = match context.api.put(&key, &known.record, condition).await {
-        Err(ObjectError::Unknown) => read_back(context, &key, known.record.write).await,
-        result => result,
-    };
+    let written = write_record(context, &known.record, condition).await;
     info!(upstream = &*holding.spec.id, generation = holding.generation, written:? = written; "placement: confirm");
     if let Ok(version) = written {
         known.version = version;
@@ -184,24 +180,18 @@
     origin: Origin,
 ) {
     let before = known.as_ref().map(|k| &k.record);
-    let write = rand::random();
     let record = UpstreamRecord {
         id: Arc::clone(&spec.id),
         holder: Some(context.as_holder()),
         generation: outage::next_generation(before.map_or(0, |r| r.generation)),
         fencing: spec.fencing,
         stable: before.map(|r| r.stable.clone()).unwrap_or_default(),
-        write,
+        write: rand::random(),
     };
     let condition = known
         .as_ref()
         .map_or(Condition::Absent, |k| Condition::At(k.version));
-    let key = upstream_key(&spec.id);
-    let written = match context.api.put(&key, &record, condition).await {
-        Err(ObjectError::Unknown) => read_back(context, &key, write).await,
-        result => result,
-    };
-    let version = match written {
+    let version = match write_record(context, &record, condition).await {
         Ok(version) => version,
         Err(e) => {
             info!(upstream = &*spec.id; "placement: claim not made: {e}");
@@ -222,8 +212,20 @@
     context.take(spec.clone(), generation, origin, stable, earlier);
 }
 
-/// Settles a write whose answer was lost.
-async fn read_back(context: &Context, key: &str, write: u64) -> Result<u64, ObjectError> {
+/// Writes an upstream's record; a lost answer is settled by reading back.
+async fn write_record(
+    context: &Context,
+    record: &UpstreamRecord,
+    condition: Condition,
+) -> Result<Version, ObjectError> {
+    let key = upstream_key(&record.id);
+    match context.api.put(&key, record, condition).await {
+        Err(ObjectError::Unknown) => read_back(context, &key, record.write).await,
+        result => result,
+    }
+}
+
+async fn read_back(context: &Context, key: &str, write: u64) -> Result<Version, ObjectError> {
     let stored = context.api.get(key).await?.ok_or(ObjectError::Conflict)?;
     let record: UpstreamRecord = stored.parse()?;
     if record.write == write {
@@ -317,12 +319,8 @@
     };
     known.record.holder = None;
     known.record.write = rand::random();
-    let key = upstream_key(id);
     let condition = Condition::At(known.version);
-    let written = match context.api.put(&key, &known.record, condition).await {
-        Err(ObjectError::Unknown) => read_back(context, &key, known.record.write).await,
-        result => result,
-    };
+    let written = write_record(context, &known.record, condition).await;
     match written {
         Ok(_) => info!(upstream = &**id, generation = holding.generation; "placement: release"),
         Err(e) => warn!(upstream = &**id; "release: {e}"),
@@ -365,12 +363,8 @@
     holding.core().set_stable(both);
     known.record.stable = new.iter().cloned().collect();
     known.record.write = rand::random();
-    let key = upstream_key(&holding.spec.id);
     let condition = Condition::At(known.version);
-    let written = match context.api.put(&key, &known.record, condition).await {
-        Err(ObjectError::Unknown) => read_back(context, &key, known.record.write).await,
-        result => result,
-    };
+    let written = write_record(context, &known.record, condition).await;
     match written {
         Ok(version) => {
             holding.core().set_stable(new);
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -23,6 +23,7 @@
     permit_service::{self, Coordinator, PERMIT_PATH},
     permits::Allowance,
     poison::{Suspects, Verdict},
+    releases::Releases,
     renewal::Renewer,
     supervisor::{ChildError, supervise},
     sync_client::Subscriptions,
@@ -34,7 +35,7 @@
 use log::{info, warn};
 use serde_json::json;
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -53,36 +54,9 @@
 /// Strikes kept for subscribers that are behind.
 const STRIKE_BUFFER: usize = 1_024;
 
-/// Releases remembered for subscribers that connect later.
-const MAX_RELEASES: usize = 1_024;
-
 /// Interval between looks at whether the allowance of loads changed.
 const ALLOWANCE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The latest releases, counted from the process's start.
-#[derive(Debug, Default)]
-struct Releases {
-    forgotten: usize,
-    latest: VecDeque<(UpstreamId, Generation)>,
-}
-
-impl Releases {
-    fn push(&mut self, release: (UpstreamId, Generation)) {
-        self.latest.push_back(release);
-        if self.latest.len() > MAX_RELEASES {
-            self.latest.pop_front();
-            self.forgotten += 1;
-        }
-    }
-
-    /// Releases after the `known` first ones, and how many there were in all.
-    fn since(&self, known: usize) -> (Vec<(UpstreamId, Generation)>, usize) {
-        let skip = known.saturating_sub(self.forgotten);
-        let news = self.latest.iter().skip(skip).cloned().collect();
-        (news, self.forgotten + self.latest.len())
-    }
-}
-
 /// A holding, who held the upstream before, and the task that tends it.
 #[derive(Debug)]
 struct Held {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod popularity;
 pub mod process;
 pub mod queue;
+pub mod releases;
 pub mod renewal;
 pub mod retry_budget;
 pub mod routing;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod experiment;
 pub mod generate;
 pub mod harness;
+pub mod layout;
 pub mod local;
 pub mod object_api;
 pub mod platform;
--- a/standin/src/scenario.rs
+++ b/standin/src/scenario.rs
@@ -1,6 +1,6 @@
 //! Scenarios of the experiment tool, read from INI files.
 
-use crate::harness::Layout;
+use crate::layout::Layout;
 use carobfield::{
     findings::Findings,
     ini_doc::{self, Section},
--- a/standin/src/slopes.rs
+++ b/standin/src/slopes.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     client::{self, Ask, Told},
-    harness::{Deployment, Layout, Role, get, get_json},
+    harness::{Deployment, Role, get, get_json},
+    layout::Layout,
     object_api::CallCounts,
 };
 use carobfield::http_client;
--- a/standin/tests/at_most_once.rs
+++ b/standin/tests/at_most_once.rs
@@ -4,7 +4,8 @@
 use carobfield_standin::{
     checks,
     client::{self, Ask, Reply, Told},
-    harness::{Deployment, Layout, Role},
+    harness::{Deployment, Role},
+    layout::Layout,
     object_api::ObjectFaults,
     process_tests,
     service::ServiceFaults,
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -7,7 +7,8 @@
 };
 use carobfield_standin::{
     client::{self, Ask, Told},
-    harness::{Deployment, Layout, Role, get_json},
+    harness::{Deployment, Role, get_json},
+    layout::Layout,
     object_api::ObjectFaults,
     process_tests,
 };
--- a/standin/tests/leaving.rs
+++ b/standin/tests/leaving.rs
@@ -4,7 +4,8 @@
 use carobfield_standin::{
     checks,
     client::{Ask, Told},
-    harness::{Deployment, Layout, Role},
+    harness::{Deployment, Role},
+    layout::Layout,
     process_tests,
     run_log::LogKind,
     traffic::{Sample, Traffic},
@@ -76,13 +77,16 @@
         });
         d.wait_for("40 answers", || async { traffic.len() >= 40 })
             .await;
-        let before = d.engine_log(1).await;
-        assert!(
-            !checks::started(&before).is_empty(),
-            "the engine has had work"
-        );
+        let mut busiest = (0, 0);
+        for n in 0..d.layout.engines {
+            let work = checks::started(&d.engine_log(n).await).len();
+            busiest = busiest.max((work, n));
+        }
+        let (work, engine) = busiest;
+        assert!(work > 0, "the engine has had work");
+        let leaver = format!("engine-{engine}");
         let change = VmChange {
-            id: String::from("engine-1"),
+            id: leaver.clone(),
             state: Some(VmState::Leaving),
         };
         d.post(d.vms(), "/fault", &change).await;
@@ -92,7 +96,7 @@
             list.is_some_and(|l| {
                 l.vms
                     .iter()
-                    .any(|v| v.id == "engine-1" && v.state == VmState::Leaving)
+                    .any(|v| v.id == leaver && v.state == VmState::Leaving)
             })
         })
         .await;
@@ -107,7 +111,7 @@
         }
         let samples = traffic.finish().await;
         all_served(&samples);
-        let log = d.engine_log(1).await;
+        let log = d.engine_log(engine).await;
         let late = log
             .iter()
             .filter(|e| e.kind == LogKind::Start && e.at_ms > shown + LEAVE_LIMIT_MS)
--- a/standin/tests/listeners.rs
+++ b/standin/tests/listeners.rs
@@ -7,7 +7,8 @@
 };
 use carobfield_standin::{
     client::{Ask, Told},
-    harness::{Deployment, Layout, Role, get},
+    harness::{Deployment, Role, get},
+    layout::Layout,
     process_tests,
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
--- a/standin/tests/not_run.rs
+++ b/standin/tests/not_run.rs
@@ -4,7 +4,8 @@
     checks,
     client::{Ask, Told},
     engine::EngineFaults,
-    harness::{Deployment, Layout, Role},
+    harness::{Deployment, Role},
+    layout::Layout,
     process_tests,
     traffic::Traffic,
 };
--- a/standin/tests/path.rs
+++ b/standin/tests/path.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use carobfield_standin::{
     client::{self, Ask, Told},
-    harness::{Deployment, Layout, get_json},
+    harness::{Deployment, get_json},
+    layout::Layout,
     process_tests,
 };
 use http::Method;
