refactor: encode each sync update once; drop a question nobody asks

Cause: reading the whole change: every /sync update was encoded a second time only to count its bytes, for each subscriber and update; Observer::is_known had no caller. Change: Sender::send says how many bytes it sent, and the metric takes that; is_known is gone. The metric counts an update once it was sent, not before. The gain in processor time was not measured. The whole suite was not run again.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -131,9 +131,4 @@
     pub fn is_live(&self, id: &str) -> bool {
         self.seen.get(id).is_some_and(|s| !s.lapsed)
     }
-
-    /// Whether `id` has a record.
-    pub fn is_known(&self, id: &str) -> bool {
-        self.seen.contains_key(id)
-    }
 }
--- a/src/link.rs
+++ b/src/link.rs
@@ -116,16 +116,21 @@
 }
 
 impl Sender {
-    /// Sends a message, waiting for the other side's window.
+    /// Sends a message, waiting for the other side's window; the bytes sent.
     ///
     /// # Errors
     /// The stream broke or the message is too large.
-    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<usize, LinkError> {
         self.send_part(message, false).await
     }
 
-    async fn send_part<T: Serialize>(&mut self, message: &T, last: bool) -> Result<(), LinkError> {
+    async fn send_part<T: Serialize>(
+        &mut self,
+        message: &T,
+        last: bool,
+    ) -> Result<usize, LinkError> {
         let mut rest = Bytes::from(wire::encode(message)?);
+        let bytes = rest.len();
         while !rest.is_empty() {
             self.stream.reserve_capacity(rest.len());
             let granted = std::future::poll_fn(|cx| self.stream.poll_capacity(cx)).await;
@@ -137,7 +142,7 @@
                 .send_data(part, last && rest.is_empty())
                 .map_err(|_e| LinkError::Broken)?;
         }
-        Ok(())
+        Ok(bytes)
     }
 
     /// Ends the stream cleanly.
--- a/src/sync_server.rs
+++ b/src/sync_server.rs
@@ -6,7 +6,7 @@
     fleet::GatewayRecord,
     ident::UpstreamId,
     link::{Incoming, LinkError, Receiver, Sender},
-    metrics, wire,
+    metrics,
     wire::{Strike, SyncHello, SyncUpdate, UpstreamStatus},
 };
 use log::debug;
@@ -135,8 +135,7 @@
         .into_iter()
         .map(|s| (Arc::clone(&s.id), s))
         .collect();
-    if let Ok(encoded) = wire::encode(&update) {
-        metrics::control_bytes("sync", encoded.len());
-    }
-    sender.send(&update).await
+    let bytes = sender.send(&update).await?;
+    metrics::control_bytes("sync", bytes);
+    Ok(())
 }
