--- /dev/null
+++ b/src/configs/entry.rs
@@ -0,0 +1,104 @@
+//! Settings of an entry.
+
+use crate::{
+    configs::log::LogConfig, decide::budget::BudgetLimits, findings::Findings, ini_doc::Section,
+    settings::Addresses,
+};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryConfig {
+    /// Bounds of repeated sends.
+    pub budget: BudgetLimits,
+    /// Address that callers connect to.
+    pub callers: SocketAddr,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Address at which callers ask for entries.
+    pub directory: SocketAddr,
+    /// Time from a stop signal until the process is killed.
+    pub grace: Duration,
+    /// Name of the VM.
+    pub id: String,
+    /// Key shared by the system's own processes.
+    pub key: String,
+    /// Address that other entries connect to.
+    pub link: SocketAddr,
+    /// Logs.
+    pub log: LogConfig,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Link addresses of entries that may be up.
+    pub peers: Addresses,
+    /// Address at which the platform asks for readiness.
+    pub ready: SocketAddr,
+    /// File that the settings were read from.
+    pub source: PathBuf,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+}
+
+impl Default for EntryConfig {
+    fn default() -> Self {
+        let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            budget: BudgetLimits::default(),
+            callers: local(8080),
+            data_centre: String::from("local"),
+            directory: local(8082),
+            grace: Duration::from_secs(8),
+            id: String::from("entry-1"),
+            key: String::from("carobfield"),
+            link: local(8090),
+            log: LogConfig::default(),
+            operators: local(8091),
+            peers: Addresses::default(),
+            ready: local(8083),
+            source: PathBuf::new(),
+            store: local(7000),
+        }
+    }
+}
+
+impl EntryConfig {
+    /// Reads the section `entry`.
+    pub fn read_process(&mut self, section: &mut Section, findings: &mut Findings) {
+        section.require("id", &mut self.id, findings);
+        section.require("data-centre", &mut self.data_centre, findings);
+        section.require("callers", &mut self.callers, findings);
+        section.require("directory", &mut self.directory, findings);
+        section.require("ready", &mut self.ready, findings);
+        section.require("link", &mut self.link, findings);
+        section.require("operators", &mut self.operators, findings);
+        section.require("store", &mut self.store, findings);
+        section.read("key", &mut self.key, findings);
+        section.read("peers", &mut self.peers, findings);
+        if self.link == self.callers {
+            findings.push(section.finding("link", "the same address as `callers`"));
+        }
+    }
+
+    /// Reads the section `limits`.
+    pub fn read_limits(&mut self, section: &mut Section, findings: &mut Findings) {
+        let mut grace = self.grace.as_secs_f64();
+        let mut window = self.budget.window.as_secs_f64();
+        section.read("grace-s", &mut grace, findings);
+        section.read("repeat-ratio", &mut self.budget.ratio, findings);
+        section.read("repeat-slack", &mut self.budget.slack, findings);
+        section.read("repeat-window-s", &mut window, findings);
+        for (key, value, slot) in [
+            ("grace-s", grace, &mut self.grace),
+            ("repeat-window-s", window, &mut self.budget.window),
+        ] {
+            match Duration::try_from_secs_f64(value) {
+                Ok(time) => *slot = time,
+                Err(e) => findings.push(section.finding(key, &e.to_string())),
+            }
+        }
+    }
+}
--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -1,6 +1,6 @@
 //! Settings of logs.
 
-use crate::logging::LogForm;
+use crate::logging::{LogForm, LogOutput};
 use log::LevelFilter;
 
 /// What is logged, and in what form.
@@ -8,6 +8,8 @@
 pub struct LogConfig {
     /// Form of a line.
     pub form: LogForm,
+    /// Where lines go.
+    pub output: LogOutput,
     /// Least severe level shown.
     pub level: LevelFilter,
 }
@@ -16,6 +18,7 @@
     fn default() -> Self {
         Self {
             form: LogForm::Text,
+            output: LogOutput::Stderr,
             level: LevelFilter::Info,
         }
     }
--- /dev/null
+++ b/src/decide/roster.rs
@@ -0,0 +1,146 @@
+//! The upstreams that may get work: registrations as they come, go, and come back after an outage.
+
+use crate::{
+    clock::BootInstant,
+    edge::registration::{Phase, Registration},
+    ident::UpstreamId,
+};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Time after the store's return in which a registration that lapsed meanwhile still counts: the platform has
+/// living upstreams back within about two seconds.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// What a change of a registration meant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RosterChange {
+    /// A new upstream, or a new process under an earlier name.
+    Started,
+    /// It began to leave.
+    Leaving,
+    /// It is gone.
+    Gone,
+    /// It lapsed while the store was away, and counts until it is missed for longer.
+    Lapsed,
+    /// Nothing that matters for routing.
+    Same,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+struct Member {
+    registration: Arc<Registration>,
+    /// When it is taken as gone, unless it comes back.
+    lapses: Option<BootInstant>,
+}
+
+/// All registered upstreams.
+#[derive(Debug, Default)]
+pub struct Roster {
+    members: HashMap<UpstreamId, Member>,
+    /// When the store was last known to have come back.
+    returned: Option<BootInstant>,
+}
+
+impl Roster {
+    /// Takes in that the store answers again after it was away.
+    pub fn store_returned(&mut self, now: BootInstant) {
+        self.returned = Some(now);
+    }
+
+    /// Takes in a registration.
+    pub fn registered(&mut self, registration: Registration) -> RosterChange {
+        let id = Arc::clone(&registration.id);
+        let before = self.members.get(&id).map(|m| Arc::clone(&m.registration));
+        let change = match &before {
+            Some(known) if known.is_same_process(&registration) => {
+                if registration.beat < known.beat {
+                    return RosterChange::Same;
+                }
+                match (known.phase, registration.phase) {
+                    (Phase::Serving, Phase::Leaving { .. }) => RosterChange::Leaving,
+                    _ => RosterChange::Same,
+                }
+            }
+            _ => RosterChange::Started,
+        };
+        let member = Member {
+            registration: Arc::new(registration),
+            lapses: None,
+        };
+        self.members.insert(id, member);
+        change
+    }
+
+    /// Takes in that a registration was removed.
+    pub fn removed(&mut self, id: &str, now: BootInstant) -> RosterChange {
+        let Some(member) = self.members.get_mut(id) else {
+            return RosterChange::Same;
+        };
+        let until = self.returned.map(|t| t + RETURN_GRACE);
+        match until.filter(|t| now < *t) {
+            Some(until) => {
+                member.lapses = Some(until);
+                RosterChange::Lapsed
+            }
+            None => {
+                self.members.remove(id);
+                RosterChange::Gone
+            }
+        }
+    }
+
+    /// Drops an upstream whose entry can't be read; whether there was one.
+    pub fn discard(&mut self, id: &str) -> bool {
+        self.members.remove(id).is_some()
+    }
+
+    /// Takes in a whole listing: what it lacks was removed.
+    pub fn listed(&mut self, present: &HashSet<&str>, now: BootInstant) -> Vec<UpstreamId> {
+        let missing: Vec<UpstreamId> = self
+            .members
+            .keys()
+            .filter(|id| !present.contains(&***id))
+            .cloned()
+            .collect();
+        let gone = missing
+            .into_iter()
+            .filter(|id| self.removed(id, now) == RosterChange::Gone);
+        gone.collect()
+    }
+
+    /// Removes what lapsed and did not come back; the names.
+    pub fn expire(&mut self, now: BootInstant) -> Vec<UpstreamId> {
+        let due = |m: &Member| m.lapses.is_some_and(|t| now >= t);
+        let gone: Vec<UpstreamId> = self
+            .members
+            .iter()
+            .filter(|(_, m)| due(m))
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in &gone {
+            self.members.remove(id);
+        }
+        gone
+    }
+
+    /// The registration of `id`.
+    pub fn get(&self, id: &str) -> Option<&Arc<Registration>> {
+        self.members.get(id).map(|m| &m.registration)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Registration>> {
+        self.members.values().map(|m| &m.registration)
+    }
+
+    /// Upstreams of `service` that take new work.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Registration>> {
+        self.all()
+            .filter(move |r| &*r.service == service && r.is_serving())
+    }
+}
--- /dev/null
+++ b/src/edge/call.rs
@@ -0,0 +1,136 @@
+//! A caller's request and an upstream's answer, decoded from their heads.
+
+use crate::edge::{
+    deployment::Deployment,
+    registration::{AdapterKey, Registration},
+    store::Object,
+};
+use http::{HeaderMap, StatusCode};
+use std::{
+    fmt::{Display, Formatter},
+    sync::Arc,
+    time::Duration,
+};
+
+/// What a request's head says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallHead {
+    /// Caller's name for this request, as text.
+    pub id: Arc<str>,
+    /// How long the caller will wait.
+    pub patience: Option<Duration>,
+    /// What it asks of an engine; `None` for a plain service.
+    pub work: Option<Work>,
+    /// Last event that the caller has of a stream that it takes up.
+    pub last_event: Option<u64>,
+}
+
+/// What a request asks of an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Base model.
+    pub model: Arc<str>,
+    /// Adapter of it, if one is named.
+    pub adapter: Option<AdapterKey>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens to generate.
+    pub output_tokens: u32,
+    /// Parts of the prompt in order: hash of the part's name, and its tokens.
+    pub parts: Vec<(u64, u32)>,
+}
+
+/// What is set on a request on its way to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Forwarding<'a> {
+    /// Time that is left.
+    pub left: Duration,
+    /// Process that must run it, or nobody.
+    pub process: &'a str,
+    /// Version of the adapter that must run it, where known.
+    pub version: Option<u32>,
+    /// Urgency at the engine: 0 goes first, 9 last.
+    pub urgency: Option<u8>,
+    /// Event after which to go on.
+    pub last_event: Option<u64>,
+}
+
+/// What an answer's head says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReplyHead {
+    /// Whether it answers the request that was sent.
+    pub is_ours: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// Whether another process or another version of the weights answered.
+    pub misdirected: bool,
+    /// Whether it bears the upstream's signature.
+    pub signed: bool,
+}
+
+/// All that is wrong with an object, each finding with the field it concerns.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DecodeError(pub Vec<String>);
+
+impl Display for DecodeError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0.join("; "))
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// Translates between the wire and our types.
+pub trait Codec: std::fmt::Debug + Send + Sync + 'static {
+    /// Reads a request's head.
+    fn call(&self, headers: &HeaderMap) -> CallHead;
+
+    /// Turns a caller's headers into those for an upstream: removes what callers may not set, sets the rest.
+    fn forward(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>);
+
+    /// Reads an answer's head; `id` is the request's name.
+    fn reply(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ReplyHead;
+
+    /// Reads an upstream's entry.
+    ///
+    /// # Errors
+    /// All findings.
+    fn registration(&self, object: &Object) -> Result<Registration, DecodeError>;
+
+    /// Reads the operator's configuration.
+    ///
+    /// # Errors
+    /// All findings.
+    fn deployment(&self, object: &Object) -> Result<Deployment, DecodeError>;
+
+    /// Reads an adapter's newest version.
+    ///
+    /// # Errors
+    /// All findings.
+    fn version(&self, object: &Object) -> Result<(AdapterKey, u32), DecodeError>;
+
+    /// Reads what a directory query names: the host, and the caller's data centre.
+    fn lookup(&self, query: &str) -> Lookup;
+
+    /// Body of a directory's answer.
+    fn addresses(&self, addresses: &[std::net::SocketAddr], keep: Duration) -> Vec<u8>;
+
+    /// Paths of the directory and of readiness.
+    fn paths(&self) -> EntryPaths;
+}
+
+/// Paths that the platform calls on an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryPaths {
+    /// Where callers ask for addresses.
+    pub directory: &'static str,
+    /// Where readiness is asked for.
+    pub ready: &'static str,
+}
+
+/// A caller's question to the directory.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Lookup {
+    /// Caller's data centre.
+    pub data_centre: String,
+}
--- /dev/null
+++ b/src/edge/orders.rs
@@ -0,0 +1,98 @@
+//! Orders to model engines, and their reports.
+
+use crate::{
+    edge::registration::{AdapterKey, HeldModel, Registration},
+    ident::Generation,
+};
+use std::sync::Arc;
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Load a base model.
+    LoadModel(Arc<str>),
+    /// Load an adapter, at the newest version where none is named; replaces another version.
+    LoadAdapter(AdapterKey, Option<u32>),
+    /// Evict an adapter once its runs have ended.
+    EvictAdapter(AdapterKey),
+}
+
+impl Order {
+    /// Name in logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::LoadModel(_) => "load-model",
+            Self::LoadAdapter(..) => "load-adapter",
+            Self::EvictAdapter(_) => "evict-adapter",
+        }
+    }
+}
+
+/// Who gives an order, and under which fencing number.
+#[derive(Clone, Copy, Debug)]
+pub struct Issuer<'a> {
+    /// Name of the VM.
+    pub holder: &'a str,
+    /// Fencing number.
+    pub generation: Generation,
+}
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// What was ordered already holds.
+    Holds,
+    /// Another order is in the way.
+    Busy,
+    /// A higher fencing number is known.
+    Fenced,
+    /// Another process has the address.
+    OtherProcess,
+    /// The engine can't carry it out.
+    Invalid,
+    /// It was not sent.
+    NotSent,
+    /// No answer: it may be carried out now, or seconds later.
+    Unknown,
+}
+
+impl OrderAnswer {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Busy => "busy",
+            Self::Fenced => "fenced",
+            Self::OtherProcess => "other-process",
+            Self::Invalid => "invalid",
+            Self::NotSent => "not-sent",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What an engine says of itself, some hundred milliseconds old.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Base models and adapters that it holds.
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way to it.
+    pub coming: Vec<AdapterKey>,
+}
+
+/// Gives orders to engines.
+pub trait Orders: Clone + Send + Sync + 'static {
+    /// Gives an order to the process that `upstream` describes.
+    fn give(
+        &self,
+        upstream: &Registration,
+        issuer: Issuer<'_>,
+        order: &Order,
+    ) -> impl Future<Output = OrderAnswer> + Send;
+
+    /// Reads the engine's report; `None` where there was none that could be read.
+    fn report(&self, upstream: &Registration) -> impl Future<Output = Option<Report>> + Send;
+}
--- /dev/null
+++ b/src/entry/context.rs
@@ -0,0 +1,278 @@
+//! What the parts of an entry share.
+
+use crate::{
+    clock::{self, BootInstant},
+    configs::entry::EntryConfig,
+    decide::{
+        budget::RepeatBudget, choice::Candidate, outliers::Outliers, roster::Roster,
+        routes::RouteTable,
+    },
+    edge::{
+        call::Codec,
+        deployment::{Deployment, Service},
+        registration::{AdapterKey, Registration},
+    },
+    entry::{
+        desk::DeskHandle,
+        messages::PeerInfo,
+        peers::{Peers, SILENCE},
+        usage::Usage,
+    },
+    holding::lock,
+    ident::{Revision, UpstreamId},
+    lease::HolderLease,
+    link::Link,
+    path::pool::Pool,
+};
+use arc_swap::ArcSwap;
+use log::info;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+use tokio::sync::{Notify, watch};
+
+/// Version of an adapter of which no other was announced.
+pub const FIRST_VERSION: u32 = 1;
+
+/// Shared state of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Settings.
+    pub config: EntryConfig,
+    /// This process; grows with each start of the VM.
+    pub incarnation: u64,
+    /// Reads and writes heads.
+    pub codec: Arc<dyn Codec>,
+    /// The configuration in force.
+    pub routes: ArcSwap<RouteTable>,
+    /// Registered upstreams.
+    pub roster: Mutex<Roster>,
+    /// Upstreams that fail.
+    pub outliers: Mutex<Outliers>,
+    /// Repeats that may be made.
+    pub budget: Mutex<RepeatBudget>,
+    /// Newest versions of adapters, where announced.
+    pub versions: Mutex<HashMap<AdapterKey, u32>>,
+    /// Own requests.
+    pub usage: Usage,
+    /// Other entries.
+    pub peers: Mutex<Peers>,
+    /// Connections to upstreams.
+    pub pool: Arc<Pool>,
+    /// Engines that this entry gives orders to.
+    pub desks: Mutex<HashMap<UpstreamId, DeskHandle>>,
+    /// This entry's lease.
+    pub lease: Mutex<HolderLease>,
+    /// Counts what other entries should hear of at once.
+    pub changed: watch::Sender<u64>,
+    /// Told when upstreams started or went.
+    pub roster_changed: Notify,
+    /// Link addresses of entries that may be up, from the settings.
+    pub seeds: Mutex<Vec<SocketAddr>>,
+    /// Link addresses of entries that have a record in the store.
+    pub listed_links: Mutex<Vec<SocketAddr>>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    leaving: AtomicBool,
+}
+
+impl Entry {
+    /// An entry that knows nothing yet.
+    pub fn new(config: EntryConfig, codec: Arc<dyn Codec>) -> Arc<Self> {
+        let budget = RepeatBudget::new(config.budget);
+        Arc::new(Self {
+            incarnation: clock::unix_ms(),
+            codec,
+            routes: ArcSwap::from_pointee(RouteTable::default()),
+            roster: Mutex::default(),
+            outliers: Mutex::default(),
+            budget: Mutex::new(budget),
+            versions: Mutex::default(),
+            usage: Usage::default(),
+            peers: Mutex::default(),
+            pool: Arc::new(Pool::new(config.callers.ip())),
+            desks: Mutex::default(),
+            lease: Mutex::default(),
+            changed: watch::Sender::new(0),
+            roster_changed: Notify::new(),
+            seeds: Mutex::new(config.peers.0.clone()),
+            listed_links: Mutex::default(),
+            links: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            config,
+        })
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.revision() > 0 && !self.is_leaving()
+    }
+
+    /// Whether this entry is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Begins to stop.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.hurry();
+    }
+
+    /// Has other entries hear of a change at once.
+    pub fn hurry(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Revision of the configuration in force; 0 if there is none.
+    pub fn revision(&self) -> Revision {
+        self.routes.load().deployment.revision
+    }
+
+    /// Puts a configuration in force unless it is older than the present one.
+    pub fn adopt(&self, deployment: Deployment, source: &str) -> bool {
+        let (before, revision) = (self.revision(), deployment.revision);
+        if revision <= before {
+            return false;
+        }
+        let (routes, services) = (deployment.routes.len(), deployment.services.len());
+        self.routes.store(Arc::new(RouteTable::new(deployment)));
+        info!(revision = revision, before = before, routes = routes, services = services, source = source; "configuration in force");
+        self.hurry();
+        true
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<Service> {
+        self.routes.load().deployment.service(name).cloned()
+    }
+
+    /// Newest version of an adapter.
+    pub fn version(&self, key: &AdapterKey) -> u32 {
+        let versions = lock(&self.versions);
+        versions.get(key).copied().unwrap_or(FIRST_VERSION)
+    }
+
+    /// Takes in a newest version; whether it was news.
+    pub fn announce(&self, key: &AdapterKey, version: u32) -> bool {
+        let mut versions = lock(&self.versions);
+        let known = versions.get(key).copied().unwrap_or(FIRST_VERSION);
+        if version <= known {
+            return false;
+        }
+        versions.insert(key.clone(), version);
+        drop(versions);
+        info!(adapter:% = key, version = version, before = known; "newer version of an adapter");
+        self.hurry();
+        true
+    }
+
+    /// What this entry says of itself.
+    pub fn info(&self) -> PeerInfo {
+        PeerInfo {
+            name: Arc::from(self.config.id.as_str()),
+            incarnation: self.incarnation,
+            link: self.config.link,
+            callers: self.config.callers,
+            data_centre: Arc::from(self.config.data_centre.as_str()),
+            ready: self.is_ready(),
+            leaving: self.is_leaving(),
+            revision: self.revision(),
+        }
+    }
+
+    /// A link to the entry at `address`.
+    pub fn link(&self, address: SocketAddr) -> Arc<Link> {
+        let mut links = lock(&self.links);
+        let link = links.entry(address).or_insert_with(|| {
+            let key = Arc::from(self.config.key.as_str());
+            Arc::new(Link::new(address, self.config.link.ip(), key))
+        });
+        Arc::clone(link)
+    }
+
+    /// Whether orders may be given now.
+    pub fn may_order(&self) -> bool {
+        !self.is_leaving() && lock(&self.lease).is_fresh(BootInstant::now())
+    }
+
+    /// Whether requests use `key` at `upstream`, of any entry.
+    pub fn in_use(&self, upstream: &UpstreamId, key: &AdapterKey) -> bool {
+        self.usage.uses(upstream, key) || lock(&self.peers).uses(upstream, key)
+    }
+
+    /// Number of entries, this one included.
+    pub fn entries(&self) -> usize {
+        lock(&self.peers).live(BootInstant::now()).count() + 1
+    }
+
+    /// Upstreams of `service` that may take new work, without those in `excluded`.
+    pub fn serving(&self, service: &str, excluded: &[UpstreamId]) -> Vec<Arc<Registration>> {
+        let now = BootInstant::now();
+        let roster = lock(&self.roster);
+        let outliers = lock(&self.outliers);
+        let wanted = roster
+            .serving(service)
+            .filter(|r| !excluded.contains(&r.id));
+        let mut all: Vec<Arc<Registration>> = wanted.cloned().collect();
+        if all.iter().any(|r| !outliers.is_paused(&r.id, now)) {
+            all.retain(|r| !outliers.is_paused(&r.id, now));
+        }
+        all
+    }
+
+    /// Describes `upstream` for a request that needs `key` of `model`; either may be absent.
+    pub fn candidate<'a>(
+        &self,
+        upstream: &'a Registration,
+        model: Option<&str>,
+        key: Option<&AdapterKey>,
+    ) -> Candidate<'a> {
+        let now = BootInstant::now();
+        let peers = lock(&self.peers);
+        let load = self.usage.running(&upstream.id) + peers.load(&upstream.id, now);
+        let holds_model = model.is_none_or(|m| upstream.models.iter().any(|h| &*h.name == m));
+        let (resident, loadable) = match key {
+            None => (holds_model, false),
+            Some(key) => {
+                let (version, active) = self.held_version(upstream, key, &peers, now);
+                let wanted = self.version(key);
+                let resident = version.is_some_and(|v| v >= wanted);
+                (resident && holds_model, active && holds_model)
+            }
+        };
+        Candidate {
+            id: &upstream.id,
+            slots: upstream.slots,
+            load,
+            resident,
+            loadable,
+        }
+    }
+
+    /// The version of `key` at `upstream`, and whether its holder may give orders; from the holder's word, or
+    /// from the registration where there is no holder.
+    fn held_version(
+        &self,
+        upstream: &Registration,
+        key: &AdapterKey,
+        peers: &Peers,
+        now: BootInstant,
+    ) -> (Option<u32>, bool) {
+        if let Some(desk) = lock(&self.desks).get(&upstream.id) {
+            let (version, active) = desk.lookup(key);
+            return (version, active && self.may_order());
+        }
+        if let Some((peer, held)) = peers.held(&upstream.id) {
+            let live = now.since(peer.heard) < SILENCE && !peer.info.leaving;
+            return (held.adapters.get(key).copied(), held.active && live);
+        }
+        let listed = upstream.models.iter().flat_map(|m| &m.adapters);
+        let mut same = listed.filter(|a| a.key == *key);
+        (same.next().map(|a| a.version), false)
+    }
+}
--- /dev/null
+++ b/src/entry/desk.rs
@@ -0,0 +1,479 @@
+//! Gives orders to one engine: a single task that owns what is known of the engine's adapters.
+
+use crate::{
+    clock::BootInstant,
+    decide::residency::{PlaceState, Plan, Residency},
+    edge::{
+        deployment::EngineSpec,
+        orders::{Issuer, Order, OrderAnswer, Orders},
+        registration::{AdapterKey, Registration},
+    },
+    entry::{context::Entry, messages::Ensured, peers::HeldEngine},
+    holding::lock,
+    ident::{Generation, UpstreamId},
+    metrics,
+};
+use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use log::{info, warn};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::sync::{mpsc, oneshot};
+
+/// Questions waiting for a desk.
+const QUEUE: usize = 1_024;
+
+/// Interval at which a desk looks for evictions that are due and for those who waited too long.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Longest wait for a load; beyond it the request is better off elsewhere.
+const WANT_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Waits between repeats of a load order; a warm load takes about 25 ms, one from the store 250 ms.
+const LOAD_POLLS_MS: [u64; 10] = [30, 30, 60, 70, 70, 20, 20, 20, 30, 40];
+
+/// Wait between further repeats.
+const LATE_POLL: Duration = Duration::from_millis(60);
+
+/// Wait after an order that another one is in the way of, or that got no answer.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest time for an adapter's load or eviction; many loads at once slow each other down.
+const ORDER_LIMIT: Duration = Duration::from_secs(6);
+
+/// Longest time for a base model's load.
+const MODEL_LIMIT: Duration = Duration::from_secs(30);
+
+/// Interval between repeats of a base model's load order.
+const MODEL_POLL: Duration = Duration::from_millis(200);
+
+/// Time from announcing an eviction to ordering it, in which other entries learn of it.
+const EVICT_NOTICE: Duration = Duration::from_millis(30);
+
+/// Interval between tries to read the engine's first report.
+const REPORT_DELAY: Duration = Duration::from_millis(200);
+
+/// What a desk is asked.
+#[derive(Debug)]
+pub enum DeskAsk {
+    /// Bring an adapter.
+    Want(AdapterKey, u32, oneshot::Sender<Ensured>),
+    /// Requests for an adapter were sent.
+    Asked(AdapterKey, u32),
+    /// The engine said that it lacks an adapter.
+    Missing(AdapterKey),
+}
+
+/// Reaches a desk.
+#[derive(Clone, Debug)]
+pub struct DeskHandle {
+    /// The engine's process.
+    pub upstream: Arc<Registration>,
+    /// Fencing number.
+    pub generation: Generation,
+    asks: mpsc::Sender<DeskAsk>,
+    engine: Arc<Mutex<HeldEngine>>,
+}
+
+impl DeskHandle {
+    /// What is known of the engine.
+    pub fn engine(&self) -> HeldEngine {
+        lock(&self.engine).clone()
+    }
+
+    /// Version of `key` that requests may use, and whether orders may be given.
+    pub fn lookup(&self, key: &AdapterKey) -> (Option<u32>, bool) {
+        let engine = lock(&self.engine);
+        (engine.adapters.get(key).copied(), engine.active)
+    }
+
+    /// Tells the desk something; dropped if the desk is behind.
+    pub fn tell(&self, ask: DeskAsk) {
+        if self.asks.try_send(ask).is_err() {
+            warn!(upstream = &*self.upstream.id; "the engine's queue of questions is full");
+        }
+    }
+
+    /// Brings an adapter and waits for it.
+    pub async fn ensure(&self, key: AdapterKey, version: u32) -> Ensured {
+        let (reply, answer) = oneshot::channel();
+        if self
+            .asks
+            .try_send(DeskAsk::Want(key, version, reply))
+            .is_err()
+        {
+            return Ensured::Full;
+        }
+        answer.await.unwrap_or(Ensured::NotHolder)
+    }
+}
+
+/// A request that waits for an adapter.
+#[derive(Debug)]
+struct Waiter {
+    version: u32,
+    since: BootInstant,
+    reply: oneshot::Sender<Ensured>,
+}
+
+/// How an order ended.
+#[derive(Debug)]
+struct Ended {
+    order: Order,
+    done: bool,
+    /// Whether some try of it got no answer.
+    uncertain: bool,
+    /// Whether it was not begun because its adapter came into use.
+    kept: bool,
+}
+
+/// One engine and what is to be done there.
+struct Desk<O> {
+    entry: Arc<Entry>,
+    orders: O,
+    upstream: Arc<Registration>,
+    generation: Generation,
+    /// When the first order may be given.
+    from: BootInstant,
+    residency: Residency,
+    waiting: HashMap<AdapterKey, Vec<Waiter>>,
+    engine: Arc<Mutex<HeldEngine>>,
+}
+
+/// Takes over an engine: starts its desk, which ends when its handle is dropped.
+pub fn open<O: Orders>(
+    entry: &Arc<Entry>,
+    orders: &O,
+    upstream: &Arc<Registration>,
+    spec: &EngineSpec,
+    generation: Generation,
+    from: BootInstant,
+) -> DeskHandle {
+    let (asks, incoming) = mpsc::channel(QUEUE);
+    let engine = Arc::new(Mutex::new(HeldEngine {
+        generation,
+        ..HeldEngine::default()
+    }));
+    let desk = Desk {
+        entry: Arc::clone(entry),
+        orders: orders.clone(),
+        upstream: Arc::clone(upstream),
+        generation,
+        from,
+        residency: Residency::new(spec.adapter_slots as usize),
+        waiting: HashMap::new(),
+        engine: Arc::clone(&engine),
+    };
+    let models = spec.models.iter().map(|m| Arc::clone(&m.name)).collect();
+    tokio::spawn(desk.run(incoming, models));
+    DeskHandle {
+        upstream: Arc::clone(upstream),
+        generation,
+        asks,
+        engine,
+    }
+}
+
+impl<O: Orders> Desk<O> {
+    async fn run(mut self, mut incoming: mpsc::Receiver<DeskAsk>, models: Vec<Arc<str>>) {
+        let prepared = tokio::select! {
+            prepared = self.prepare(&models) => prepared,
+            () = closed(&incoming) => false,
+        };
+        if !prepared {
+            return;
+        }
+        self.publish();
+        let mut running = FuturesUnordered::new();
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                ask = incoming.recv() => match ask {
+                    Some(ask) => self.take(ask),
+                    None => return,
+                },
+                Some(ended) = running.next() => self.ended(ended),
+                _ = tick.tick() => self.expire(),
+            }
+            for order in self.plan() {
+                running.push(self.carry_out(order));
+            }
+        }
+    }
+
+    /// Waits for the time of the first order, learns what the engine holds, and has it load its base model.
+    async fn prepare(&mut self, models: &[Arc<str>]) -> bool {
+        let now = BootInstant::now();
+        tokio::time::sleep(self.from.since(now)).await;
+        loop {
+            if let Some(report) = self.orders.report(&self.upstream).await {
+                let now = BootInstant::now();
+                let held = report.models.iter().flat_map(|m| &m.adapters);
+                for a in held {
+                    self.residency
+                        .found(a.key.clone(), a.version, PlaceState::Resident, now);
+                }
+                for key in report.coming {
+                    self.residency.found(key, 0, PlaceState::Resident, now);
+                }
+                let adapters = self.residency.residents().count();
+                info!(upstream = &*self.upstream.id, generation = self.generation, models = report.models.len(), adapters = adapters; "placement: engine taken");
+                return match models.first() {
+                    Some(model) if report.models.is_empty() => self.load_model(model).await,
+                    _ => true,
+                };
+            }
+            tokio::time::sleep(REPORT_DELAY).await;
+        }
+    }
+
+    async fn load_model(&self, model: &Arc<str>) -> bool {
+        let order = Order::LoadModel(Arc::clone(model));
+        let ended = self.carry_out(order).await;
+        ended.done
+    }
+
+    fn take(&mut self, ask: DeskAsk) {
+        let now = BootInstant::now();
+        match ask {
+            DeskAsk::Want(key, version, reply) => {
+                let waiter = Waiter {
+                    version,
+                    since: now,
+                    reply,
+                };
+                self.waiting.entry(key).or_default().push(waiter);
+            }
+            DeskAsk::Asked(key, times) => self.residency.asked(&key, times, now),
+            DeskAsk::Missing(key) => {
+                warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine lacks an adapter that was noted as loaded");
+                self.residency.missing(&key);
+                self.publish();
+            }
+        }
+    }
+
+    /// Orders that are due.
+    fn plan(&mut self) -> Vec<Order> {
+        if !self.entry.may_order() {
+            return Vec::new();
+        }
+        let now = BootInstant::now();
+        let mut orders = Vec::new();
+        let wanted: Vec<(AdapterKey, u32)> = self
+            .waiting
+            .iter()
+            .filter_map(|(key, all)| Some((key.clone(), all.iter().map(|w| w.version).max()?)))
+            .collect();
+        for (key, version) in wanted {
+            let (entry, upstream) = (Arc::clone(&self.entry), Arc::clone(&self.upstream.id));
+            let in_use = |k: &AdapterKey| entry.in_use(&upstream, k);
+            match self.residency.plan(&key, version, now, in_use) {
+                Plan::Ready => self.answer(&key, Ensured::Ready),
+                Plan::Full => self.answer(&key, Ensured::Full),
+                Plan::Wait => {}
+                Plan::Load => orders.push(Order::LoadAdapter(key, Some(version))),
+                Plan::Evict(victim) => orders.push(Order::EvictAdapter(victim)),
+            }
+        }
+        let (entry, upstream) = (Arc::clone(&self.entry), Arc::clone(&self.upstream.id));
+        let spare = self
+            .residency
+            .plan_spare(now, |k| entry.in_use(&upstream, k));
+        orders.extend(spare.map(Order::EvictAdapter));
+        if !orders.is_empty() {
+            self.publish();
+        }
+        orders
+    }
+
+    fn answer(&mut self, key: &AdapterKey, ensured: Ensured) {
+        for waiter in self.waiting.remove(key).into_iter().flatten() {
+            // The asking request may have ended meanwhile.
+            let _gone = waiter.reply.send(ensured);
+        }
+    }
+
+    /// Ends waits that took too long.
+    fn expire(&mut self) {
+        let now = BootInstant::now();
+        let late = |w: &Waiter| now.since(w.since) > WANT_LIMIT;
+        let due: Vec<AdapterKey> = self
+            .waiting
+            .iter()
+            .filter(|(_, all)| all.iter().any(late))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            self.answer(&key, Ensured::Full);
+        }
+        self.publish();
+    }
+
+    fn ended(&mut self, ended: Ended) {
+        let now = BootInstant::now();
+        match &ended.order {
+            Order::LoadAdapter(key, version) if ended.done => {
+                self.residency.loaded(key, version.unwrap_or_default(), now);
+                if ended.uncertain {
+                    self.residency.order_uncertain(key, now);
+                }
+                self.answer(key, Ensured::Ready);
+            }
+            Order::LoadAdapter(key, _) => {
+                self.residency.load_failed(key, ended.uncertain, now);
+                self.answer(key, Ensured::Failed);
+            }
+            Order::EvictAdapter(key) if ended.kept => self.residency.keep(key),
+            // An eviction without an answer may still come: the adapter counts as gone, its place as taken.
+            Order::EvictAdapter(key) => self.residency.evicted(key, !ended.done, now),
+            Order::LoadModel(_) => {}
+        }
+        self.publish();
+    }
+
+    /// Gives an order and repeats it until it holds; it is idempotent.
+    fn carry_out(&self, order: Order) -> BoxFuture<'static, Ended> {
+        let carrier = Carrier {
+            entry: Arc::clone(&self.entry),
+            orders: self.orders.clone(),
+            upstream: Arc::clone(&self.upstream),
+            generation: self.generation,
+        };
+        Box::pin(async move { carrier.run(order).await })
+    }
+
+    /// Shows other parts, and other entries, what requests may use.
+    fn publish(&self) {
+        let held = HeldEngine {
+            generation: self.generation,
+            active: true,
+            adapters: self
+                .residency
+                .residents()
+                .map(|(key, version)| (key.clone(), version))
+                .collect(),
+        };
+        let mut engine = lock(&self.engine);
+        if *engine != held {
+            *engine = held;
+            drop(engine);
+            self.entry.hurry();
+        }
+    }
+}
+
+/// Resolves once every handle is gone.
+async fn closed(incoming: &mpsc::Receiver<DeskAsk>) {
+    while !incoming.is_closed() {
+        tokio::time::sleep(REPORT_DELAY).await;
+    }
+}
+
+/// Carries out one order.
+struct Carrier<O> {
+    entry: Arc<Entry>,
+    orders: O,
+    upstream: Arc<Registration>,
+    generation: Generation,
+}
+
+impl<O: Orders> Carrier<O> {
+    async fn run(&self, order: Order) -> Ended {
+        let begun = BootInstant::now();
+        let limit = match order {
+            Order::LoadModel(_) => MODEL_LIMIT,
+            Order::LoadAdapter(..) | Order::EvictAdapter(_) => ORDER_LIMIT,
+        };
+        let mut ended = Ended {
+            order,
+            done: false,
+            uncertain: false,
+            kept: false,
+        };
+        if let Order::EvictAdapter(key) = &ended.order {
+            tokio::time::sleep(EVICT_NOTICE).await;
+            if self.entry.in_use(&self.upstream.id, key) {
+                ended.kept = true;
+                return ended;
+            }
+        }
+        let mut tries = 0;
+        let mut last = OrderAnswer::NotSent;
+        while BootInstant::now().since(begun) < limit && self.entry.may_order() {
+            last = self.give(&ended.order).await;
+            ended.uncertain |= last == OrderAnswer::Unknown;
+            match last {
+                OrderAnswer::Holds => {
+                    ended.done = true;
+                    break;
+                }
+                OrderAnswer::Accepted => tokio::time::sleep(poll_delay(&ended.order, tries)).await,
+                OrderAnswer::Busy | OrderAnswer::Unknown | OrderAnswer::NotSent => {
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+                OrderAnswer::Fenced | OrderAnswer::OtherProcess | OrderAnswer::Invalid => break,
+            }
+            tries += 1;
+        }
+        // What was accepted and not seen to end may end later.
+        ended.uncertain |= !ended.done && tries > 0;
+        self.log(&ended, last, begun);
+        ended
+    }
+
+    async fn give(&self, order: &Order) -> OrderAnswer {
+        let issuer = Issuer {
+            holder: &self.entry.config.id,
+            generation: self.generation,
+        };
+        let answer = self.orders.give(&self.upstream, issuer, order).await;
+        metrics::order(order.as_str(), answer.as_str());
+        answer
+    }
+
+    fn log(&self, ended: &Ended, last: OrderAnswer, begun: BootInstant) {
+        let adapter = match &ended.order {
+            Order::LoadModel(model) => model.to_string(),
+            Order::LoadAdapter(key, _) | Order::EvictAdapter(key) => key.to_string(),
+        };
+        let took_ms = BootInstant::now().since(begun).as_millis() as u64;
+        info!(
+            upstream = &*self.upstream.id, order = ended.order.as_str(), model = adapter, generation = self.generation,
+            done = ended.done, answer = last.as_str(), uncertain = ended.uncertain, took_ms = took_ms;
+            "placement: order ended"
+        );
+    }
+}
+
+fn poll_delay(order: &Order, tries: usize) -> Duration {
+    match order {
+        Order::LoadModel(_) => MODEL_POLL,
+        Order::LoadAdapter(..) | Order::EvictAdapter(_) => LOAD_POLLS_MS
+            .get(tries)
+            .map_or(LATE_POLL, |ms| Duration::from_millis(*ms)),
+    }
+}
+
+/// Brings `key` to `upstream`, here or through its holder.
+pub async fn ensure(
+    entry: &Arc<Entry>,
+    upstream: &UpstreamId,
+    key: &AdapterKey,
+    version: u32,
+) -> Ensured {
+    let desk = lock(&entry.desks).get(upstream).cloned();
+    if let Some(desk) = desk {
+        return desk.ensure(key.clone(), version).await;
+    }
+    let holder = lock(&entry.peers)
+        .held(upstream)
+        .map(|(peer, _)| peer.info.link);
+    match holder {
+        Some(address) => super::peer_link::ask(entry, address, upstream, key, version).await,
+        None => Ensured::NotHolder,
+    }
+}
--- /dev/null
+++ b/src/entry/follow.rs
@@ -0,0 +1,205 @@
+//! Follows the store: upstreams, the configuration, and versions of adapters.
+
+use crate::{
+    clock::BootInstant,
+    decide::roster::RosterChange,
+    edge::store::{Change, Kind, Listing, Object, Store, StoreError},
+    entry::context::Entry,
+    holding::lock,
+    supervisor::ChildError,
+};
+use log::{info, warn};
+use std::{collections::HashSet, sync::Arc, time::Duration};
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait of one watch; bounds the time for which a connection that went silent hides changes.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// Pause between two watches of upstreams, in which heartbeats gather: each call to the store is paid for.
+const GATHER: Duration = Duration::from_millis(350);
+
+/// First pause after a failed call; doubled up to [`MAX_BACKOFF`].
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Follows one kind of objects.
+struct Follower<S> {
+    entry: Arc<Entry>,
+    store: S,
+    kind: Kind,
+    /// Whether the last call failed.
+    away: bool,
+    backoff: Duration,
+}
+
+/// Follows `kind` until `stop`.
+///
+/// # Errors
+/// None; failures of the store are waited out.
+pub async fn follow<S: Store>(
+    entry: Arc<Entry>,
+    store: S,
+    kind: Kind,
+    stop: CancellationToken,
+) -> Result<(), ChildError> {
+    let mut follower = Follower {
+        entry,
+        store,
+        kind,
+        away: false,
+        backoff: FIRST_BACKOFF,
+    };
+    tokio::select! {
+        () = stop.cancelled() => Ok(()),
+        () = follower.run() => Ok(()),
+    }
+}
+
+impl<S: Store> Follower<S> {
+    async fn run(&mut self) {
+        loop {
+            match self.store.list(self.kind).await {
+                Ok(listing) => {
+                    self.answered();
+                    let revision = listing.revision;
+                    self.listed(listing);
+                    self.watch(revision).await;
+                }
+                Err(e) => self.failed(&e).await,
+            }
+        }
+    }
+
+    /// Watches until the history is gone or the store fails.
+    async fn watch(&mut self, mut revision: u64) {
+        loop {
+            match self.store.watch(self.kind, revision, WATCH_WAIT).await {
+                Ok(changes) => {
+                    self.answered();
+                    revision = changes.revision;
+                    for change in &changes.changes {
+                        self.changed(change);
+                    }
+                    self.settle();
+                }
+                Err(StoreError::HistoryGone) => {
+                    info!(kind:? = self.kind, revision = revision; "the store's history is gone; listing again");
+                    return;
+                }
+                Err(e) => {
+                    self.failed(&e).await;
+                    return;
+                }
+            }
+            if self.kind == Kind::Upstreams {
+                tokio::time::sleep(GATHER).await;
+            }
+        }
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        if !self.away {
+            warn!(kind:? = self.kind, error:% = error; "dependency lost: the store does not answer");
+        }
+        self.away = true;
+        tokio::time::sleep(jittered(self.backoff)).await;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
+
+    fn answered(&mut self) {
+        self.backoff = FIRST_BACKOFF;
+        if !std::mem::take(&mut self.away) {
+            return;
+        }
+        info!(kind:? = self.kind; "dependency regained: the store answers");
+        if self.kind == Kind::Upstreams {
+            lock(&self.entry.roster).store_returned(BootInstant::now());
+        }
+    }
+
+    fn listed(&self, listing: Listing) {
+        if self.kind == Kind::Upstreams {
+            let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
+            let gone = lock(&self.entry.roster).listed(&present, BootInstant::now());
+            for id in gone {
+                self.upstream_gone(&id, "missing from the list");
+            }
+        }
+        for object in &listing.objects {
+            self.present(object);
+        }
+        self.settle();
+    }
+
+    fn changed(&self, change: &Change) {
+        if !change.removed {
+            self.present(&change.object);
+        } else if self.kind == Kind::Upstreams {
+            let id = &change.object.name;
+            match lock(&self.entry.roster).removed(id, BootInstant::now()) {
+                RosterChange::Gone => self.upstream_gone(id, "entry removed"),
+                RosterChange::Lapsed => {
+                    info!(upstream = id; "an entry lapsed while the store was away");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn present(&self, object: &Object) {
+        let codec = &self.entry.codec;
+        let read = match self.kind {
+            Kind::Upstreams => codec.registration(object).map(|r| {
+                let (id, service) = (Arc::clone(&r.id), Arc::clone(&r.service));
+                let change = lock(&self.entry.roster).registered(r);
+                if change != RosterChange::Same {
+                    info!(upstream = &*id, service = &*service, change:? = change; "upstream changed");
+                    self.entry.roster_changed.notify_one();
+                }
+            }),
+            Kind::Configuration => codec.deployment(object).map(|d| {
+                self.entry.adopt(d, "store");
+            }),
+            Kind::Versions => codec.version(object).map(|(key, version)| {
+                self.entry.announce(&key, version);
+            }),
+            Kind::Members | Kind::Holders => Ok(()),
+        };
+        if let Err(e) = read {
+            warn!(kind:? = self.kind, name = object.name, findings:% = e; "an object can't be used");
+            if self.kind == Kind::Upstreams {
+                self.unusable(&object.name);
+            }
+        }
+    }
+
+    /// An entry that can't be read names no upstream any more.
+    fn unusable(&self, id: &str) {
+        let gone = lock(&self.entry.roster).discard(id);
+        if gone {
+            self.upstream_gone(id, "entry can't be read");
+        }
+    }
+
+    fn settle(&self) {
+        let gone = lock(&self.entry.roster).expire(BootInstant::now());
+        for id in gone {
+            self.upstream_gone(&id, "missed since the store's return");
+        }
+    }
+
+    fn upstream_gone(&self, id: &str, reason: &str) {
+        info!(upstream = id, reason = reason; "upstream gone");
+        lock(&self.entry.outliers).forget(id);
+        self.entry.usage.forget(id);
+        self.entry.pool.forget(id);
+        self.entry.roster_changed.notify_one();
+    }
+}
+
+/// Spreads the retries of many entries.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.5..1.0))
+}
--- /dev/null
+++ b/src/entry/holder.rs
@@ -0,0 +1,272 @@
+//! Takes engines that nobody gives orders to, and drops those that somebody else took.
+
+use crate::{
+    clock::BootInstant,
+    decide::succession::{self, HolderRecord, HolderState, MemberRecord, Own, Step},
+    edge::{
+        orders::Orders,
+        registration::Registration,
+        store::{Kind, Listing, Object, Store, StoreError},
+    },
+    entry::{context::Entry, desk},
+    holding::lock,
+    ident::UpstreamId,
+    lease::{Observer, Renewal},
+    metrics,
+    supervisor::ChildError,
+};
+use log::{debug, info, warn};
+use serde_json::json;
+use std::{collections::HashMap, sync::Arc, time::Duration};
+use tokio_util::sync::CancellationToken;
+
+/// Interval between two looks at the records; well under the observer's longest gap between reads.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Time after the start in which entries that start together find each other.
+const FIRST_LOOK: Duration = Duration::from_millis(1_000);
+
+/// Least time between two looks.
+const MIN_LOOK: Duration = Duration::from_millis(200);
+
+/// Takes and drops engines.
+struct Holder<S, O> {
+    entry: Arc<Entry>,
+    store: S,
+    orders: O,
+    observer: Observer,
+    members: HashMap<Arc<str>, MemberRecord>,
+    /// Records that this entry wrote, with the time of its first order.
+    taken: HashMap<UpstreamId, (HolderRecord, BootInstant)>,
+}
+
+/// A record and its store revision.
+type Held = (HolderRecord, u64);
+
+/// Looks after the engines until `stop`.
+///
+/// # Errors
+/// None; failures of the store are waited out.
+pub async fn hold<S: Store, O: Orders>(
+    entry: Arc<Entry>,
+    store: S,
+    orders: O,
+    stop: CancellationToken,
+) -> Result<(), ChildError> {
+    let mut holder = Holder {
+        entry,
+        store,
+        orders,
+        observer: Observer::default(),
+        members: HashMap::new(),
+        taken: HashMap::new(),
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = holder.run() => {}
+    }
+    lock(&holder.entry.desks).clear();
+    Ok(())
+}
+
+impl<S: Store, O: Orders> Holder<S, O> {
+    async fn run(&mut self) {
+        tokio::time::sleep(FIRST_LOOK).await;
+        loop {
+            if let Err(e) = self.look().await {
+                debug!("reading who holds what: {e}");
+            }
+            metrics::upstreams_held(lock(&self.entry.desks).len());
+            let entry = Arc::clone(&self.entry);
+            tokio::select! {
+                () = tokio::time::sleep(LOOK_INTERVAL) => {}
+                () = entry.roster_changed.notified() => tokio::time::sleep(MIN_LOOK).await,
+            }
+        }
+    }
+
+    async fn look(&mut self) -> Result<(), StoreError> {
+        let sent = BootInstant::now();
+        let members = self.store.list(Kind::Members).await?;
+        self.observe(&members, sent);
+        let holders = self.store.list(Kind::Holders).await?;
+        let mut records: HashMap<UpstreamId, Held> = HashMap::new();
+        for object in &holders.objects {
+            if let Some(record) = read::<HolderRecord>(Kind::Holders, object) {
+                records.insert(Arc::from(object.name.as_str()), (record, object.revision));
+            }
+        }
+        self.drop_lost(&records);
+        if self.entry.may_order() {
+            for engine in self.engines() {
+                self.step(&engine, records.get(&engine.id)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn observe(&mut self, listing: &Listing, sent: BootInstant) {
+        let records = listing.objects.iter().filter_map(|object| {
+            let record = read::<MemberRecord>(Kind::Members, object)?;
+            Some((Arc::<str>::from(object.name.as_str()), record))
+        });
+        self.members = records.collect();
+        let renewals = self.members.iter().map(|(name, record)| {
+            let renewal = Renewal {
+                incarnation: record.incarnation,
+                counter: record.counter,
+            };
+            (name, renewal)
+        });
+        self.observer.observe(sent, BootInstant::now(), renewals);
+        let mut known: Vec<_> = self.members.values().map(|r| r.link).collect();
+        known.sort_unstable();
+        *lock(&self.entry.listed_links) = known;
+    }
+
+    /// Engines that are registered, those that are leaving included: they may need no orders, but have a holder.
+    fn engines(&self) -> Vec<Arc<Registration>> {
+        let roster = lock(&self.entry.roster);
+        let table = self.entry.routes.load();
+        let is_engine = |r: &&Arc<Registration>| {
+            let service = table.deployment.service(&r.service);
+            r.is_serving() && service.is_some_and(|s| s.engine.is_some())
+        };
+        roster.all().filter(is_engine).cloned().collect()
+    }
+
+    /// Closes desks of engines that are gone, restarted, or held by somebody else.
+    fn drop_lost(&mut self, records: &HashMap<UpstreamId, Held>) {
+        let own = &self.entry.config.id;
+        let incarnation = self.entry.incarnation;
+        let mut desks = lock(&self.entry.desks);
+        let roster = lock(&self.entry.roster);
+        desks.retain(|id, desk| {
+            let same = roster
+                .get(id)
+                .is_some_and(|r| r.is_same_process(&desk.upstream));
+            let ours = records.get(id).is_some_and(|(r, _)| {
+                *r.holder == **own && r.incarnation == incarnation && r.generation == desk.generation
+            });
+            if !same || !ours {
+                info!(upstream = &**id, generation = desk.generation, same_process = same, still_ours = ours; "placement: engine dropped");
+            }
+            same && ours
+        });
+    }
+
+    async fn step(&mut self, engine: &Arc<Registration>, held: Option<&Held>) {
+        let record = held.map(|(record, _)| record);
+        let state = record.map_or(HolderState::Live, |r| self.state(r));
+        let own = Own {
+            name: &self.entry.config.id,
+            incarnation: self.entry.incarnation,
+        };
+        match succession::step(own, &engine.id, record, state, &self.live()) {
+            Step::Leave => {}
+            Step::Held => {
+                if let Some(record) = record {
+                    self.open(engine, record);
+                }
+            }
+            Step::Create => self.take(engine, 1, None).await,
+            Step::Replace(generation) => self.take(engine, generation, held).await,
+        }
+    }
+
+    fn state(&self, record: &HolderRecord) -> HolderState {
+        let member = self.members.get(&record.holder);
+        let stopped = member.is_some_and(|m| m.incarnation == record.incarnation && m.stopped);
+        let lapsed = self.observer.is_lapsed(&record.holder, record.incarnation);
+        if stopped || lapsed {
+            HolderState::Ended
+        } else {
+            HolderState::Live
+        }
+    }
+
+    /// VMs that could hold an engine.
+    fn live(&self) -> Vec<Arc<str>> {
+        let peers = lock(&self.entry.peers);
+        let live = peers.live(BootInstant::now());
+        let mut names: Vec<Arc<str>> = live
+            .filter(|p| !p.info.leaving)
+            .map(|p| Arc::clone(&p.info.name))
+            .collect();
+        names.push(Arc::from(self.entry.config.id.as_str()));
+        names
+    }
+
+    async fn take(&mut self, engine: &Arc<Registration>, generation: u64, held: Option<&Held>) {
+        let record = HolderRecord {
+            holder: Arc::from(self.entry.config.id.as_str()),
+            incarnation: self.entry.incarnation,
+            generation,
+        };
+        let content = json!(record);
+        let written = match held {
+            None => self.store.create(Kind::Holders, &engine.id, &content).await,
+            Some((_, revision)) => {
+                let revision = Some(*revision);
+                self.store
+                    .replace(Kind::Holders, &engine.id, revision, &content)
+                    .await
+            }
+        };
+        match written {
+            Ok(_object) => {
+                let earlier = held.map(|(r, _)| r);
+                let from =
+                    succession::first_order(&self.entry.config.id, earlier, BootInstant::now());
+                info!(upstream = &*engine.id, generation = generation, earlier = earlier.map_or("", |r| &*r.holder); "placement: engine taken over");
+                self.taken
+                    .insert(Arc::clone(&engine.id), (record.clone(), from));
+                self.open(engine, &record);
+            }
+            Err(StoreError::Conflict(_)) => {
+                debug!("{} was taken by somebody else", engine.id);
+            }
+            // The next look shows whether the write took effect.
+            Err(e) => {
+                warn!(upstream = &*engine.id, error:% = e; "taking an engine got no clear answer");
+                let from = BootInstant::now();
+                let from =
+                    succession::first_order(&self.entry.config.id, held.map(|(r, _)| r), from);
+                self.taken.insert(Arc::clone(&engine.id), (record, from));
+            }
+        }
+    }
+
+    /// Opens a desk for an engine that is ours, if there is none.
+    fn open(&self, engine: &Arc<Registration>, record: &HolderRecord) {
+        if lock(&self.entry.desks).contains_key(&engine.id) {
+            return;
+        }
+        let service = self.entry.service(&engine.service);
+        let Some(spec) = service.and_then(|s| s.engine) else {
+            return;
+        };
+        let noted = self.taken.get(&engine.id).filter(|(r, _)| r == record);
+        let from = noted.map_or_else(BootInstant::now, |(_, from)| *from);
+        let handle = desk::open(
+            &self.entry,
+            &self.orders,
+            engine,
+            &spec,
+            record.generation,
+            from,
+        );
+        lock(&self.entry.desks).insert(Arc::clone(&engine.id), handle);
+    }
+}
+
+/// Reads one of our own records.
+fn read<T: serde::de::DeserializeOwned>(kind: Kind, object: &Object) -> Option<T> {
+    match T::deserialize(&object.content) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            warn!(kind:? = kind, name = object.name, error:% = e; "a record can't be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/messages.rs
@@ -0,0 +1,130 @@
+//! Messages between entries, encoded with bincode.
+
+use crate::{
+    edge::registration::AdapterKey,
+    ident::{Generation, Revision, UpstreamId},
+};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Path of the stream on which an entry tells another about itself.
+pub const PEER_PATH: &str = "/peer";
+
+/// Path that asks a holder to bring an adapter to an engine.
+pub const ENSURE_PATH: &str = "/ensure";
+
+/// Path that asks for the configuration in force.
+pub const DEPLOYMENT_PATH: &str = "/deployment";
+
+/// What an entry says of itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerInfo {
+    /// Name of the VM.
+    pub name: Arc<str>,
+    /// Process; grows with each start of the VM.
+    pub incarnation: u64,
+    /// Where other entries reach it.
+    pub link: SocketAddr,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Data centre.
+    pub data_centre: Arc<str>,
+    /// Whether it can serve requests.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Revision of the configuration in force.
+    pub revision: Revision,
+}
+
+/// State and changes of one entry, sent several times a second.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerUpdate {
+    /// Number of this update on its stream, from 0.
+    pub sequence: u64,
+    /// The entry.
+    pub info: PeerInfo,
+    /// Link addresses that it knows.
+    pub known: Vec<SocketAddr>,
+    /// Requests that it has at each upstream; others have none.
+    pub loads: Vec<(UpstreamId, u32)>,
+    /// Its use of adapters at engines that the receiver holds.
+    pub uses: Vec<AdapterUse>,
+    /// Changes of the engines that it holds.
+    pub held: Vec<HeldChange>,
+    /// Newest versions of adapters that the receiver was not told of yet.
+    pub versions: Vec<(AdapterKey, u32)>,
+}
+
+/// Use of one adapter at one engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AdapterUse {
+    /// Engine.
+    pub upstream: UpstreamId,
+    /// Adapter.
+    pub key: AdapterKey,
+    /// Requests in flight.
+    pub running: u32,
+    /// Requests since the last update.
+    pub asked: u32,
+}
+
+/// Change of an engine that an entry holds.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct HeldChange {
+    /// Engine.
+    pub upstream: UpstreamId,
+    /// Fencing number of the holder.
+    pub generation: Generation,
+    /// Whether the holder may give orders now.
+    pub active: bool,
+    /// Whether it is held no longer.
+    pub released: bool,
+    /// Adapters that came, with their versions.
+    pub came: Vec<(AdapterKey, u32)>,
+    /// Adapters that went.
+    pub went: Vec<AdapterKey>,
+}
+
+/// Receipt of an update.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerAck {
+    /// Number of the update.
+    pub sequence: u64,
+}
+
+/// Asks for an adapter at an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EnsureAsk {
+    /// Engine.
+    pub upstream: UpstreamId,
+    /// Adapter.
+    pub key: AdapterKey,
+    /// Least version that will do.
+    pub version: u32,
+}
+
+/// What became of an [`EnsureAsk`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Ensured {
+    /// The adapter is there.
+    Ready,
+    /// Every place of the engine is in use.
+    Full,
+    /// The asked entry may not give orders to this engine.
+    NotHolder,
+    /// The load failed.
+    Failed,
+}
+
+impl Ensured {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Full => "full",
+            Self::NotHolder => "not-holder",
+            Self::Failed => "failed",
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,14 @@
+//! The entry process: callers' listener, directory, readiness, peers, and the orders to the engines it holds.
+
+pub mod context;
+pub mod desk;
+pub mod directory;
+pub mod follow;
+pub mod holder;
+pub mod messages;
+pub mod peer_link;
+pub mod peers;
+pub mod reload;
+pub mod renew;
+pub mod run;
+pub mod usage;
--- /dev/null
+++ b/src/entry/peer_link.rs
@@ -0,0 +1,407 @@
+//! Streams between entries: each tells every other one about itself, and answers its questions.
+
+use crate::{
+    clock::BootInstant,
+    edge::{deployment::Deployment, registration::AdapterKey},
+    entry::{
+        context::Entry,
+        desk::{self, DeskAsk},
+        messages::{
+            AdapterUse, DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, Ensured, HeldChange, PEER_PATH,
+            PeerAck, PeerUpdate,
+        },
+        peers::HeldEngine,
+    },
+    holding::lock,
+    ident::{Revision, UpstreamId},
+    link::{Incoming, LinkError, Receiver, Sender},
+    metrics,
+    supervisor::ChildError,
+};
+use log::{debug, info, warn};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{sync::watch, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Interval between updates when nothing presses.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Least time between two updates, so that changes at once go together.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Wait for the receipt of an update; beyond it the connection counts as lost.
+const ACK_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// First pause before a lost connection is made again; doubled up to [`MAX_RECONNECT`].
+const FIRST_RECONNECT: Duration = Duration::from_millis(200);
+
+/// Longest such pause; a VM that is gone for good is asked this often.
+const MAX_RECONNECT: Duration = Duration::from_secs(2);
+
+/// Interval between looks for entries that are not spoken to yet.
+const FIND_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest wait for a holder to bring an adapter.
+const ENSURE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Longest wait for a configuration.
+const DEPLOYMENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Talks to every entry that becomes known, until `stop`.
+///
+/// # Errors
+/// None.
+pub async fn spread(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    let mut spoken: HashSet<SocketAddr> = HashSet::from([entry.config.link]);
+    while !stop.is_cancelled() {
+        for address in known(&entry) {
+            if spoken.insert(address) {
+                tokio::spawn(talk(Arc::clone(&entry), address, stop.clone()));
+            }
+        }
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = tokio::time::sleep(FIND_INTERVAL) => {}
+        }
+    }
+    Ok(())
+}
+
+/// Link addresses of entries, from the settings, the store and the others.
+fn known(entry: &Entry) -> Vec<SocketAddr> {
+    let mut all = lock(&entry.seeds).clone();
+    all.extend(lock(&entry.listed_links).iter());
+    all.extend(lock(&entry.peers).links());
+    all
+}
+
+/// Tells the entry at `address` about this one, until `stop`.
+async fn talk(entry: Arc<Entry>, address: SocketAddr, stop: CancellationToken) {
+    let mut pause = FIRST_RECONNECT;
+    let mut connected = false;
+    while !stop.is_cancelled() {
+        let told = tokio::select! {
+            () = stop.cancelled() => return,
+            told = Teller::new(&entry, address).run() => told,
+        };
+        let (updates, error) = told;
+        if updates > 0 {
+            pause = FIRST_RECONNECT;
+            info!(peer:% = address, error:% = error, updates = updates; "dependency lost: entry");
+        } else if connected {
+            debug!("connecting to entry {address}: {error}");
+        }
+        connected = updates > 0;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_RECONNECT);
+    }
+}
+
+/// Sends one stream of updates.
+struct Teller<'a> {
+    entry: &'a Arc<Entry>,
+    address: SocketAddr,
+    sequence: u64,
+    /// Engines as the other side knows them.
+    held: HashMap<UpstreamId, HeldEngine>,
+    versions: HashMap<AdapterKey, u32>,
+    asked: HashMap<(UpstreamId, AdapterKey), u64>,
+    changes: watch::Receiver<u64>,
+}
+
+impl<'a> Teller<'a> {
+    fn new(entry: &'a Arc<Entry>, address: SocketAddr) -> Self {
+        Self {
+            entry,
+            address,
+            sequence: 0,
+            held: HashMap::new(),
+            versions: HashMap::new(),
+            asked: HashMap::new(),
+            changes: entry.changed.subscribe(),
+        }
+    }
+
+    /// Sends until the stream breaks; the updates that were received, and why it broke.
+    async fn run(mut self) -> (u64, LinkError) {
+        let link = self.entry.link(self.address);
+        let first = self.update();
+        let (mut sender, mut receiver) = match link.open_duplex(PEER_PATH, &first).await {
+            Ok(stream) => stream,
+            Err(e) => return (0, e),
+        };
+        let mut received = 0;
+        loop {
+            if let Err(e) = self.receipt(&mut receiver).await {
+                link.reset().await;
+                return (received, e);
+            }
+            received += 1;
+            self.pause().await;
+            let update = self.update();
+            match sender.send(&update).await {
+                Ok(bytes) => metrics::control_bytes("peer", bytes),
+                Err(e) => return (received, e),
+            }
+        }
+    }
+
+    async fn receipt(&self, receiver: &mut Receiver) -> Result<(), LinkError> {
+        match timeout(ACK_TIMEOUT, receiver.next::<PeerAck>()).await {
+            Ok(Ok(Some(_ack))) => Ok(()),
+            Ok(Ok(None)) | Err(_) => Err(LinkError::Broken),
+            Ok(Err(e)) => Err(e),
+        }
+    }
+
+    async fn pause(&mut self) {
+        tokio::time::sleep(MIN_INTERVAL).await;
+        let rest = UPDATE_INTERVAL.saturating_sub(MIN_INTERVAL);
+        let _elapsed = timeout(rest, self.changes.changed()).await;
+    }
+
+    /// The next update.
+    fn update(&mut self) -> PeerUpdate {
+        let sequence = self.sequence;
+        self.sequence += 1;
+        self.changes.mark_unchanged();
+        let known = lock(&self.entry.peers).live_links(BootInstant::now());
+        PeerUpdate {
+            sequence,
+            info: self.entry.info(),
+            known,
+            loads: self.entry.usage.loads(),
+            uses: self.uses(),
+            held: self.held_changes(),
+            versions: self.new_versions(),
+        }
+    }
+
+    /// Use of adapters at the engines that the other side holds.
+    fn uses(&mut self) -> Vec<AdapterUse> {
+        let engines = {
+            let peers = lock(&self.entry.peers);
+            peers.held_by(self.address)
+        };
+        let mut uses = Vec::new();
+        for upstream in engines {
+            for (key, count) in self.entry.usage.adapters(&upstream) {
+                let name = (Arc::clone(&upstream), key.clone());
+                let before = self.asked.insert(name, count.asked).unwrap_or(0);
+                let asked = count.asked.saturating_sub(before) as u32;
+                if count.running > 0 || asked > 0 {
+                    uses.push(AdapterUse {
+                        upstream: Arc::clone(&upstream),
+                        key,
+                        running: count.running,
+                        asked,
+                    });
+                }
+            }
+        }
+        uses
+    }
+
+    fn held_changes(&mut self) -> Vec<HeldChange> {
+        let desks = lock(&self.entry.desks).clone();
+        let may_order = self.entry.may_order();
+        let mut changes = Vec::new();
+        for (upstream, desk) in &desks {
+            let mut engine = desk.engine();
+            engine.active &= may_order;
+            let known = self.held.get(upstream);
+            if known != Some(&engine) {
+                changes.push(difference(upstream, known, &engine));
+                self.held.insert(Arc::clone(upstream), engine);
+            }
+        }
+        let released: Vec<UpstreamId> = self
+            .held
+            .keys()
+            .filter(|id| !desks.contains_key(*id))
+            .cloned()
+            .collect();
+        for upstream in released {
+            self.held.remove(&upstream);
+            changes.push(HeldChange {
+                upstream,
+                released: true,
+                ..HeldChange::default()
+            });
+        }
+        changes
+    }
+
+    fn new_versions(&mut self) -> Vec<(AdapterKey, u32)> {
+        let versions = lock(&self.entry.versions);
+        let news = versions
+            .iter()
+            .filter(|(key, version)| self.versions.get(*key) != Some(*version));
+        let news: Vec<(AdapterKey, u32)> = news.map(|(k, v)| (k.clone(), *v)).collect();
+        self.versions.extend(news.iter().cloned());
+        news
+    }
+}
+
+/// What changed from `before`, where the other side knows it, to `after`.
+fn difference(
+    upstream: &UpstreamId,
+    before: Option<&HeldEngine>,
+    after: &HeldEngine,
+) -> HeldChange {
+    let known = |key: &AdapterKey| before.and_then(|b| b.adapters.get(key));
+    let came = after.adapters.iter().filter(|(k, v)| known(k) != Some(*v));
+    let went = before.into_iter().flat_map(|b| b.adapters.keys());
+    let went = went.filter(|k| !after.adapters.contains_key(*k));
+    HeldChange {
+        upstream: Arc::clone(upstream),
+        generation: after.generation,
+        active: after.active,
+        released: false,
+        came: came.map(|(k, v)| (k.clone(), *v)).collect(),
+        went: went.cloned().collect(),
+    }
+}
+
+/// Answers one stream of another entry.
+pub async fn answer(entry: Arc<Entry>, incoming: Incoming) {
+    let path = incoming.path.clone();
+    let accepted = match path.as_str() {
+        PEER_PATH | ENSURE_PATH | DEPLOYMENT_PATH => incoming.accept(),
+        _ => return incoming.refuse(),
+    };
+    let Ok((sender, receiver)) = accepted else {
+        return;
+    };
+    let ended = match path.as_str() {
+        PEER_PATH => hear(&entry, sender, receiver).await,
+        ENSURE_PATH => answer_ensure(&entry, sender, receiver).await,
+        _ => answer_deployment(&entry, sender, receiver).await,
+    };
+    if let Err(e) = ended {
+        debug!("stream {path} of an entry: {e}");
+    }
+}
+
+/// Takes in the updates of another entry.
+async fn hear(
+    entry: &Arc<Entry>,
+    mut sender: Sender,
+    mut receiver: Receiver,
+) -> Result<(), LinkError> {
+    while let Some(update) = receiver.next::<PeerUpdate>().await? {
+        let is_new = lock(&entry.peers).update(&update, BootInstant::now());
+        if is_new {
+            info!(peer = &*update.info.name, incarnation = update.info.incarnation, address:% = update.info.link; "dependency regained: entry");
+        }
+        for (key, version) in &update.versions {
+            entry.announce(key, *version);
+        }
+        for used in update.uses.iter().filter(|u| u.asked > 0) {
+            if let Some(desk) = lock(&entry.desks).get(&used.upstream) {
+                desk.tell(DeskAsk::Asked(used.key.clone(), used.asked));
+            }
+        }
+        if update.info.revision > entry.revision() {
+            tokio::spawn(fetch_deployment(Arc::clone(entry), update.info.link));
+        }
+        let sequence = update.sequence;
+        sender.send(&PeerAck { sequence }).await?;
+    }
+    Ok(())
+}
+
+async fn fetch_deployment(entry: Arc<Entry>, address: SocketAddr) {
+    let known = entry.revision();
+    let fetched = timeout(DEPLOYMENT_TIMEOUT, async {
+        let link = entry.link(address);
+        let mut receiver = link.open(DEPLOYMENT_PATH, &known).await?;
+        receiver.next::<Deployment>().await
+    });
+    match fetched.await {
+        Ok(Ok(Some(deployment))) => {
+            entry.adopt(deployment, "peer");
+        }
+        Ok(Ok(None)) | Err(_) => debug!("no configuration from {address}"),
+        Ok(Err(e)) => debug!("configuration from {address}: {e}"),
+    }
+}
+
+async fn answer_deployment(
+    entry: &Arc<Entry>,
+    mut sender: Sender,
+    mut receiver: Receiver,
+) -> Result<(), LinkError> {
+    let known = receiver.next::<Revision>().await?.unwrap_or(0);
+    let table = entry.routes.load_full();
+    if table.deployment.revision > known {
+        sender.send(&table.deployment).await?;
+    }
+    sender.finish();
+    Ok(())
+}
+
+async fn answer_ensure(
+    entry: &Arc<Entry>,
+    mut sender: Sender,
+    mut receiver: Receiver,
+) -> Result<(), LinkError> {
+    let Some(ask) = receiver.next::<EnsureAsk>().await? else {
+        return Ok(());
+    };
+    let desk = lock(&entry.desks).get(&ask.upstream).cloned();
+    let ensured = match desk {
+        Some(desk) => desk.ensure(ask.key, ask.version).await,
+        None => Ensured::NotHolder,
+    };
+    sender.send(&ensured).await?;
+    sender.finish();
+    Ok(())
+}
+
+/// Asks the holder at `address` to bring an adapter.
+pub async fn ask(
+    entry: &Arc<Entry>,
+    address: SocketAddr,
+    upstream: &UpstreamId,
+    key: &AdapterKey,
+    version: u32,
+) -> Ensured {
+    let ask = EnsureAsk {
+        upstream: Arc::clone(upstream),
+        key: key.clone(),
+        version,
+    };
+    let asked = timeout(ENSURE_TIMEOUT, async {
+        let link = entry.link(address);
+        let mut receiver = link.open(ENSURE_PATH, &ask).await?;
+        receiver.next::<Ensured>().await
+    });
+    match asked.await {
+        Ok(Ok(Some(ensured))) => ensured,
+        Ok(Ok(None)) | Err(_) => Ensured::Failed,
+        Ok(Err(e)) => {
+            warn!(peer:% = address, upstream = &**upstream, error:% = e; "the holder could not be asked");
+            Ensured::NotHolder
+        }
+    }
+}
+
+/// Tells the holder of an engine that it lacks an adapter that was noted as loaded.
+pub fn tell_missing(entry: &Arc<Entry>, upstream: &UpstreamId, key: &AdapterKey) {
+    if let Some(desk) = lock(&entry.desks).get(upstream) {
+        desk.tell(DeskAsk::Missing(key.clone()));
+    }
+}
+
+/// Counts a request for an adapter where this entry holds the engine; other holders learn of it by updates.
+pub fn count_asked(entry: &Entry, upstream: &UpstreamId, key: &AdapterKey) {
+    if let Some(desk) = lock(&entry.desks).get(upstream) {
+        desk.tell(desk::DeskAsk::Asked(key.clone(), 1));
+    }
+}
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -4,13 +4,15 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+    rt::{TokioExecutor, TokioIo},
 };
 use std::{
     fmt::{Display, Formatter},
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     time::Duration,
 };
+use tokio::net::TcpStream;
+use tower_service::Service;
 
 /// Longest wait for a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,8 +26,14 @@
 /// Largest body read whole, in bytes.
 pub const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Makes TCP connections.
+pub type Connector = HttpConnector;
+
+/// Body of a request.
+pub type FullBody = Full<Bytes>;
+
 /// A pooled HTTP/1.1 client.
-pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub type HttpClient = Client<HttpConnector, FullBody>;
 
 /// Builds a client whose connections fail fast when the network is cut.
 pub fn build() -> HttpClient {
@@ -34,14 +42,37 @@
 
 /// Builds such a client that connects from the given address.
 pub fn build_from(local: Option<IpAddr>) -> HttpClient {
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .build(connector(local))
+}
+
+/// Makes connections from the given address that fail fast when the network is cut.
+pub fn connector(local: Option<IpAddr>) -> Connector {
     let mut connector = HttpConnector::new();
     connector.set_local_address(local);
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .pool_max_idle_per_host(IDLE_CONNECTIONS)
-        .build(connector)
+    connector
+}
+
+/// Connects to `address`.
+///
+/// # Errors
+/// No connection was made.
+pub async fn connect(
+    connector: &Connector,
+    address: SocketAddr,
+) -> Result<TokioIo<TcpStream>, CallError> {
+    let uri = http::Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query("/")
+        .build()
+        .map_err(|_e| CallError::NotSent)?;
+    let connected = connector.clone().call(uri).await;
+    connected.map_err(|_e| CallError::NotSent)
 }
 
 /// Why a call gave no complete answer.
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use gotham::{
+    handler::NewHandler,
     helpers::http::Body,
     router::Router,
     service::call_handler,
@@ -29,6 +30,24 @@
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeOptions {
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Longest time for a caller to send its request's head, from the end of the request before.
+    pub head_timeout: Duration,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self {
+            head_bytes: MAX_HEAD_BYTES,
+            head_timeout: HEADER_TIMEOUT,
+        }
+    }
+}
+
 /// Serves `router` until `stop`, then lets open requests finish.
 ///
 /// # Errors
@@ -38,8 +57,24 @@
     router: Router,
     stop: CancellationToken,
 ) -> io::Result<()> {
+    serve_with(listener, router, ServeOptions::default(), stop).await
+}
+
+/// Serves `handler` until `stop`, then lets open requests finish.
+///
+/// # Errors
+/// The listener's address could not be read.
+pub async fn serve_with<H>(
+    listener: TcpListener,
+    handler: H,
+    options: ServeOptions,
+    stop: CancellationToken,
+) -> io::Result<()>
+where
+    H: NewHandler + 'static,
+{
     let address = listener.local_addr()?;
-    let router = Arc::new(router);
+    let handler = Arc::new(handler);
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -57,15 +92,15 @@
         if let Err(e) = stream.set_nodelay(true) {
             debug!("set_nodelay: {e}");
         }
-        let router = Arc::clone(&router);
+        let handler = Arc::clone(&handler);
         let service = service_fn(move |request| {
             let state = State::from_request(request, peer);
-            call_handler(Arc::clone(&router), AssertUnwindSafe(state))
+            call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
+            .header_read_timeout(options.head_timeout)
+            .max_buf_size(options.head_bytes)
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/src/link.rs
+++ b/src/link.rs
@@ -206,6 +206,11 @@
         self.open_stream(path, first, false).await
     }
 
+    /// Gives the connection up, so that the next stream makes a new one.
+    pub async fn reset(&self) {
+        *self.sender.lock().await = None;
+    }
+
     async fn open_stream<T: Serialize>(
         &self,
         path: &str,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -7,7 +7,7 @@
 use serde_json::{Map, json};
 use std::{fmt::Write, io};
 
-use crate::{catalogue::named_set, clock};
+use crate::{catalogue::named_set, clock, configs::log::LogConfig, line_queue::LineQueue};
 use std::{
     fmt::{Display, Formatter},
     str::FromStr,
@@ -25,6 +25,19 @@
 
 named_set!(LogForm, "expected text or json", "text" => LogForm::Text, "json" => LogForm::Json);
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogOutput {
+    /// Standard error, by the thread that logs.
+    #[default]
+    Stderr,
+    /// Standard output, by a thread of its own; lines that it can't keep up with are dropped and counted.
+    Stdout,
+}
+
+named_set!(LogOutput, "expected stderr or stdout",
+    "stderr" => LogOutput::Stderr, "stdout" => LogOutput::Stdout);
+
 /// Collects key-values as text.
 #[derive(Debug, Default)]
 struct TextPairs(String);
@@ -46,24 +59,35 @@
     }
 }
 
-/// Starts logging to standard error; a second call keeps the first's settings.
-pub fn start(level: LevelFilter, form: LogForm, process: &str) {
+/// Starts logging; a second call keeps the first's settings.
+pub fn start(config: LogConfig, process: &str) {
     let process = process.to_owned();
+    let form = config.form;
+    let output: Box<dyn io::Write + Send> = match config.output {
+        LogOutput::Stderr => Box::new(io::stderr()),
+        LogOutput::Stdout => Box::new(LineQueue::start()),
+    };
     let started = fern::Dispatch::new()
         .level(LevelFilter::Warn)
-        .level_for("carobfield", level)
-        .level_for("carobfield_standin", level)
+        .level_for("carobfield", config.level)
+        .level_for("carobfield_platform", config.level)
+        .level_for("carobfield_standin", config.level)
         .format(move |out, message, record| match form {
             LogForm::Text => out.finish(format_args!("{}", text_line(&process, message, record))),
             LogForm::Json => out.finish(format_args!("{}", json_line(&process, message, record))),
         })
-        .chain(io::stderr())
+        .chain(output)
         .apply();
     if let Err(e) = started {
         log::debug!("logging was started before: {e}");
     }
 }
 
+/// Waits a little for lines that are not written yet.
+pub fn finish() {
+    LineQueue::drain();
+}
+
 fn text_line(process: &str, message: &std::fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let mut pairs = TextPairs::default();
     let visited = record.key_values().visit(&mut pairs);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -16,6 +16,10 @@
 struct Instruments {
     registry: Registry,
     calls: Counter<u64>,
+    connections: Counter<u64>,
+    dropped_lines: Counter<u64>,
+    requests: Counter<u64>,
+    first_parts: Histogram<f64>,
     control: Counter<u64>,
     leases: Gauge<u64>,
     orders: Counter<u64>,
@@ -45,6 +49,13 @@
         Self {
             registry,
             calls: meter.u64_counter("carobfield_object_api_calls").build(),
+            dropped_lines: meter.u64_counter("carobfield_dropped_log_lines").build(),
+            connections: meter.u64_counter("carobfield_upstream_connections").build(),
+            requests: meter.u64_counter("carobfield_requests").build(),
+            first_parts: meter
+                .f64_histogram("carobfield_first_part_seconds")
+                .with_boundaries(STALL_BOUNDS.to_vec())
+                .build(),
             control: meter.u64_counter("carobfield_control_bytes").build(),
             leases: meter.u64_gauge("carobfield_upstreams_held").build(),
             orders: meter.u64_counter("carobfield_orders").build(),
@@ -67,6 +78,42 @@
     INSTRUMENTS.calls.add(1, &[KeyValue::new("kind", kind)]);
 }
 
+/// Counts a call of the platform's store.
+pub fn store_call(method: &str, outcome: &'static str) {
+    let labels = [
+        KeyValue::new("kind", method.to_owned()),
+        KeyValue::new("result", outcome),
+    ];
+    INSTRUMENTS.calls.add(1, &labels);
+}
+
+/// Counts a new connection to an upstream of `service`.
+pub fn connection(service: &str) {
+    let labels = [KeyValue::new("service", service.to_owned())];
+    INSTRUMENTS.connections.add(1, &labels);
+}
+
+/// Counts a log line that could not be kept.
+pub fn dropped_line() {
+    INSTRUMENTS.dropped_lines.add(1, &[]);
+}
+
+/// Counts a request by what may be repeated of it and by its outcome.
+pub fn request(kind: &'static str, outcome: &'static str) {
+    let labels = [
+        KeyValue::new("kind", kind),
+        KeyValue::new("outcome", outcome),
+    ];
+    INSTRUMENTS.requests.add(1, &labels);
+}
+
+/// Records the time from a request's arrival to the first part of its answer.
+pub fn first_part(kind: &'static str, seconds: f64) {
+    INSTRUMENTS
+        .first_parts
+        .record(seconds, &[KeyValue::new("kind", kind)]);
+}
+
 /// Counts bytes sent between our own processes for control.
 pub fn control_bytes(kind: &'static str, bytes: usize) {
     INSTRUMENTS
--- /dev/null
+++ b/src/path/attempt.rs
@@ -0,0 +1,205 @@
+//! Sends a request to one upstream and reads the head of its answer.
+
+use crate::{
+    clock::BootInstant,
+    edge::{call::Forwarding, deployment::Route, registration::Registration},
+    entry::{peer_link, usage::UsageGuard},
+    holding::lock,
+    path::{
+        job::{Job, Placed},
+        pool::{self, Connection, SendError},
+    },
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use log::{debug, info};
+use std::{sync::Arc, time::Duration};
+
+/// Urgency at the engine of routes with the highest rank; one step less for each rank below.
+const FIRST_URGENCY: u8 = 3;
+
+/// Least urgent.
+const LAST_URGENCY: u8 = 9;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Further such headers, which the library has no names for.
+const OTHER_HOP_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// How one try ended.
+#[derive(Debug)]
+pub enum Tried {
+    /// An answer began.
+    Answered(Box<Answered>),
+    /// It was not run.
+    NotRun,
+    /// It may have run.
+    Uncertain,
+    /// Time ran out.
+    Timeout,
+}
+
+/// An answer whose body is still to come.
+#[derive(Debug)]
+pub struct Answered {
+    /// Head, and the body unless it was taken; headers of the upstream's connection are removed.
+    pub response: Response<Option<Incoming>>,
+    /// Connection on which the body comes.
+    pub connection: Connection,
+    /// How long the connection may be kept afterwards.
+    pub keep: Option<Duration>,
+    /// Upstream that answers.
+    pub upstream: Arc<Registration>,
+    /// Counts the request while it runs.
+    pub usage: UsageGuard,
+}
+
+impl Job {
+    /// Sends the request to `placed`, after `last_event` where a stream goes on.
+    pub async fn try_at(&self, placed: &Placed, last_event: Option<u64>) -> Tried {
+        let upstream = &placed.upstream;
+        let usage = self.entry.usage.begin(&upstream.id, self.adapter());
+        if let Some(key) = self.adapter() {
+            peer_link::count_asked(&self.entry, &upstream.id, key);
+        }
+        let left = self.left();
+        let Some(request) = self.request(placed, last_event, left) else {
+            return Tried::NotRun;
+        };
+        let sent = self.entry.pool.send(upstream, request);
+        let answer = match tokio::time::timeout(left, sent).await {
+            Ok(answer) => answer,
+            Err(_elapsed) => return Tried::Timeout,
+        };
+        match answer {
+            Ok((response, connection)) => self.judge(placed, response, connection, usage),
+            Err(SendError::NotSent) => {
+                self.failed(upstream, "no connection");
+                Tried::NotRun
+            }
+            Err(SendError::Broken) => {
+                self.failed(upstream, "connection broke");
+                Tried::Uncertain
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        placed: &Placed,
+        last_event: Option<u64>,
+        left: Duration,
+    ) -> Option<Request<Full<Bytes>>> {
+        let mut headers = self.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(header::EXPECT);
+        headers.remove(header::CONTENT_LENGTH);
+        let forwarding = Forwarding {
+            left,
+            process: &placed.upstream.id,
+            version: placed.version,
+            urgency: self.call.work.as_ref().map(|_| urgency(&self.route)),
+            last_event,
+        };
+        self.entry.codec.forward(&mut headers, &forwarding);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.parse().ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// Decides from its head what an answer is worth.
+    fn judge(
+        &self,
+        placed: &Placed,
+        mut response: Response<Incoming>,
+        connection: Connection,
+        usage: UsageGuard,
+    ) -> Tried {
+        let upstream = &placed.upstream;
+        let status = response.status();
+        let codec = &self.entry.codec;
+        let head = codec.reply(&self.call.id, status, response.headers());
+        if head.not_run {
+            info!(
+                request = &*self.call.id, upstream = &*upstream.id, status = status.as_u16(), misdirected = head.misdirected;
+                "routing: not run by the upstream"
+            );
+            if head.misdirected {
+                self.misdirected(upstream);
+            }
+            return Tried::NotRun;
+        }
+        if !head.is_ours {
+            let reused = connection.is_reused();
+            info!(request = &*self.call.id, upstream = &*upstream.id, reused = reused; "routing: an answer to another request");
+            return Tried::Uncertain;
+        }
+        lock(&self.entry.outliers).succeeded(&upstream.id);
+        let keep = pool::keep_time(response.headers());
+        strip_hop_headers(response.headers_mut());
+        Tried::Answered(Box::new(Answered {
+            response: response.map(Some),
+            connection,
+            keep,
+            upstream: Arc::clone(upstream),
+            usage,
+        }))
+    }
+
+    /// The upstream lacks the adapter, or another process has its address.
+    fn misdirected(&self, upstream: &Arc<Registration>) {
+        match self.adapter() {
+            Some(key) => peer_link::tell_missing(&self.entry, &upstream.id, key),
+            None => self.failed(upstream, "another process has the address"),
+        }
+    }
+
+    /// Notes a failure that speaks against the upstream.
+    pub fn failed(&self, upstream: &Registration, problem: &str) {
+        let now = BootInstant::now();
+        let pause = lock(&self.entry.outliers).failed(&upstream.id, now);
+        info!(
+            request = &*self.call.id, upstream = &*upstream.id, problem = problem, pause_ms = pause.as_millis() as u64;
+            "routing: the upstream failed"
+        );
+        debug!("idle connections to {} are closed", upstream.id);
+        self.entry.pool.forget(&upstream.id);
+    }
+}
+
+/// Urgency of a route's requests at the engine.
+fn urgency(route: &Route) -> u8 {
+    FIRST_URGENCY
+        .saturating_add(route.priority)
+        .min(LAST_URGENCY)
+}
+
+/// Removes headers that concern one connection, those that `Connection` names included.
+fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+    for name in OTHER_HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/src/path/job.rs
@@ -0,0 +1,183 @@
+//! A request that is to be served, and the choice of its upstream.
+
+use crate::{
+    clock::BootInstant,
+    decide::choice::{self, Candidate, Choice},
+    edge::{
+        call::CallHead,
+        deployment::Route,
+        registration::{AdapterKey, Registration},
+    },
+    entry::{context::Entry, desk, messages::Ensured},
+    ident::UpstreamId,
+    path::refusal::Reason,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use log::info;
+use std::{sync::Arc, time::Duration};
+
+/// Engines at which an adapter is asked for before a request is given up.
+const MAX_LOADS: usize = 3;
+
+/// Candidates shown in a decision's log line.
+const LOGGED_CANDIDATES: usize = 4;
+
+/// A request as it came, with its route.
+#[derive(Debug)]
+pub struct Job {
+    /// What the parts of the entry share.
+    pub entry: Arc<Entry>,
+    /// Decoded head.
+    pub call: CallHead,
+    /// Its route.
+    pub route: Route,
+    /// Service that takes it.
+    pub service: Arc<str>,
+    /// Method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub target: String,
+    /// Headers, as the caller sent them.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// When its head had come.
+    pub arrived: BootInstant,
+    /// When the caller must have its answer.
+    pub deadline: BootInstant,
+}
+
+/// An upstream that a request is sent to next.
+#[derive(Debug)]
+pub struct Placed {
+    /// The upstream.
+    pub upstream: Arc<Registration>,
+    /// Version of the adapter that must be there.
+    pub version: Option<u32>,
+}
+
+impl Job {
+    /// Adapter that the request needs.
+    pub fn adapter(&self) -> Option<&AdapterKey> {
+        self.call.work.as_ref()?.adapter.as_ref()
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.since(BootInstant::now())
+    }
+
+    /// Chooses an upstream that is not in `excluded`, and has its adapter brought where that is needed.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub async fn place(&self, excluded: &[UpstreamId]) -> Result<Placed, Reason> {
+        let mut excluded = excluded.to_vec();
+        let mut loads = 0;
+        loop {
+            if self.left().is_zero() {
+                return Err(Reason::Late);
+            }
+            let upstreams = self.entry.serving(&self.service, &excluded);
+            let chosen = self.choose(&upstreams);
+            match chosen {
+                Choice::Send(i) => return self.placed(&upstreams, i),
+                Choice::SendAndCopy(i, copy) => {
+                    if let Some(target) = upstreams.get(copy) {
+                        self.copy_to(target);
+                    }
+                    return self.placed(&upstreams, i);
+                }
+                Choice::Load(i) => {
+                    let upstream = upstreams.get(i).ok_or(Reason::NoUpstream)?;
+                    loads += 1;
+                    if self.bring(upstream).await == Ensured::Ready {
+                        return self.placed(&upstreams, i);
+                    }
+                    if loads >= MAX_LOADS {
+                        return Err(Reason::NoAdapter);
+                    }
+                    excluded.push(Arc::clone(&upstream.id));
+                }
+                Choice::Full => return Err(Reason::Full),
+                Choice::Nowhere => return Err(Reason::NoUpstream),
+            }
+        }
+    }
+
+    fn choose(&self, upstreams: &[Arc<Registration>]) -> Choice {
+        let model = self.call.work.as_ref().map(|w| &*w.model);
+        let key = self.adapter();
+        let describe = |u| self.entry.candidate(u, model, key);
+        let candidates: Vec<Candidate<'_>> = upstreams.iter().map(|u| describe(u)).collect();
+        let choice = match key {
+            Some(key) => choice::for_adapter(&key.to_string(), &candidates),
+            None => choice::least_filled(&self.call.id, &candidates),
+        };
+        self.log_choice(choice, &candidates);
+        choice
+    }
+
+    fn placed(&self, upstreams: &[Arc<Registration>], i: usize) -> Result<Placed, Reason> {
+        let upstream = upstreams.get(i).ok_or(Reason::NoUpstream)?;
+        let version = self.adapter().map(|key| self.entry.version(key));
+        Ok(Placed {
+            upstream: Arc::clone(upstream),
+            version,
+        })
+    }
+
+    /// Waits until the adapter is at `upstream`.
+    async fn bring(&self, upstream: &Registration) -> Ensured {
+        let Some(key) = self.adapter() else {
+            return Ensured::Ready;
+        };
+        let begun = BootInstant::now();
+        let version = self.entry.version(key);
+        let brought = desk::ensure(&self.entry, &upstream.id, key, version);
+        let brought = tokio::time::timeout(self.left(), brought).await;
+        let ensured = brought.unwrap_or(Ensured::Failed);
+        let stall = BootInstant::now().since(begun);
+        crate::metrics::load_stall(self.route.kind.as_str(), stall.as_secs_f64());
+        info!(
+            request = &*self.call.id, upstream = &*upstream.id, adapter:% = key, version = version,
+            outcome = ensured.as_str(), stall_ms = stall.as_millis() as u64;
+            "placement: adapter asked for"
+        );
+        ensured
+    }
+
+    /// Has the adapter brought to `upstream` for later requests.
+    fn copy_to(&self, upstream: &Registration) {
+        let Some(key) = self.adapter().cloned() else {
+            return;
+        };
+        let (entry, id) = (Arc::clone(&self.entry), Arc::clone(&upstream.id));
+        tokio::spawn(async move {
+            let version = entry.version(&key);
+            let ensured = desk::ensure(&entry, &id, &key, version).await;
+            info!(upstream = &*id, adapter:% = key, outcome = ensured.as_str(); "placement: copy of a busy adapter");
+        });
+    }
+
+    fn log_choice(&self, choice: Choice, candidates: &[Candidate<'_>]) {
+        let (verb, position) = match choice {
+            Choice::Send(i) | Choice::SendAndCopy(i, _) => ("send", Some(i)),
+            Choice::Load(i) => ("load", Some(i)),
+            Choice::Full => ("full", None),
+            Choice::Nowhere => ("nowhere", None),
+        };
+        let upstream = position.and_then(|i| candidates.get(i));
+        let resident = candidates.iter().filter(|c| c.resident);
+        let shown: Vec<String> = resident
+            .take(LOGGED_CANDIDATES)
+            .map(|c| format!("{}:{}", c.id, c.load))
+            .collect();
+        info!(
+            request = &*self.call.id, choice = verb, upstream = upstream.map_or("", |c| &**c.id),
+            load = upstream.map_or(0, |c| c.load), candidates = candidates.len(), resident = shown.join(" ");
+            "routing: chosen"
+        );
+    }
+}
--- /dev/null
+++ b/src/path/relay.rs
@@ -0,0 +1,232 @@
+//! Passes an answer's body on to the caller, and takes resumable streams up elsewhere when they break.
+
+use crate::{
+    clock::BootInstant,
+    edge::registration::Registration,
+    entry::usage::UsageGuard,
+    holding::lock,
+    metrics,
+    path::{
+        attempt::{Answered, Tried},
+        job::Job,
+        pool::Connection,
+    },
+    sse::{EventCutter, EventTooLarge},
+};
+use bytes::Bytes;
+use futures_util::stream;
+use gotham::helpers::http::Body;
+use http::{Response, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use log::{info, warn};
+use std::{io, sync::Arc, time::Duration};
+
+/// Upstreams at which one stream is taken up, beside the route's own bound.
+const MAX_RESUMES: u32 = 4;
+
+/// An answer on its way to the caller.
+struct Relay {
+    job: Job,
+    body: Option<Incoming>,
+    /// The present upstream; `None` once its part ended.
+    part: Option<Part>,
+    cutter: EventCutter,
+    resumable: bool,
+    resumes: u32,
+    /// Whether some part of the body was passed on.
+    begun: bool,
+    tries: u32,
+}
+
+/// The upstream whose answer is passed on.
+struct Part {
+    connection: Connection,
+    keep: Option<Duration>,
+    upstream: Arc<Registration>,
+    _usage: UsageGuard,
+}
+
+/// What comes next.
+enum Next {
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+/// Turns an upstream's answer into the caller's; `tries` upstreams were sent the request so far.
+pub fn relay(job: Job, answered: Answered, tries: u32) -> Response<Body> {
+    let (head, body) = answered.response.into_parts();
+    let is_stream = job.route.kind.is_stream() && head.status.is_success();
+    let resumable = is_stream && job.route.kind.is_repeatable();
+    let mut response = Response::new(());
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    if resumable {
+        // The whole may come from several upstreams.
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+    }
+    let part = Part {
+        connection: answered.connection,
+        keep: answered.keep,
+        upstream: answered.upstream,
+        _usage: answered.usage,
+    };
+    let relay = Relay {
+        cutter: EventCutter::new(job.call.last_event),
+        job,
+        body,
+        part: Some(part),
+        resumable,
+        resumes: 0,
+        begun: false,
+        tries,
+    };
+    let frames = stream::unfold(Some(relay), async |state| {
+        let mut relay = state?;
+        match relay.next().await {
+            Next::Data(data) => Some((Ok(Frame::data(data)), Some(relay))),
+            Next::End => None,
+            Next::Broken(problem) => Some((Err(io::Error::other(problem)), None)),
+        }
+    });
+    response.map(|()| StreamBody::new(frames).boxed_unsync())
+}
+
+impl Relay {
+    async fn next(&mut self) -> Next {
+        loop {
+            let Some(body) = self.body.as_mut() else {
+                return self.ended();
+            };
+            let left = self.job.deadline.since(BootInstant::now());
+            let frame = match tokio::time::timeout(left, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_elapsed) => return self.broken("timeout"),
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    match self.cut(data) {
+                        Ok(Some(data)) => return self.pass(data),
+                        Ok(None) => {}
+                        Err(EventTooLarge) => return self.broken("event too large"),
+                    }
+                }
+                None => {
+                    self.finish_part();
+                    return match self.cutter.rest() {
+                        Some(rest) => self.pass(rest),
+                        None => self.ended(),
+                    };
+                }
+                Some(Err(_broken)) => {
+                    self.body = None;
+                    if let Some(part) = self.part.take() {
+                        self.job.failed(&part.upstream, "answer broke off");
+                    }
+                    if !self.resume().await {
+                        return self.broken("answer broke off");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Holds back a part of an event of a resumable stream; other bodies pass as they come.
+    fn cut(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
+        if self.resumable {
+            self.cutter.push(&data)
+        } else {
+            Ok(Some(data))
+        }
+    }
+
+    fn pass(&mut self, data: Bytes) -> Next {
+        if !std::mem::replace(&mut self.begun, true) {
+            let taken = BootInstant::now().since(self.job.arrived);
+            metrics::first_part(self.job.route.kind.as_str(), taken.as_secs_f64());
+        }
+        Next::Data(data)
+    }
+
+    /// The present upstream's answer ended whole: its connection may serve the next request.
+    fn finish_part(&mut self) {
+        self.body = None;
+        if let Some(part) = self.part.take() {
+            self.job.entry.pool.give_back(part.connection, part.keep);
+        }
+    }
+
+    fn ended(&self) -> Next {
+        self.log("complete");
+        Next::End
+    }
+
+    fn broken(&self, problem: &'static str) -> Next {
+        self.log(problem);
+        Next::Broken(problem)
+    }
+
+    fn log(&self, outcome: &'static str) {
+        let took = BootInstant::now().since(self.job.arrived);
+        metrics::request(self.job.route.kind.as_str(), outcome);
+        info!(
+            request = &*self.job.call.id, outcome = outcome, took_ms = took.as_millis() as u64,
+            tries = self.tries, resumes = self.resumes;
+            "routing: answer ended"
+        );
+    }
+
+    /// Takes the stream up at another upstream after its last whole event.
+    async fn resume(&mut self) -> bool {
+        let bound = self.job.route.attempts.min(MAX_RESUMES);
+        while self.resumable && self.tries < bound && !self.job.left().is_zero() {
+            let service = &self.job.service;
+            let entries = self.job.entry.entries();
+            let now = BootInstant::now();
+            if !lock(&self.job.entry.budget).take(service, entries, now) {
+                warn!(request = &*self.job.call.id; "routing: no repeat left to take a stream up");
+                return false;
+            }
+            let Ok(placed) = self.job.place(&[]).await else {
+                return false;
+            };
+            self.tries += 1;
+            self.resumes += 1;
+            let last = self.cutter.last_event();
+            info!(request = &*self.job.call.id, upstream = &*placed.upstream.id, last_event = last.unwrap_or(0); "routing: stream taken up");
+            if let Tried::Answered(answered) = self.job.try_at(&placed, last).await
+                && answered.response.status().is_success()
+            {
+                self.cutter.forget_partial();
+                self.take_up(*answered);
+                return true;
+            }
+        }
+        false
+    }
+}
+
+impl Relay {
+    fn take_up(&mut self, answered: Answered) {
+        self.body = answered.response.into_body();
+        self.part = Some(Part {
+            connection: answered.connection,
+            keep: answered.keep,
+            upstream: answered.upstream,
+            _usage: answered.usage,
+        });
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.part.is_some() {
+            self.log("left");
+        }
+    }
+}
--- a/src/process.rs
+++ b/src/process.rs
@@ -32,8 +32,27 @@
     pub check: bool,
 }
 
-/// Reads the command line and settings, and runs until a stop signal.
+/// Threads that a process runs its tasks on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Threads {
+    /// One, for a VM with a part of a core.
+    One,
+    /// One for each core.
+    PerCore,
+}
+
+/// Reads the command line and settings, and runs on threads for each core until a stop signal.
 pub fn main<C, R, L>(name: &str, read: R, log: L, run: RunFn<C>) -> ExitCode
+where
+    C: Send + 'static,
+    R: FnOnce(&Path) -> Result<C, Findings>,
+    L: FnOnce(&C) -> LogConfig,
+{
+    main_on(Threads::PerCore, name, read, log, run)
+}
+
+/// Reads the command line and settings, and runs until a stop signal.
+pub fn main_on<C, R, L>(threads: Threads, name: &str, read: R, log: L, run: RunFn<C>) -> ExitCode
 where
     C: Send + 'static,
     R: FnOnce(&Path) -> Result<C, Findings>,
@@ -60,8 +79,10 @@
         return ExitCode::SUCCESS;
     }
     let log = log(&config);
-    logging::start(log.level, log.form, name);
-    run_until_signal(name, config, run)
+    logging::start(log, name);
+    let code = run_until_signal(threads, name, config, run);
+    logging::finish();
+    code
 }
 
 /// A process's `run`.
@@ -70,11 +91,17 @@
     &'a mut SubsystemHandle,
 ) -> futures_util::future::BoxFuture<'a, Result<(), ChildError>>;
 
-fn run_until_signal<C: Send + 'static>(name: &str, config: C, run: RunFn<C>) -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+fn run_until_signal<C: Send + 'static>(
+    threads: Threads,
+    name: &str,
+    config: C,
+    run: RunFn<C>,
+) -> ExitCode {
+    let mut builder = match threads {
+        Threads::One => tokio::runtime::Builder::new_current_thread(),
+        Threads::PerCore => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("{name}: {e}");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     catalogue::named_set,
-    configs::{dispatcher::DispatcherConfig, gateway::GatewayConfig, log::LogConfig},
+    configs::{
+        dispatcher::DispatcherConfig, entry::EntryConfig, gateway::GatewayConfig, log::LogConfig,
+    },
     findings::Findings,
     ini_doc::{self, Section},
 };
@@ -116,6 +118,33 @@
     findings.or_ok(out)
 }
 
+/// Reads an entry's settings.
+///
+/// # Errors
+/// All findings, sorted by place.
+pub fn read_entry(path: &Path) -> Result<EntryConfig, Findings> {
+    let mut findings = Findings::default();
+    let mut out = EntryConfig {
+        source: path.to_owned(),
+        ..EntryConfig::default()
+    };
+    let mut seen = false;
+    for mut section in read_file(path, &mut findings) {
+        match section.name.as_str() {
+            "entry" => {
+                seen = true;
+                out.read_process(&mut section, &mut findings);
+            }
+            "limits" => out.read_limits(&mut section, &mut findings),
+            "log" => read_log(&mut out.log, &mut section, &mut findings),
+            _ => findings.push(section.finding("", "expected entry, limits or log")),
+        }
+        section.finish(&mut findings);
+    }
+    require_section(path, "entry", seen, &mut findings);
+    findings.or_ok(out)
+}
+
 fn require_section(path: &Path, name: &str, seen: bool, findings: &mut Findings) {
     if !seen {
         let file = path.display().to_string();
@@ -126,4 +155,5 @@
 fn read_log(log: &mut LogConfig, section: &mut Section, findings: &mut Findings) {
     section.read("level", &mut log.level, findings);
     section.read("form", &mut log.form, findings);
+    section.read("output", &mut log.output, findings);
 }
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events: splits a byte stream into the data of its events.
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Largest event kept, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -51,3 +51,65 @@
 pub fn event(data: &str) -> String {
     format!("data: {data}\n\n")
 }
+
+/// Cuts a byte stream after whole events and remembers the last one's number.
+#[derive(Debug, Default)]
+pub struct EventCutter {
+    buffer: BytesMut,
+    last: Option<u64>,
+}
+
+impl EventCutter {
+    /// A cutter of a stream that goes on after event `last`.
+    pub fn new(last: Option<u64>) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            last,
+        }
+    }
+
+    /// Adds received bytes; the whole events that are there now.
+    ///
+    /// # Errors
+    /// An event that is not ended yet is larger than allowed.
+    pub fn push(&mut self, data: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        self.buffer.extend_from_slice(data);
+        let Some(end) = self.buffer.windows(2).rposition(|w| w == b"\n\n") else {
+            return if self.buffer.len() > MAX_EVENT_BYTES {
+                Err(EventTooLarge)
+            } else {
+                Ok(None)
+            };
+        };
+        let whole = self.buffer.split_to(end + 2).freeze();
+        if let Some(id) = last_id(&whole) {
+            self.last = Some(id);
+        }
+        Ok(Some(whole))
+    }
+
+    /// What came after the last whole event of a stream that ended whole.
+    pub fn rest(&mut self) -> Option<Bytes> {
+        let rest = self.buffer.split().freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// Drops a part of an event that another upstream will send again.
+    pub fn forget_partial(&mut self) {
+        self.buffer.clear();
+    }
+
+    /// Number of the last whole event.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last
+    }
+}
+
+/// Number of the last event in `events` that bears one.
+fn last_id(events: &[u8]) -> Option<u64> {
+    let mut lines = events.split(|b| *b == b'\n').rev();
+    lines.find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- a/standin/src/bin/carobfield-local.rs
+++ b/standin/src/bin/carobfield-local.rs
@@ -33,7 +33,13 @@
         return ExitCode::SUCCESS;
     }
     let level = options.log.unwrap_or(LevelFilter::Error);
-    logging::start(level, LogConfig::default().form, "carobfield-local");
+    logging::start(
+        LogConfig {
+            level,
+            ..LogConfig::default()
+        },
+        "carobfield-local",
+    );
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
