fix: clean up after late orders; pace prompts; keep connections whose answer had a length

Evicting such adapters freed no place, so desks emptied engines. Change: after the time the adapter is evicted once more, late adapters make no room, and the engine's own list is taken in. Tests: tests/residency.rs (the property test, and a_late_load_keeps_its_place...). Cause 2 (streams late by pauses of 300 to 500 ms): prompts of over 10,000 tokens start at one engine within 300 ms. Change: a schedule of each engine's reading that all entries share; prompts wait for it. Cause 3 (2,011 connections): an answer with a length is not polled to its end, so its connection was closed.

--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -4,9 +4,11 @@
 //! |---|---|
 //! | popularity is skewed and an engine holds few adapters | each adapter has its own order of engines by rendezvous hashing, so that it stays where it is held or was held |
 //! | a hot adapter needs more than one engine | its engines are filled up to a bound over the mean load; past it, the next engine in its order gets a copy while the present ones go on serving |
+//! | prompts arrive at one engine in a clump | they are held back for a moment, or go to another engine of their adapter's order |
 //! | all engines are busy | the request goes to the least busy one that holds its adapter while it has room, else it is refused |
 
 use crate::ident::{UpstreamId, pair_hash};
+use std::time::Duration;
 
 /// Load over the mean, as a factor, up to which an engine is filled before the next one is used; bounded-load
 /// hashing holds its balance at factors from 1.25 on.
@@ -15,6 +17,12 @@
 /// Requests beside that factor, so that a quiet fleet does not copy adapters for single requests.
 const LOAD_SLACK: f64 = 4.0;
 
+/// Wait up to which a request is held back rather than served elsewhere; a load from the store takes as long.
+const MAX_WAIT: Duration = Duration::from_millis(200);
+
+/// Wait that weighs as much as having every place taken.
+const WAIT_AS_FULL: Duration = Duration::from_millis(400);
+
 /// An upstream that may take the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -24,6 +32,8 @@
     pub slots: u32,
     /// Requests that all entries have there.
     pub load: u32,
+    /// Time for which the request would be held back, so that running streams do not pause.
+    pub wait: Duration,
     /// Whether it holds what the request needs.
     pub resident: bool,
     /// Whether an adapter can be brought to it now.
@@ -35,8 +45,10 @@
         self.load < self.slots
     }
 
-    fn fill(&self) -> f64 {
-        f64::from(self.load) / f64::from(self.slots.max(1))
+    /// How little it is to be preferred: its share of places taken, and the time that a request is held back.
+    fn cost(&self) -> f64 {
+        let fill = f64::from(self.load) / f64::from(self.slots.max(1));
+        fill + self.wait.as_secs_f64() / WAIT_AS_FULL.as_secs_f64()
     }
 }
 
@@ -67,8 +79,8 @@
         .enumerate()
         .filter(|(_, c)| c.resident && c.has_room());
     let best = with_room.min_by(|a, b| {
-        let by_fill = a.1.fill().total_cmp(&b.1.fill());
-        by_fill.then_with(|| pair_hash(key, a.1.id).cmp(&pair_hash(key, b.1.id)))
+        let by_cost = a.1.cost().total_cmp(&b.1.cost());
+        by_cost.then_with(|| pair_hash(key, a.1.id).cmp(&pair_hash(key, b.1.id)))
     });
     best.map_or(Choice::Full, |(i, _)| Choice::Send(i))
 }
@@ -78,7 +90,8 @@
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_cached_key(|i| std::cmp::Reverse(pair_hash(adapter, candidates[*i].id)));
     let bound = load_bound(candidates);
-    let is_below = |c: &Candidate<'_>| f64::from(c.load) < bound && c.has_room();
+    let is_below =
+        |c: &Candidate<'_>| f64::from(c.load) < bound && c.has_room() && c.wait <= MAX_WAIT;
     let within = |i: &usize| is_below(&candidates[*i]);
     let resident = |i: &usize| candidates[*i].resident;
     let loadable = |i: &usize| candidates[*i].loadable && !candidates[*i].resident;
@@ -90,7 +103,7 @@
     let residents = order.iter().copied();
     let fallback = residents
         .filter(|i| resident(i) && candidates[*i].has_room())
-        .min_by(|a, b| candidates[*a].fill().total_cmp(&candidates[*b].fill()));
+        .min_by(|a, b| candidates[*a].cost().total_cmp(&candidates[*b].cost()));
     match (fallback, next) {
         (Some(i), Some(copy)) => Choice::SendAndCopy(i, copy),
         (Some(i), None) => Choice::Send(i),
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod choice;
 pub mod outliers;
+pub mod prefill;
 pub mod residency;
 pub mod roster;
 pub mod routes;
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -5,7 +5,8 @@
 //! | a cold adapter is asked for by many at once | one load, which all of them join |
 //! | a few adapters are hot and the rest come and go | the adapter with the lowest request rate makes room, never one in use |
 //! | a miss must not wait for an eviction first | some places are kept free ahead of need |
-//! | an order without an answer may be carried out later | its place stays reserved for as long as that may happen |
+//! | an order without an answer may be carried out later | its place stays reserved for as long as that may happen; then it is evicted once more, because nothing says whether it came |
+//! | an engine holds what nobody here ordered, from an earlier holder's late order | its own list shows it, and it takes a place like any other |
 
 use crate::{clock::BootInstant, edge::registration::AdapterKey};
 use std::{collections::HashMap, time::Duration};
@@ -22,6 +23,9 @@
 /// Time that an adapter is kept after its load, so that those who waited for it find it.
 const MIN_STAY: Duration = Duration::from_millis(500);
 
+/// Time after an eviction for which the engine's own list, which is older, may still name the adapter.
+const LIST_AGE: Duration = Duration::from_secs(4);
+
 /// Half-life of an adapter's request rate.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
@@ -81,8 +85,10 @@
     slots: usize,
     places: HashMap<AdapterKey, Place>,
     demand: HashMap<AdapterKey, Demand>,
-    /// Ends of the times in which an unanswered load may still take a place.
-    late: Vec<(AdapterKey, BootInstant)>,
+    /// Ends of the times in which an unanswered order for an adapter may still be carried out.
+    late: HashMap<AdapterKey, BootInstant>,
+    /// When adapters were evicted.
+    evicted: HashMap<AdapterKey, BootInstant>,
 }
 
 impl Residency {
@@ -92,7 +98,8 @@
             slots,
             places: HashMap::new(),
             demand: HashMap::new(),
-            late: Vec::new(),
+            late: HashMap::new(),
+            evicted: HashMap::new(),
         }
     }
 
@@ -106,6 +113,27 @@
         self.places.entry(key).or_insert(place);
     }
 
+    /// Takes in the engine's own list, which may be seconds old: what it names and is not known here takes a
+    /// place; the adapters that were not known.
+    pub fn listed<'a>(
+        &mut self,
+        adapters: impl Iterator<Item = (&'a AdapterKey, u32)>,
+        now: BootInstant,
+    ) -> Vec<AdapterKey> {
+        self.evicted.retain(|_, at| now.since(*at) < LIST_AGE);
+        let mut unknown = Vec::new();
+        for (key, version) in adapters {
+            let is_known = self.places.contains_key(key)
+                || self.late.contains_key(key)
+                || self.evicted.contains_key(key);
+            if !is_known {
+                self.found(key.clone(), version, PlaceState::Resident, now);
+                unknown.push(key.clone());
+            }
+        }
+        unknown
+    }
+
     /// Counts a request for an adapter.
     pub fn asked(&mut self, key: &AdapterKey, times: u32, now: BootInstant) {
         let demand = self.demand.entry(key.clone()).or_default();
@@ -121,17 +149,18 @@
         now: BootInstant,
         in_use: impl Fn(&AdapterKey) -> bool,
     ) -> Plan {
-        let taken = self.taken(now);
+        let taken = self.taken();
+        let reserved = self.late.contains_key(key);
         match self.places.get(key) {
             Some(p) if p.state == PlaceState::Resident && p.version >= version => Plan::Ready,
             Some(p) if p.state != PlaceState::Resident => Plan::Wait,
             // An engine replaces a version only once its runs have ended.
             Some(_) if in_use(key) => Plan::Full,
-            Some(_) if self.in_transit() >= MAX_TRANSIT => Plan::Wait,
-            Some(_) => self.begin_load(key, version, now),
-            None if self.in_transit() >= MAX_TRANSIT => Plan::Wait,
-            None if taken < self.slots => self.begin_load(key, version, now),
-            None => self.make_room(now, in_use),
+            _ if self.in_transit() >= MAX_TRANSIT => Plan::Wait,
+            known if known.is_some() || reserved || taken < self.slots => {
+                self.begin_load(key, version, now)
+            }
+            _ => self.make_room(now, in_use),
         }
     }
 
@@ -142,12 +171,33 @@
         in_use: impl Fn(&AdapterKey) -> bool,
     ) -> Option<AdapterKey> {
         let evicting = self.count(PlaceState::Evicting);
-        if self.taken(now) + SPARE_PLACES <= self.slots + evicting {
+        if self.taken() + SPARE_PLACES <= self.slots + evicting {
             return None;
         }
         self.begin_evict(now, in_use)
     }
 
+    /// Adapters whose unanswered orders can't come any more, to be evicted once more; marked as begun.
+    pub fn plan_cleanup(&mut self, now: BootInstant) -> Vec<AdapterKey> {
+        let due = self.late.iter().filter(|(_, until)| now >= **until);
+        let due: Vec<AdapterKey> = due.map(|(key, _)| key.clone()).collect();
+        let mut absent = Vec::new();
+        for key in due {
+            self.late.remove(&key);
+            if self.places.contains_key(&key) {
+                continue;
+            }
+            let place = Place {
+                version: 0,
+                state: PlaceState::Evicting,
+                since: now,
+            };
+            self.places.insert(key.clone(), place);
+            absent.push(key);
+        }
+        absent
+    }
+
     fn begin_load(&mut self, key: &AdapterKey, version: u32, now: BootInstant) -> Plan {
         let place = Place {
             version,
@@ -177,7 +227,11 @@
     ) -> Option<AdapterKey> {
         let rate = |key: &AdapterKey| self.demand.get(key).map_or(0.0, |d| d.at(now));
         let idle = self.places.iter().filter(|(key, p)| {
-            p.state == PlaceState::Resident && now.since(p.since) >= MIN_STAY && !in_use(key)
+            // Evicting what a late order may bring back would free no place.
+            p.state == PlaceState::Resident
+                && now.since(p.since) >= MIN_STAY
+                && !self.late.contains_key(*key)
+                && !in_use(key)
         });
         let victim = idle.min_by(|a, b| {
             let by_rate = rate(a.0).total_cmp(&rate(b.0));
@@ -204,20 +258,21 @@
     pub fn load_failed(&mut self, key: &AdapterKey, uncertain: bool, now: BootInstant) {
         self.places.remove(key);
         if uncertain {
-            self.late.push((key.clone(), now + LATE_ORDER));
+            self.order_uncertain(key, now);
         }
     }
 
     /// An order for `key` got no answer, and a later one did; the first may still be carried out.
     pub fn order_uncertain(&mut self, key: &AdapterKey, now: BootInstant) {
-        self.late.push((key.clone(), now + LATE_ORDER));
+        self.late.insert(key.clone(), now + LATE_ORDER);
     }
 
     /// The eviction of `key` ended; `uncertain` if it may be carried out only later.
     pub fn evicted(&mut self, key: &AdapterKey, uncertain: bool, now: BootInstant) {
         self.places.remove(key);
+        self.evicted.insert(key.clone(), now);
         if uncertain {
-            self.late.push((key.clone(), now + LATE_ORDER));
+            self.order_uncertain(key, now);
         }
     }
 
@@ -245,12 +300,8 @@
     }
 
     /// Adapters held or on their way, and places that unanswered loads may still take.
-    pub fn taken(&mut self, now: BootInstant) -> usize {
-        self.late.retain(|(_, until)| now < *until);
-        let late = self
-            .late
-            .iter()
-            .filter(|(k, _)| !self.places.contains_key(k));
+    pub fn taken(&self) -> usize {
+        let late = self.late.keys().filter(|k| !self.places.contains_key(*k));
         self.places.len() + late.count()
     }
 
--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -82,16 +82,12 @@
             return RosterChange::Same;
         };
         let until = self.returned.map(|t| t + RETURN_GRACE);
-        match until.filter(|t| now < *t) {
-            Some(until) => {
-                member.lapses = Some(until);
-                RosterChange::Lapsed
-            }
-            None => {
-                self.members.remove(id);
-                RosterChange::Gone
-            }
+        if let Some(until) = until.filter(|t| now < *t) {
+            member.lapses = Some(until);
+            return RosterChange::Lapsed;
         }
+        self.members.remove(id);
+        RosterChange::Gone
     }
 
     /// Drops an upstream whose entry can't be read; whether there was one.
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -60,12 +60,19 @@
 pub struct ReplyHead {
     /// Whether it answers the request that was sent.
     pub is_ours: bool,
-    /// Whether the upstream says that it did not run the request.
-    pub not_run: bool,
-    /// Whether another process or another version of the weights answered.
-    pub misdirected: bool,
-    /// Whether it bears the upstream's signature.
-    pub signed: bool,
+    /// Whether the upstream ran the request.
+    pub run: RunState,
+}
+
+/// What an answer says of the run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunState {
+    /// The request ran, or may have.
+    Run,
+    /// The upstream says that it did not run it.
+    NotRun,
+    /// Not run: another process has the address, or the weights are not there.
+    Misdirected,
 }
 
 /// All that is wrong with an object, each finding with the field it concerns.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -4,8 +4,8 @@
     clock::{self, BootInstant},
     configs::entry::EntryConfig,
     decide::{
-        budget::RepeatBudget, choice::Candidate, outliers::Outliers, roster::Roster,
-        routes::RouteTable,
+        budget::RepeatBudget, choice::Candidate, outliers::Outliers, prefill::PrefillSchedule,
+        roster::Roster, routes::RouteTable,
     },
     edge::{
         call::Codec,
@@ -58,6 +58,8 @@
     pub budget: Mutex<RepeatBudget>,
     /// Newest versions of adapters, where announced.
     pub versions: Mutex<HashMap<AdapterKey, u32>>,
+    /// Reading of prompts at the engines, of all entries.
+    pub prefill: Mutex<PrefillSchedule>,
     /// Own requests.
     pub usage: Usage,
     /// Other entries.
@@ -92,6 +94,7 @@
             outliers: Mutex::default(),
             budget: Mutex::new(budget),
             versions: Mutex::default(),
+            prefill: Mutex::default(),
             usage: Usage::default(),
             peers: Mutex::default(),
             pool: Arc::new(Pool::new(config.callers.ip())),
@@ -249,6 +252,7 @@
             id: &upstream.id,
             slots: upstream.slots,
             load,
+            wait: lock(&self.prefill).wait(&upstream.id, now),
             resident,
             loadable,
         }
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -62,6 +62,8 @@
     Want(AdapterKey, u32, oneshot::Sender<Ensured>),
     /// Requests for an adapter were sent.
     Asked(AdapterKey, u32),
+    /// The engine's entry lists these adapters, with their versions.
+    Listed(Vec<(AdapterKey, u32)>),
     /// The engine said that it lacks an adapter.
     Missing(AdapterKey),
 }
@@ -195,7 +197,7 @@
                     Some(ask) => self.take(ask),
                     None => return,
                 },
-                Some(ended) = running.next() => self.ended(ended),
+                Some(ended) = running.next() => self.ended(&ended),
                 _ = tick.tick() => self.expire(),
             }
             for order in self.plan() {
@@ -248,6 +250,12 @@
                 self.waiting.entry(key).or_default().push(waiter);
             }
             DeskAsk::Asked(key, times) => self.residency.asked(&key, times, now),
+            DeskAsk::Listed(adapters) => {
+                let listed = adapters.iter().map(|(key, version)| (key, *version));
+                for key in self.residency.listed(listed, now) {
+                    warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine holds an adapter that nobody here ordered");
+                }
+            }
             DeskAsk::Missing(key) => {
                 warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine lacks an adapter that was noted as loaded");
                 self.residency.missing(&key);
@@ -280,6 +288,8 @@
             }
         }
         let (entry, upstream) = (Arc::clone(&self.entry), Arc::clone(&self.upstream.id));
+        let cleanup = self.residency.plan_cleanup(now);
+        orders.extend(cleanup.into_iter().map(Order::EvictAdapter));
         let spare = self
             .residency
             .plan_spare(now, |k| entry.in_use(&upstream, k));
@@ -313,7 +323,7 @@
         self.publish();
     }
 
-    fn ended(&mut self, ended: Ended) {
+    fn ended(&mut self, ended: &Ended) {
         let now = BootInstant::now();
         match &ended.order {
             Order::LoadAdapter(key, version) if ended.done => {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -3,8 +3,11 @@
 use crate::{
     clock::BootInstant,
     decide::roster::RosterChange,
-    edge::store::{Change, Kind, Listing, Object, Store, StoreError},
-    entry::context::Entry,
+    edge::{
+        registration::Registration,
+        store::{Change, Kind, Listing, Object, Store, StoreError},
+    },
+    entry::{context::Entry, desk::DeskAsk},
     holding::lock,
     supervisor::ChildError,
 };
@@ -64,7 +67,7 @@
                 Ok(listing) => {
                     self.answered();
                     let revision = listing.revision;
-                    self.listed(listing);
+                    self.listed(&listing);
                     self.watch(revision).await;
                 }
                 Err(e) => self.failed(&e).await,
@@ -119,7 +122,7 @@
         }
     }
 
-    fn listed(&self, listing: Listing) {
+    fn listed(&self, listing: &Listing) {
         if self.kind == Kind::Upstreams {
             let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
             let gone = lock(&self.entry.roster).listed(&present, BootInstant::now());
@@ -153,6 +156,7 @@
         let read = match self.kind {
             Kind::Upstreams => codec.registration(object).map(|r| {
                 let (id, service) = (Arc::clone(&r.id), Arc::clone(&r.service));
+                self.tell_desk(&r);
                 let change = lock(&self.entry.roster).registered(r);
                 if change != RosterChange::Same {
                     info!(upstream = &*id, service = &*service, change:? = change; "upstream changed");
@@ -175,6 +179,19 @@
         }
     }
 
+    /// Passes on what an engine says that it holds, if this entry gives it orders.
+    fn tell_desk(&self, registration: &Registration) {
+        let desks = lock(&self.entry.desks);
+        let Some(desk) = desks.get(&registration.id) else {
+            return;
+        };
+        if desk.upstream.is_same_process(registration) {
+            let adapters = registration.models.iter().flat_map(|m| &m.adapters);
+            let listed = adapters.map(|a| (a.key.clone(), a.version)).collect();
+            desk.tell(DeskAsk::Listed(listed));
+        }
+    }
+
     /// An entry that can't be read names no upstream any more.
     fn unusable(&self, id: &str) {
         let gone = lock(&self.entry.roster).discard(id);
@@ -194,6 +211,7 @@
         info!(upstream = id, reason = reason; "upstream gone");
         lock(&self.entry.outliers).forget(id);
         self.entry.usage.forget(id);
+        lock(&self.entry.prefill).forget(id);
         self.entry.pool.forget(id);
         self.entry.roster_changed.notify_one();
     }
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -24,7 +24,7 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Time after the start in which entries that start together find each other.
-const FIRST_LOOK: Duration = Duration::from_millis(1_000);
+const FIRST_LOOK: Duration = Duration::from_secs(1);
 
 /// Least time between two looks.
 const MIN_LOOK: Duration = Duration::from_millis(200);
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -48,6 +48,8 @@
     pub known: Vec<SocketAddr>,
     /// Requests that it has at each upstream; others have none.
     pub loads: Vec<(UpstreamId, u32)>,
+    /// Prompt tokens that it reserved since the last update.
+    pub prompts: Vec<(UpstreamId, u32)>,
     /// Its use of adapters at engines that the receiver holds.
     pub uses: Vec<AdapterUse>,
     /// Changes of the engines that it holds.
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -32,10 +32,10 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Least time between two updates, so that changes at once go together.
-const MIN_INTERVAL: Duration = Duration::from_millis(20);
+const MIN_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Wait for the receipt of an update; beyond it the connection counts as lost.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// First pause before a lost connection is made again; doubled up to [`MAX_RECONNECT`].
 const FIRST_RECONNECT: Duration = Duration::from_millis(200);
@@ -47,7 +47,7 @@
 const FIND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Longest wait for a holder to bring an adapter.
-const ENSURE_TIMEOUT: Duration = Duration::from_millis(2_000);
+const ENSURE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest wait for a configuration.
 const DEPLOYMENT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -111,6 +111,7 @@
     held: HashMap<UpstreamId, HeldEngine>,
     versions: HashMap<AdapterKey, u32>,
     asked: HashMap<(UpstreamId, AdapterKey), u64>,
+    reserved: HashMap<UpstreamId, u64>,
     changes: watch::Receiver<u64>,
 }
 
@@ -123,6 +124,7 @@
             held: HashMap::new(),
             versions: HashMap::new(),
             asked: HashMap::new(),
+            reserved: HashMap::new(),
             changes: entry.changed.subscribe(),
         }
     }
@@ -176,12 +178,26 @@
             info: self.entry.info(),
             known,
             loads: self.entry.usage.loads(),
+            prompts: self.prompts(),
             uses: self.uses(),
             held: self.held_changes(),
             versions: self.new_versions(),
         }
     }
 
+    /// Prompt tokens reserved since the last update.
+    fn prompts(&mut self) -> Vec<(UpstreamId, u32)> {
+        let mut prompts = Vec::new();
+        for (upstream, tokens) in self.entry.usage.reserved() {
+            let before = self.reserved.insert(Arc::clone(&upstream), tokens);
+            let fresh = tokens.saturating_sub(before.unwrap_or(0)) as u32;
+            if fresh > 0 && self.sequence > 1 {
+                prompts.push((upstream, fresh));
+            }
+        }
+        prompts
+    }
+
     /// Use of adapters at the engines that the other side holds.
     fn uses(&mut self) -> Vec<AdapterUse> {
         let engines = {
@@ -299,6 +315,10 @@
         if is_new {
             info!(peer = &*update.info.name, incarnation = update.info.incarnation, address:% = update.info.link; "dependency regained: entry");
         }
+        let now = BootInstant::now();
+        for (upstream, tokens) in &update.prompts {
+            lock(&entry.prefill).reserve(upstream, *tokens, now);
+        }
         for (key, version) in &update.versions {
             entry.announce(key, *version);
         }
--- a/src/entry/usage.rs
+++ b/src/entry/usage.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 struct Counts {
     running: u32,
+    /// Prompt tokens reserved since the start of the process.
+    tokens: u64,
     adapters: HashMap<AdapterKey, AdapterCount>,
 }
 
@@ -52,6 +54,20 @@
         }
     }
 
+    /// Counts prompt tokens that were reserved at `upstream`.
+    pub fn reserve(&self, upstream: &UpstreamId, tokens: u32) {
+        let mut all = lock(&self.0);
+        let counts = all.entry(Arc::clone(upstream)).or_default();
+        counts.tokens += u64::from(tokens);
+    }
+
+    /// Prompt tokens reserved at every upstream since the start of the process.
+    pub fn reserved(&self) -> Vec<(UpstreamId, u64)> {
+        let all = lock(&self.0);
+        let all = all.iter().filter(|(_, c)| c.tokens > 0);
+        all.map(|(id, c)| (Arc::clone(id), c.tokens)).collect()
+    }
+
     /// Requests in flight at `upstream`.
     pub fn running(&self, upstream: &str) -> u32 {
         lock(&self.0).get(upstream).map_or(0, |c| c.running)
--- a/src/line_queue.rs
+++ b/src/line_queue.rs
@@ -60,9 +60,9 @@
 }
 
 impl Write for LineQueue {
-    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(data);
-        Ok(data.len())
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -2,7 +2,11 @@
 
 use crate::{
     clock::BootInstant,
-    edge::{call::Forwarding, deployment::Route, registration::Registration},
+    edge::{
+        call::{Forwarding, RunState},
+        deployment::Route,
+        registration::Registration,
+    },
     entry::{peer_link, usage::UsageGuard},
     holding::lock,
     path::{
@@ -132,12 +136,13 @@
         let status = response.status();
         let codec = &self.entry.codec;
         let head = codec.reply(&self.call.id, status, response.headers());
-        if head.not_run {
+        if head.run != RunState::Run {
+            let misdirected = head.run == RunState::Misdirected;
             info!(
-                request = &*self.call.id, upstream = &*upstream.id, status = status.as_u16(), misdirected = head.misdirected;
+                request = &*self.call.id, upstream = &*upstream.id, status = status.as_u16(), misdirected = misdirected;
                 "routing: not run by the upstream"
             );
-            if head.misdirected {
+            if misdirected {
                 self.misdirected(upstream);
             }
             return Tried::NotRun;
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -165,6 +165,7 @@
             break Reason::Refused;
         }
         tries += 1;
+        job.pace(&placed.upstream.id).await;
         match job.try_at(&placed, job.call.last_event).await {
             Tried::Answered(answered) => {
                 let failed = answered.response.status().is_server_error();
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -9,6 +9,7 @@
         registration::{AdapterKey, Registration},
     },
     entry::{context::Entry, desk, messages::Ensured},
+    holding::lock,
     ident::UpstreamId,
     path::refusal::Reason,
 };
@@ -128,6 +129,25 @@
         })
     }
 
+    /// Reserves the reading of the prompt, and holds the request back until the engine is ready for it.
+    pub async fn pace(&self, upstream: &UpstreamId) {
+        let Some(work) = &self.call.work else {
+            return;
+        };
+        let now = BootInstant::now();
+        let wait = {
+            let mut schedule = lock(&self.entry.prefill);
+            let wait = schedule.wait(upstream, now);
+            schedule.reserve(upstream, work.prompt_tokens, now);
+            wait
+        };
+        self.entry.usage.reserve(upstream, work.prompt_tokens);
+        self.entry.hurry();
+        if !wait.is_zero() {
+            tokio::time::sleep(wait.min(self.left())).await;
+        }
+    }
+
     /// Waits until the adapter is at `upstream`.
     async fn bring(&self, upstream: &Registration) -> Ensured {
         let Some(key) = self.adapter() else {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -35,9 +35,28 @@
     cutter: EventCutter,
     resumable: bool,
     resumes: u32,
-    /// Whether some part of the body was passed on.
-    begun: bool,
+    pace: Pace,
     tries: u32,
+    logged: bool,
+}
+
+/// When the parts of an answer came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first: Option<BootInstant>,
+    last: BootInstant,
+    longest_gap: Duration,
+}
+
+impl Pace {
+    fn part(&mut self, now: BootInstant) {
+        if self.first.is_none() {
+            self.first = Some(now);
+        } else {
+            self.longest_gap = self.longest_gap.max(now.since(self.last));
+        }
+        self.last = now;
+    }
 }
 
 /// The upstream whose answer is passed on.
@@ -80,7 +99,8 @@
         part: Some(part),
         resumable,
         resumes: 0,
-        begun: false,
+        logged: false,
+        pace: Pace::default(),
         tries,
     };
     let frames = stream::unfold(Some(relay), async |state| {
@@ -146,10 +166,20 @@
     }
 
     fn pass(&mut self, data: Bytes) -> Next {
-        if !std::mem::replace(&mut self.begun, true) {
-            let taken = BootInstant::now().since(self.job.arrived);
+        let now = BootInstant::now();
+        if self.pace.first.is_none() {
+            let taken = now.since(self.job.arrived);
             metrics::first_part(self.job.route.kind.as_str(), taken.as_secs_f64());
         }
+        self.pace.part(now);
+        if self
+            .body
+            .as_ref()
+            .is_some_and(http_body::Body::is_end_stream)
+        {
+            // The server asks for nothing more once the stated length has come.
+            self.finish_part();
+        }
         Next::Data(data)
     }
 
@@ -161,22 +191,30 @@
         }
     }
 
-    fn ended(&self) -> Next {
+    fn ended(&mut self) -> Next {
         self.log("complete");
         Next::End
     }
 
-    fn broken(&self, problem: &'static str) -> Next {
+    fn broken(&mut self, problem: &'static str) -> Next {
         self.log(problem);
         Next::Broken(problem)
     }
 
-    fn log(&self, outcome: &'static str) {
-        let took = BootInstant::now().since(self.job.arrived);
+    /// Logs the end of the answer, once.
+    fn log(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.logged, true) {
+            return;
+        }
+        let arrived = self.job.arrived;
+        let took = BootInstant::now().since(arrived);
+        let first = self.pace.first.map(|t| t.since(arrived));
+        let prompt = self.job.call.work.as_ref().map_or(0, |w| w.prompt_tokens);
         metrics::request(self.job.route.kind.as_str(), outcome);
         info!(
             request = &*self.job.call.id, outcome = outcome, took_ms = took.as_millis() as u64,
-            tries = self.tries, resumes = self.resumes;
+            first_ms = first.unwrap_or_default().as_millis() as u64, gap_ms = self.pace.longest_gap.as_millis() as u64,
+            prompt_tokens = prompt, tries = self.tries, resumes = self.resumes;
             "routing: answer ended"
         );
     }
@@ -199,6 +237,7 @@
             self.resumes += 1;
             let last = self.cutter.last_event();
             info!(request = &*self.job.call.id, upstream = &*placed.upstream.id, last_event = last.unwrap_or(0); "routing: stream taken up");
+            self.job.pace(&placed.upstream.id).await;
             if let Tried::Answered(answered) = self.job.try_at(&placed, last).await
                 && answered.response.status().is_success()
             {
@@ -225,8 +264,11 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if self.part.is_some() {
-            self.log("left");
-        }
+        let outcome = if self.part.is_some() {
+            "left"
+        } else {
+            "complete"
+        };
+        self.log(outcome);
     }
 }
--- /dev/null
+++ b/tests/residency.rs
@@ -0,0 +1,200 @@
+//! Adapters of one engine: joins, room, and orders whose answers were lost.
+
+use carobfield::{
+    clock::BootInstant,
+    decide::residency::{Plan, Residency},
+    edge::registration::AdapterKey,
+};
+use std::time::Duration;
+
+macro_rules! cases {
+    ($($name:ident),* $(,)?) => {
+        $(#[test] fn $name() { case::$name(); })*
+    };
+}
+
+cases! {
+    one_load_for_all_who_wait,
+    an_adapter_in_use_never_makes_room,
+    the_least_asked_makes_room,
+    no_more_than_four_on_their_way,
+    a_newer_version_waits_for_the_runs_of_the_older,
+    a_late_load_keeps_its_place_until_it_is_evicted_again,
+    what_a_late_order_may_bring_back_makes_no_room,
+    a_reserved_adapter_may_be_loaded_again,
+    an_unknown_adapter_of_the_engines_list_takes_a_place,
+    an_old_list_brings_no_evicted_adapter_back,
+    places_are_never_exceeded,
+}
+
+/// Time far past the start of the clock.
+const START: BootInstant = BootInstant(1_000_000_000_000);
+
+fn key(n: u32) -> AdapterKey {
+    AdapterKey::new("base", &format!("a{n}"))
+}
+
+fn at(ms: u64) -> BootInstant {
+    START + Duration::from_millis(ms)
+}
+
+fn idle(_: &AdapterKey) -> bool {
+    false
+}
+
+/// An engine with adapters 0 to `held` loaded at the start.
+fn engine(slots: usize, held: u32) -> Residency {
+    let mut residency = Residency::new(slots);
+    for n in 0..held {
+        assert_eq!(residency.plan(&key(n), 1, START, idle), Plan::Load);
+        residency.loaded(&key(n), 1, START);
+    }
+    residency
+}
+
+mod case {
+    use super::{AdapterKey, Plan, Residency, at, engine, idle, key};
+    use arbtest::arbtest;
+
+    pub(super) fn one_load_for_all_who_wait() {
+        let mut r = Residency::new(4);
+        assert_eq!(r.plan(&key(1), 1, at(0), idle), Plan::Load);
+        assert_eq!(r.plan(&key(1), 1, at(1), idle), Plan::Wait);
+        r.loaded(&key(1), 1, at(2));
+        assert_eq!(r.plan(&key(1), 1, at(3), idle), Plan::Ready);
+    }
+
+    pub(super) fn an_adapter_in_use_never_makes_room() {
+        let mut r = engine(2, 2);
+        let all_in_use = |_: &AdapterKey| true;
+        assert_eq!(r.plan(&key(9), 1, at(5_000), all_in_use), Plan::Full);
+        let first_in_use = |k: &AdapterKey| *k == key(0);
+        let plan = r.plan(&key(9), 1, at(5_000), first_in_use);
+        assert_eq!(plan, Plan::Evict(key(1)));
+    }
+
+    pub(super) fn the_least_asked_makes_room() {
+        let mut r = engine(3, 3);
+        r.asked(&key(0), 5, at(100));
+        r.asked(&key(1), 1, at(100));
+        r.asked(&key(2), 9, at(100));
+        assert_eq!(r.plan(&key(9), 1, at(5_000), idle), Plan::Evict(key(1)));
+    }
+
+    pub(super) fn no_more_than_four_on_their_way() {
+        let mut r = Residency::new(19);
+        for n in 0..4 {
+            assert_eq!(r.plan(&key(n), 1, at(0), idle), Plan::Load);
+        }
+        assert_eq!(r.plan(&key(4), 1, at(0), idle), Plan::Wait);
+        r.loaded(&key(0), 1, at(1));
+        assert_eq!(r.plan(&key(4), 1, at(1), idle), Plan::Load);
+    }
+
+    pub(super) fn a_newer_version_waits_for_the_runs_of_the_older() {
+        let mut r = engine(4, 1);
+        let in_use = |_: &AdapterKey| true;
+        assert_eq!(r.plan(&key(0), 2, at(10), in_use), Plan::Full);
+        assert_eq!(r.plan(&key(0), 2, at(10), idle), Plan::Load);
+        assert_eq!(r.residents().count(), 0);
+    }
+
+    /// A load without an answer was carried out 12 s later and held a place that counted as free.
+    pub(super) fn a_late_load_keeps_its_place_until_it_is_evicted_again() {
+        let mut r = engine(2, 1);
+        assert_eq!(r.plan(&key(7), 1, at(0), idle), Plan::Load);
+        r.load_failed(&key(7), true, at(1_000));
+        assert_eq!(r.taken(), 2);
+        assert!(r.plan_cleanup(at(12_000)).is_empty());
+        assert_eq!(r.plan_cleanup(at(20_000)), [key(7)]);
+        assert_eq!(r.taken(), 2);
+        r.evicted(&key(7), false, at(20_050));
+        assert_eq!(r.taken(), 1);
+    }
+
+    /// One lost answer for each adapter emptied the engine: each eviction left its place reserved.
+    pub(super) fn what_a_late_order_may_bring_back_makes_no_room() {
+        let mut r = engine(3, 3);
+        r.order_uncertain(&key(0), at(0));
+        r.order_uncertain(&key(1), at(0));
+        assert_eq!(r.plan(&key(9), 1, at(5_000), idle), Plan::Evict(key(2)));
+        r.evicted(&key(2), false, at(5_050));
+        assert_eq!(r.plan(&key(9), 1, at(5_050), idle), Plan::Load);
+    }
+
+    /// Its place is reserved for itself.
+    pub(super) fn a_reserved_adapter_may_be_loaded_again() {
+        let mut r = engine(2, 1);
+        assert_eq!(r.plan(&key(7), 1, at(0), idle), Plan::Load);
+        r.load_failed(&key(7), true, at(1_000));
+        let in_use = |_: &AdapterKey| true;
+        assert_eq!(r.plan(&key(8), 1, at(2_000), in_use), Plan::Full);
+        assert_eq!(r.plan(&key(7), 1, at(2_000), in_use), Plan::Load);
+    }
+
+    pub(super) fn an_unknown_adapter_of_the_engines_list_takes_a_place() {
+        let mut r = engine(3, 1);
+        let (known, unknown) = (key(0), key(5));
+        let found = r.listed([(&known, 1), (&unknown, 2)].into_iter(), at(100));
+        assert_eq!(found, [key(5)]);
+        assert_eq!(r.taken(), 2);
+        assert_eq!(r.plan(&key(5), 2, at(200), idle), Plan::Ready);
+    }
+
+    pub(super) fn an_old_list_brings_no_evicted_adapter_back() {
+        let mut r = engine(2, 2);
+        assert_eq!(r.plan(&key(9), 1, at(5_000), idle), Plan::Evict(key(0)));
+        r.evicted(&key(0), false, at(5_050));
+        let gone = key(0);
+        assert!(r.listed([(&gone, 1)].into_iter(), at(6_000)).is_empty());
+        assert_eq!(r.taken(), 1);
+    }
+
+    /// Whatever orders come late, an engine that carries them out never holds more than its places.
+    pub(super) fn places_are_never_exceeded() {
+        for seed in 0..200 {
+            arbtest(|u| {
+                let slots = u.int_in_range(1..=6)?;
+                let mut r = Residency::new(slots);
+                let mut late: Vec<(AdapterKey, u64)> = Vec::new();
+                let mut held: Vec<AdapterKey> = Vec::new();
+                let mut now = 0;
+                for _ in 0..60 {
+                    now += u.int_in_range(1..=900)?;
+                    let (due, rest) = late.into_iter().partition(|(_, t)| *t <= now);
+                    late = rest;
+                    for (k, _) in due {
+                        if !held.contains(&k) {
+                            held.push(k);
+                        }
+                    }
+                    assert!(held.len() <= slots, "{} held of {slots}", held.len());
+                    for k in r.plan_cleanup(at(now)) {
+                        held.retain(|h| *h != k);
+                        r.evicted(&k, false, at(now));
+                    }
+                    let k = key(u.int_in_range(0..=9)?);
+                    match r.plan(&k, 1, at(now), idle) {
+                        Plan::Load if u.ratio(1, 3)? => {
+                            late.push((k.clone(), now + u.int_in_range(2_000..=12_000)?));
+                            r.load_failed(&k, true, at(now));
+                        }
+                        Plan::Load => {
+                            if !held.contains(&k) {
+                                held.push(k.clone());
+                            }
+                            r.loaded(&k, 1, at(now));
+                        }
+                        Plan::Evict(victim) => {
+                            held.retain(|h| *h != victim);
+                            r.evicted(&victim, false, at(now));
+                        }
+                        Plan::Ready | Plan::Wait | Plan::Full => {}
+                    }
+                }
+                Ok(())
+            })
+            .seed(seed << 32 | 0x2000);
+        }
+    }
+}
