perf: send prompts to an engine in groups that are read within the accepted pause

Change: groups of at most 240 ms of reading with 40 ms between them, by the measured speed of each engine. What is left: two entries that send to one engine in the same millisecond.

--- a/src/decide/prefill.rs
+++ b/src/decide/prefill.rs
@@ -1,9 +1,10 @@
 //! Spreads prompts over time, so that no engine reads too many at once.
 //!
-//! Load pattern: an engine reads prompts in large pieces between the tokens of its running streams. When prompts
-//! of some ten thousand tokens arrive at one engine within a third of a second, every stream there pauses for
-//! longer than its callers accept, although the engine has free places. All entries keep the same schedule of
-//! each engine's reading and send a prompt only when little is left to read before it.
+//! Load pattern: an engine reads prompts in large pieces between the tokens of its running streams, and an event
+//! of a stream takes several of its steps. When prompts of some ten thousand tokens arrive at one engine within a
+//! third of a second, every stream there pauses for longer than its callers accept, although the engine has free
+//! places. All entries keep the same schedule of each engine's reading: prompts go there in groups that are read
+//! within the accepted pause, with time for one event between two groups.
 
 use crate::{clock::BootInstant, ident::UpstreamId};
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -11,42 +12,107 @@
 /// Prompt tokens that an engine reads in a second, as the deployments' sheets say.
 const READ_RATE: f64 = 38_100.0;
 
-/// Reading that may be outstanding at an engine when a prompt is sent there; together with the longest prompts
-/// of about 180 ms it stays under the 300 ms for which a stream may pause.
-const OUTSTANDING: Duration = Duration::from_millis(80);
+/// Seconds beside that for each pair of tokens of one prompt, from the engines' description in the site files.
+const PAIR_TIME: f64 = 0.37e-9;
 
-/// When each engine will have read all prompts that were reserved there.
+/// Reading that is sent as one group: the 300 ms for which a stream may pause, less the steps of one event.
+const GROUP: Duration = Duration::from_millis(240);
+
+/// Pause between two groups: the steps of one event without any reading.
+const GROUP_GAP: Duration = Duration::from_millis(40);
+
+/// Weight of a new measurement of an engine's speed.
+const SPEED_WEIGHT: f64 = 0.2;
+
+/// Bounds of an engine's measured slowness.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.8..=2.0;
+
+/// Shortest reading from which an engine's speed is measured; below it, other delays count too much.
+const MIN_MEASURED: Duration = Duration::from_millis(40);
+
+/// Reading at one engine.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    /// When all that was reserved will have been read.
+    done: BootInstant,
+    /// Reading in the present group.
+    group: Duration,
+    /// Measured time over expected time.
+    slowness: f64,
+}
+
+/// Reading at all engines.
 #[derive(Debug, Default)]
 pub struct PrefillSchedule {
-    done: HashMap<UpstreamId, BootInstant>,
+    engines: HashMap<UpstreamId, Reading>,
 }
 
-/// Time that an engine takes to read `tokens`.
+/// Time that an engine of usual speed takes to read a prompt of `tokens`.
 pub fn read_time(tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) / READ_RATE)
+    let tokens = f64::from(tokens);
+    Duration::from_secs_f64(tokens / READ_RATE + tokens * tokens * PAIR_TIME)
+}
+
+impl Reading {
+    /// How long a prompt that takes `time` must wait, and whether it begins a group.
+    fn wait(&self, time: Duration, now: BootInstant) -> (Duration, bool) {
+        let next = self.done + GROUP_GAP;
+        if now >= next {
+            return (Duration::ZERO, true);
+        }
+        if self.group + time <= GROUP {
+            return (Duration::ZERO, false);
+        }
+        (next.since(now), true)
+    }
 }
 
 impl PrefillSchedule {
-    /// Reading that is outstanding at `upstream`.
-    pub fn outstanding(&self, upstream: &str, now: BootInstant) -> Duration {
-        self.done
-            .get(upstream)
-            .map_or(Duration::ZERO, |t| t.since(now))
+    /// Time until a prompt of `tokens` may be sent to `upstream`.
+    pub fn wait(&self, upstream: &str, tokens: u32, now: BootInstant) -> Duration {
+        let Some(reading) = self.engines.get(upstream) else {
+            return Duration::ZERO;
+        };
+        let time = read_time(tokens).mul_f64(reading.slowness);
+        reading.wait(time, now).0
     }
 
-    /// Time until a prompt may be sent to `upstream`.
-    pub fn wait(&self, upstream: &str, now: BootInstant) -> Duration {
-        self.outstanding(upstream, now).saturating_sub(OUTSTANDING)
+    /// Reserves the reading of a prompt at `upstream`; the time until it may be sent, and until it will have
+    /// been read.
+    pub fn reserve(
+        &mut self,
+        upstream: &UpstreamId,
+        tokens: u32,
+        now: BootInstant,
+    ) -> (Duration, Duration) {
+        let entry = self.engines.entry(Arc::clone(upstream));
+        let reading = entry.or_insert(Reading {
+            done: now,
+            group: Duration::ZERO,
+            slowness: 1.0,
+        });
+        let time = read_time(tokens).mul_f64(reading.slowness);
+        let (wait, begins) = reading.wait(time, now);
+        reading.group = if begins { time } else { reading.group + time };
+        reading.done = reading.done.max(now + wait) + time;
+        (wait, reading.done.since(now + wait))
     }
 
-    /// Reserves the reading of `tokens` at `upstream`, after all that is reserved there.
-    pub fn reserve(&mut self, upstream: &UpstreamId, tokens: u32, now: BootInstant) {
-        let done = self.done.entry(Arc::clone(upstream)).or_insert(now);
-        *done = (*done).max(now) + read_time(tokens);
+    /// Takes in that a prompt that was expected to be read in `expected` was read in `measured`.
+    pub fn measured(&mut self, upstream: &str, expected: Duration, measured: Duration) {
+        let Some(reading) = self.engines.get_mut(upstream) else {
+            return;
+        };
+        if expected < MIN_MEASURED {
+            return;
+        }
+        let ratio = measured.as_secs_f64() / expected.as_secs_f64() * reading.slowness;
+        let slowness = reading.slowness + (ratio - reading.slowness) * SPEED_WEIGHT;
+        reading.slowness = slowness.clamp(*SLOWNESS.start(), *SLOWNESS.end());
     }
 
     /// Forgets an upstream.
     pub fn forget(&mut self, upstream: &str) {
-        self.done.remove(upstream);
+        self.engines.remove(upstream);
     }
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -8,7 +8,7 @@
         roster::Roster, routes::RouteTable,
     },
     edge::{
-        call::Codec,
+        call::{Codec, Work},
         deployment::{Deployment, Service},
         registration::{AdapterKey, Registration},
     },
@@ -228,13 +228,11 @@
         all
     }
 
-    /// Describes `upstream` for a request that needs `key` of `model`; either may be absent.
-    pub fn candidate<'a>(
-        &self,
-        upstream: &'a Registration,
-        model: Option<&str>,
-        key: Option<&AdapterKey>,
-    ) -> Candidate<'a> {
+    /// Describes `upstream` for a request with `work` for an engine.
+    pub fn candidate<'a>(&self, upstream: &'a Registration, work: Option<&Work>) -> Candidate<'a> {
+        let key = work.and_then(|w| w.adapter.as_ref());
+        let model = work.map(|w| &*w.model);
+        let tokens = work.map_or(0, |w| w.prompt_tokens);
         let now = BootInstant::now();
         let peers = lock(&self.peers);
         let load = self.usage.running(&upstream.id) + peers.load(&upstream.id, now);
@@ -252,7 +250,7 @@
             id: &upstream.id,
             slots: upstream.slots,
             load,
-            wait: lock(&self.prefill).wait(&upstream.id, now),
+            wait: lock(&self.prefill).wait(&upstream.id, tokens, now),
             resident,
             loadable,
         }
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -54,6 +54,13 @@
     Timeout,
 }
 
+/// A request on its way.
+struct Sent {
+    at: BootInstant,
+    expected: Duration,
+    usage: UsageGuard,
+}
+
 /// An answer whose body is still to come.
 #[derive(Debug)]
 pub struct Answered {
@@ -65,13 +72,23 @@
     pub keep: Option<Duration>,
     /// Upstream that answers.
     pub upstream: Arc<Registration>,
+    /// Time in which the first part was expected.
+    pub expected: Duration,
+    /// When it was sent.
+    pub sent: BootInstant,
     /// Counts the request while it runs.
     pub usage: UsageGuard,
 }
 
 impl Job {
-    /// Sends the request to `placed`, after `last_event` where a stream goes on.
-    pub async fn try_at(&self, placed: &Placed, last_event: Option<u64>) -> Tried {
+    /// Sends the request to `placed`, after `last_event` where a stream goes on; the first part of its answer is
+    /// `expected` after that time.
+    pub async fn try_at(
+        &self,
+        placed: &Placed,
+        last_event: Option<u64>,
+        expected: Duration,
+    ) -> Tried {
         let upstream = &placed.upstream;
         let usage = self.entry.usage.begin(&upstream.id, self.adapter());
         if let Some(key) = self.adapter() {
@@ -81,13 +98,21 @@
         let Some(request) = self.request(placed, last_event, left) else {
             return Tried::NotRun;
         };
+        let sent_at = BootInstant::now();
         let sent = self.entry.pool.send(upstream, request);
         let answer = match tokio::time::timeout(left, sent).await {
             Ok(answer) => answer,
             Err(_elapsed) => return Tried::Timeout,
         };
         match answer {
-            Ok((response, connection)) => self.judge(placed, response, connection, usage),
+            Ok((response, connection)) => {
+                let sent = Sent {
+                    at: sent_at,
+                    expected,
+                    usage,
+                };
+                self.judge(placed, response, connection, sent)
+            }
             Err(SendError::NotSent) => {
                 self.failed(upstream, "no connection");
                 Tried::NotRun
@@ -130,7 +155,7 @@
         placed: &Placed,
         mut response: Response<Incoming>,
         connection: Connection,
-        usage: UsageGuard,
+        sent: Sent,
     ) -> Tried {
         let upstream = &placed.upstream;
         let status = response.status();
@@ -160,7 +185,9 @@
             connection,
             keep,
             upstream: Arc::clone(upstream),
-            usage,
+            expected: sent.expected,
+            sent: sent.at,
+            usage: sent.usage,
         }))
     }
 
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -165,8 +165,8 @@
             break Reason::Refused;
         }
         tries += 1;
-        job.pace(&placed.upstream.id).await;
-        match job.try_at(&placed, job.call.last_event).await {
+        let read = job.pace(&placed.upstream.id).await;
+        match job.try_at(&placed, job.call.last_event, read).await {
             Tried::Answered(answered) => {
                 let failed = answered.response.status().is_server_error();
                 let again = job.route.kind.is_repeatable() && tries < job.route.attempts;
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -108,9 +108,9 @@
     }
 
     fn choose(&self, upstreams: &[Arc<Registration>]) -> Choice {
-        let model = self.call.work.as_ref().map(|w| &*w.model);
+        let work = self.call.work.as_ref();
         let key = self.adapter();
-        let describe = |u| self.entry.candidate(u, model, key);
+        let describe = |u| self.entry.candidate(u, work);
         let candidates: Vec<Candidate<'_>> = upstreams.iter().map(|u| describe(u)).collect();
         let choice = match key {
             Some(key) => choice::for_adapter(&key.to_string(), &candidates),
@@ -130,22 +130,20 @@
     }
 
     /// Reserves the reading of the prompt, and holds the request back until the engine is ready for it.
-    pub async fn pace(&self, upstream: &UpstreamId) {
+    ///
+    /// Returns the time in which its first part is expected after it is sent.
+    pub async fn pace(&self, upstream: &UpstreamId) -> Duration {
         let Some(work) = &self.call.work else {
-            return;
+            return Duration::ZERO;
         };
         let now = BootInstant::now();
-        let wait = {
-            let mut schedule = lock(&self.entry.prefill);
-            let wait = schedule.wait(upstream, now);
-            schedule.reserve(upstream, work.prompt_tokens, now);
-            wait
-        };
+        let (wait, read) = lock(&self.entry.prefill).reserve(upstream, work.prompt_tokens, now);
         self.entry.usage.reserve(upstream, work.prompt_tokens);
         self.entry.hurry();
         if !wait.is_zero() {
             tokio::time::sleep(wait.min(self.left())).await;
         }
+        read
     }
 
     /// Waits until the adapter is at `upstream`.
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -36,6 +36,8 @@
     resumable: bool,
     resumes: u32,
     pace: Pace,
+    /// When the present upstream was sent the request.
+    sent: BootInstant,
     tries: u32,
     logged: bool,
 }
@@ -46,6 +48,8 @@
     first: Option<BootInstant>,
     last: BootInstant,
     longest_gap: Duration,
+    /// End of the longest gap.
+    gap_end: BootInstant,
 }
 
 impl Pace {
@@ -53,7 +57,11 @@
         if self.first.is_none() {
             self.first = Some(now);
         } else {
-            self.longest_gap = self.longest_gap.max(now.since(self.last));
+            let gap = now.since(self.last);
+            if gap > self.longest_gap {
+                self.longest_gap = gap;
+                self.gap_end = now;
+            }
         }
         self.last = now;
     }
@@ -63,6 +71,8 @@
 struct Part {
     connection: Connection,
     keep: Option<Duration>,
+    /// Time in which the first part was expected.
+    expected: Duration,
     upstream: Arc<Registration>,
     _usage: UsageGuard,
 }
@@ -89,6 +99,7 @@
     let part = Part {
         connection: answered.connection,
         keep: answered.keep,
+        expected: answered.expected,
         upstream: answered.upstream,
         _usage: answered.usage,
     };
@@ -101,6 +112,7 @@
         resumes: 0,
         logged: false,
         pace: Pace::default(),
+        sent: answered.sent,
         tries,
     };
     let frames = stream::unfold(Some(relay), async |state| {
@@ -168,6 +180,7 @@
     fn pass(&mut self, data: Bytes) -> Next {
         let now = BootInstant::now();
         if self.pace.first.is_none() {
+            self.measure(now);
             let taken = now.since(self.job.arrived);
             metrics::first_part(self.job.route.kind.as_str(), taken.as_secs_f64());
         }
@@ -183,6 +196,14 @@
         Next::Data(data)
     }
 
+    /// Compares the time to the first part with what was expected.
+    fn measure(&self, now: BootInstant) {
+        if let Some(part) = &self.part {
+            let mut schedule = lock(&self.job.entry.prefill);
+            schedule.measured(&part.upstream.id, part.expected, now.since(self.sent));
+        }
+    }
+
     /// The present upstream's answer ended whole: its connection may serve the next request.
     fn finish_part(&mut self) {
         self.body = None;
@@ -214,6 +235,7 @@
         info!(
             request = &*self.job.call.id, outcome = outcome, took_ms = took.as_millis() as u64,
             first_ms = first.unwrap_or_default().as_millis() as u64, gap_ms = self.pace.longest_gap.as_millis() as u64,
+            gap_at_ms = self.pace.gap_end.since(arrived).as_millis() as u64, sent_ms = self.sent.since(arrived).as_millis() as u64,
             prompt_tokens = prompt, tries = self.tries, resumes = self.resumes;
             "routing: answer ended"
         );
@@ -237,8 +259,8 @@
             self.resumes += 1;
             let last = self.cutter.last_event();
             info!(request = &*self.job.call.id, upstream = &*placed.upstream.id, last_event = last.unwrap_or(0); "routing: stream taken up");
-            self.job.pace(&placed.upstream.id).await;
-            if let Tried::Answered(answered) = self.job.try_at(&placed, last).await
+            let read = self.job.pace(&placed.upstream.id).await;
+            if let Tried::Answered(answered) = self.job.try_at(&placed, last, read).await
                 && answered.response.status().is_success()
             {
                 self.cutter.forget_partial();
@@ -256,6 +278,7 @@
         self.part = Some(Part {
             connection: answered.connection,
             keep: answered.keep,
+            expected: answered.expected,
             upstream: answered.upstream,
             _usage: answered.usage,
         });
