fix: a replaced version holds its place until the newer one is there; join groups of prompts that wait

Test: a_replacement_takes_a_second_place_until_it_ends (failed before). Cause 2: a prompt that joined a group reserved for later was sent at once, into the reading of the group before it. Test: a_prompt_joins_a_group_that_waits (failed before).

--- a/src/decide/prefill.rs
+++ b/src/decide/prefill.rs
@@ -35,7 +35,9 @@
 struct Reading {
     /// When all that was reserved will have been read.
     done: BootInstant,
-    /// Reading in the present group.
+    /// When the last group may be sent.
+    begins: BootInstant,
+    /// Reading in that group.
     group: Duration,
     /// Measured time over expected time.
     slowness: f64,
@@ -61,7 +63,7 @@
             return (Duration::ZERO, true);
         }
         if self.group + time <= GROUP {
-            return (Duration::ZERO, false);
+            return (self.begins.since(now), false);
         }
         (next.since(now), true)
     }
@@ -88,12 +90,17 @@
         let entry = self.engines.entry(Arc::clone(upstream));
         let reading = entry.or_insert(Reading {
             done: now,
+            begins: now,
             group: Duration::ZERO,
             slowness: 1.0,
         });
         let time = read_time(tokens).mul_f64(reading.slowness);
         let (wait, begins) = reading.wait(time, now);
-        reading.group = if begins { time } else { reading.group + time };
+        if begins {
+            reading.begins = now + wait;
+            reading.group = Duration::ZERO;
+        }
+        reading.group += time;
         reading.done = reading.done.max(now + wait) + time;
         (wait, reading.done.since(now + wait))
     }
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -48,6 +48,8 @@
     /// State.
     pub state: PlaceState,
     since: BootInstant,
+    /// Whether an older version stays there until the load ends.
+    replaces: bool,
 }
 
 /// A decayed count of requests.
@@ -109,6 +111,7 @@
             version,
             state,
             since: now,
+            replaces: false,
         };
         self.places.entry(key).or_insert(place);
     }
@@ -157,9 +160,7 @@
             // An engine replaces a version only once its runs have ended.
             Some(_) if in_use(key) => Plan::Full,
             _ if self.in_transit() >= MAX_TRANSIT => Plan::Wait,
-            known if known.is_some() || reserved || taken < self.slots => {
-                self.begin_load(key, version, now)
-            }
+            _ if reserved || taken < self.slots => self.begin_load(key, version, now),
             _ => self.make_room(now, in_use),
         }
     }
@@ -191,6 +192,7 @@
                 version: 0,
                 state: PlaceState::Evicting,
                 since: now,
+                replaces: false,
             };
             self.places.insert(key.clone(), place);
             absent.push(key);
@@ -203,6 +205,7 @@
             version,
             state: PlaceState::Loading,
             since: now,
+            replaces: self.places.contains_key(key),
         };
         self.places.insert(key.clone(), place);
         Plan::Load
@@ -250,6 +253,7 @@
             version,
             state: PlaceState::Resident,
             since: now,
+            replaces: false,
         };
         self.places.insert(key.clone(), place);
     }
@@ -299,10 +303,11 @@
             .map(|(key, p)| (key, p.version))
     }
 
-    /// Adapters held or on their way, and places that unanswered loads may still take.
+    /// Adapters held or on their way, older versions that are being replaced, and places that unanswered loads may still take.
     pub fn taken(&self) -> usize {
         let late = self.late.keys().filter(|k| !self.places.contains_key(*k));
-        self.places.len() + late.count()
+        let replaced = self.places.values().filter(|p| p.replaces);
+        self.places.len() + late.count() + replaced.count()
     }
 
     fn in_transit(&self) -> usize {
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -15,6 +15,7 @@
 
 cases! {
     a_clump_of_prompts_never_stops_streams_for_long,
+    a_prompt_joins_a_group_that_waits,
     a_quiet_engine_gets_prompts_at_once,
     a_slow_engine_gets_fewer_at_once,
 }
@@ -66,6 +67,17 @@
         }
     }
 
+    /// It was sent at once, into the reading of the group before.
+    pub(super) fn a_prompt_joins_a_group_that_waits() {
+        let engine = UpstreamId::from("engine-1");
+        let mut schedule = PrefillSchedule::default();
+        schedule.reserve(&engine, 7_367, at(0));
+        let (first, _) = schedule.reserve(&engine, 1_511, at(9));
+        assert!(first > Duration::from_millis(200), "{first:?}");
+        let (second, _) = schedule.reserve(&engine, 862, at(175));
+        assert_eq!(at(175) + second, at(9) + first);
+    }
+
     pub(super) fn a_quiet_engine_gets_prompts_at_once() {
         let engine = UpstreamId::from("engine-1");
         let mut schedule = PrefillSchedule::default();
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -19,6 +19,7 @@
     the_least_asked_makes_room,
     no_more_than_four_on_their_way,
     a_newer_version_waits_for_the_runs_of_the_older,
+    a_replacement_takes_a_second_place_until_it_ends,
     a_late_load_keeps_its_place_until_it_is_evicted_again,
     what_a_late_order_may_bring_back_makes_no_room,
     a_reserved_adapter_may_be_loaded_again,
@@ -99,6 +100,20 @@
         assert_eq!(r.residents().count(), 0);
     }
 
+    /// The engine holds the older version while the newer one is on its way; both count.
+    pub(super) fn a_replacement_takes_a_second_place_until_it_ends() {
+        let mut r = engine(3, 2);
+        assert_eq!(r.plan(&key(0), 2, at(5_000), idle), Plan::Load);
+        assert_eq!(r.taken(), 3);
+        assert_ne!(r.plan(&key(9), 1, at(5_000), idle), Plan::Load);
+        r.loaded(&key(0), 2, at(5_300));
+        assert_eq!(r.taken(), 2);
+        let mut full = engine(2, 2);
+        let other_in_use = |k: &AdapterKey| *k == key(1);
+        let plan = full.plan(&key(0), 2, at(5_000), other_in_use);
+        assert_eq!(plan, Plan::Evict(key(0)));
+    }
+
     /// A load without an answer was carried out 12 s later and held a place that counted as free.
     pub(super) fn a_late_load_keeps_its_place_until_it_is_evicted_again() {
         let mut r = engine(2, 1);
