--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -14,8 +14,11 @@
 /// Adapters that may be on their way to one engine at once, as the platform allows.
 pub const MAX_TRANSIT: usize = 4;
 
-/// Places kept free ahead of need; about what arrives within one load time on a busy engine.
-const SPARE_PLACES: usize = 2;
+/// Most places kept free ahead of need; about what arrives within one load time on a busy engine.
+const MAX_SPARE: usize = 2;
+
+/// Places of which one is kept free ahead of need; small engines keep none.
+const PLACES_FOR_SPARE: usize = 8;
 
 /// Time for which an order without an answer may still be carried out; the platform tells of 12 s at most.
 const LATE_ORDER: Duration = Duration::from_secs(15);
@@ -172,7 +175,8 @@
         in_use: impl Fn(&AdapterKey) -> bool,
     ) -> Option<AdapterKey> {
         let evicting = self.count(PlaceState::Evicting);
-        if self.taken() + SPARE_PLACES <= self.slots + evicting {
+        let spare = (self.slots / PLACES_FOR_SPARE).min(MAX_SPARE);
+        if self.taken() + spare <= self.slots + evicting {
             return None;
         }
         self.begin_evict(now, in_use)
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -136,13 +136,7 @@
         let listener = web::bind(config.listen).await?;
         let crash = stop.child_token();
         log.push(LogKind::Boot, &config.name, "", "", 0);
-        let engine = Arc::new(Engine {
-            state: EngineState::new(&config, faults),
-            config: config.clone(),
-            log: Arc::clone(&log),
-            client: http_client::build(),
-            crash: crash.clone(),
-        });
+        let engine = Engine::start(&config, faults, Arc::clone(&log), crash.clone());
         let snapshots = tokio::spawn(Arc::clone(&engine).keep_snapshots());
         let served = Arc::clone(&engine);
         let handler = Arc::new(move |request| {
@@ -161,6 +155,22 @@
 }
 
 impl Engine {
+    /// An engine process that has just started; it ends when `crash` is cancelled.
+    pub fn start(
+        config: &EngineConfig,
+        faults: EngineFaults,
+        log: Arc<RunLog>,
+        crash: CancellationToken,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            state: EngineState::new(config, faults),
+            config: config.clone(),
+            log,
+            client: http_client::build(),
+            crash,
+        })
+    }
+
     async fn keep_snapshots(self: Arc<Self>) {
         loop {
             self.state.snapshot();
@@ -340,7 +350,7 @@
     }
 
     /// Decodes one request, a token for each step of the batch.
-    async fn produce(self: Arc<Self>, run: Arc<Run>) {
+    pub async fn produce(self: Arc<Self>, run: Arc<Run>) {
         self.state.wait_for_place(&run).await;
         if self.state.is_over(&run) {
             self.state.leave(&run);
