--- /dev/null
+++ b/tests/wire_words.rs
@@ -0,0 +1,72 @@
+//! No name of the platform's wire stands outside `platform/`.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+macro_rules! cases {
+    ($($name:ident),* $(,)?) => {
+        $(#[test] fn $name() { case::$name(); })*
+    };
+}
+
+cases! {
+    none_stands_outside_the_folder,
+    a_planted_one_is_found,
+}
+
+/// Words of the wire, one a line.
+const WORDS: &str = include_str!("../platform/wire-words.txt");
+
+/// Folders with sources that must not know them.
+const FOLDERS: [&str; 4] = ["src", "standin", "tests", "bench"];
+
+/// Every source file below `folder`.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder).expect("a folder of the repository") {
+        let path = entry.expect("an entry of it").path();
+        if path.is_dir() {
+            found.extend(sources(&path));
+        } else if path
+            .extension()
+            .is_some_and(|e| e == "rs" || e == "ini" || e == "toml")
+        {
+            found.push(path);
+        }
+    }
+    found
+}
+
+/// Words that `text` contains, whatever their case.
+fn found_in(text: &str) -> Vec<&'static str> {
+    let text = text.to_ascii_lowercase();
+    let words = WORDS.lines().filter(|w| !w.is_empty());
+    words
+        .filter(|w| text.contains(&w.to_ascii_lowercase()))
+        .collect()
+}
+
+mod case {
+    use super::{FOLDERS, Path, found_in, fs, sources};
+
+    pub(super) fn none_stands_outside_the_folder() {
+        let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+        let mut findings = Vec::new();
+        for folder in FOLDERS {
+            for path in sources(&root.join(folder)) {
+                let text = fs::read_to_string(&path).expect("a text file");
+                for word in found_in(&text) {
+                    findings.push(format!("{}: {word}", path.display()));
+                }
+            }
+        }
+        assert!(findings.is_empty(), "{}", findings.join("\n"));
+    }
+
+    pub(super) fn a_planted_one_is_found() {
+        let planted = ["X-Expect", "-Instance: 1"].concat();
+        assert_eq!(found_in(&planted).len(), 1);
+    }
+}
