perf: leases of 11 s for entries, so that orders go on through outages of the store; names of the field

Change: LeaseTerms; entries use 11 s, take-over after 13 s. Besides, names that were metaphors (desk, roster, mandate) are controller, registry, order lease.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,10 +2,10 @@
 
 pub mod budget;
 pub mod choice;
-pub mod mandate;
+pub mod order_lease;
 pub mod outliers;
 pub mod prefill;
+pub mod registry;
 pub mod residency;
-pub mod roster;
 pub mod routes;
 pub mod succession;
--- a/src/decide/mandate.rs
+++ b/src/decide/order_lease.rs
@@ -3,11 +3,22 @@
 //! Load pattern: an entry that is cut from the store for longer than its lease comes back, and renews its lease
 //! before it reads that its engines were taken over meanwhile.
 
-use crate::{clock::BootInstant, lease::HolderLease};
+use crate::{
+    clock::BootInstant,
+    lease::{HolderLease, LeaseTerms},
+};
+use std::time::Duration;
+
+/// Terms of an entry's lease on its engines. Outages of the store of up to eight seconds are usual, and an entry
+/// gives orders through them; an engine whose holder is gone for good takes no loads for that much longer.
+pub const TERMS: LeaseTerms = LeaseTerms {
+    lease: Duration::from_secs(11),
+    takeover: Duration::from_secs(13),
+};
 
 /// A lease, and what was confirmed under it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Mandate {
+#[derive(Clone, Copy, Debug)]
+pub struct OrderLease {
     lease: HolderLease,
     /// Since when the lease has been fresh without a gap.
     since: BootInstant,
@@ -15,7 +26,17 @@
     confirmed: Option<BootInstant>,
 }
 
-impl Mandate {
+impl Default for OrderLease {
+    fn default() -> Self {
+        Self {
+            lease: HolderLease::new(TERMS),
+            since: BootInstant::default(),
+            confirmed: None,
+        }
+    }
+}
+
+impl OrderLease {
     /// Takes in a renewal that was sent at `sent` and has taken effect by `now`.
     pub fn renewed(&mut self, sent: BootInstant, now: BootInstant) {
         if !self.lease.is_fresh(now) {
--- a/src/decide/roster.rs
+++ b/src/decide/registry.rs
@@ -17,7 +17,7 @@
 
 /// What a change of a registration meant.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RosterChange {
+pub enum RegistryChange {
     /// A new upstream, or a new process under an earlier name.
     Started,
     /// It began to leave.
@@ -40,33 +40,33 @@
 
 /// All registered upstreams.
 #[derive(Debug, Default)]
-pub struct Roster {
+pub struct Registry {
     members: HashMap<UpstreamId, Member>,
     /// When the store was last known to have come back.
     returned: Option<BootInstant>,
 }
 
-impl Roster {
+impl Registry {
     /// Takes in that the store answers again after it was away.
     pub fn store_returned(&mut self, now: BootInstant) {
         self.returned = Some(now);
     }
 
     /// Takes in a registration.
-    pub fn registered(&mut self, registration: Registration) -> RosterChange {
+    pub fn registered(&mut self, registration: Registration) -> RegistryChange {
         let id = Arc::clone(&registration.id);
         let before = self.members.get(&id).map(|m| Arc::clone(&m.registration));
         let change = match &before {
             Some(known) if known.is_same_process(&registration) => {
                 if registration.beat < known.beat {
-                    return RosterChange::Same;
+                    return RegistryChange::Same;
                 }
                 match (known.phase, registration.phase) {
-                    (Phase::Serving, Phase::Leaving { .. }) => RosterChange::Leaving,
-                    _ => RosterChange::Same,
+                    (Phase::Serving, Phase::Leaving { .. }) => RegistryChange::Leaving,
+                    _ => RegistryChange::Same,
                 }
             }
-            _ => RosterChange::Started,
+            _ => RegistryChange::Started,
         };
         let member = Member {
             registration: Arc::new(registration),
@@ -77,17 +77,17 @@
     }
 
     /// Takes in that a registration was removed.
-    pub fn removed(&mut self, id: &str, now: BootInstant) -> RosterChange {
+    pub fn removed(&mut self, id: &str, now: BootInstant) -> RegistryChange {
         let Some(member) = self.members.get_mut(id) else {
-            return RosterChange::Same;
+            return RegistryChange::Same;
         };
         let until = self.returned.map(|t| t + RETURN_GRACE);
         if let Some(until) = until.filter(|t| now < *t) {
             member.lapses = Some(until);
-            return RosterChange::Lapsed;
+            return RegistryChange::Lapsed;
         }
         self.members.remove(id);
-        RosterChange::Gone
+        RegistryChange::Gone
     }
 
     /// Drops an upstream whose entry can't be read; whether there was one.
@@ -105,7 +105,7 @@
             .collect();
         let gone = missing
             .into_iter()
-            .filter(|id| self.removed(id, now) == RosterChange::Gone);
+            .filter(|id| self.removed(id, now) == RegistryChange::Gone);
         gone.collect()
     }
 
--- a/src/decide/succession.rs
+++ b/src/decide/succession.rs
@@ -11,7 +11,7 @@
 use std::{sync::Arc, time::Duration};
 
 /// Wait before the first order after another VM held the upstream: that VM's lease ended at least two seconds
-/// before (`lease::TAKEOVER_AFTER` less `lease::LEASE`), and the platform wants three between two holders.
+/// before (see `order_lease::TERMS`), and the platform wants three between two holders.
 const AFTER_OTHER: Duration = Duration::from_millis(3_500);
 
 /// Wait before the first order after an earlier process of the same VM: its connections are gone, and what it
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -4,15 +4,15 @@
     clock::{self, BootInstant},
     configs::entry::EntryConfig,
     decide::{
-        budget::RepeatBudget, choice::Candidate, mandate::Mandate, outliers::Outliers,
-        prefill::PrefillSchedule, roster::Roster, routes::RouteTable,
+        budget::RepeatBudget, choice::Candidate, order_lease::OrderLease, outliers::Outliers,
+        prefill::PrefillSchedule, registry::Registry, routes::RouteTable,
     },
     edge::{
         call::{Codec, Work},
         deployment::{Deployment, Service},
         registration::{AdapterKey, Registration},
     },
-    entry::{desk::DeskHandle, messages::PeerInfo, peers::Peers, usage::Usage},
+    entry::{controller::ControllerHandle, messages::PeerInfo, peers::Peers, usage::Usage},
     holding::lock,
     ident::{Revision, UpstreamId},
     link::Link,
@@ -45,7 +45,7 @@
     /// The configuration in force.
     pub routes: ArcSwap<RouteTable>,
     /// Registered upstreams.
-    pub roster: Mutex<Roster>,
+    pub registry: Mutex<Registry>,
     /// Upstreams that fail.
     pub outliers: Mutex<Outliers>,
     /// Repeats that may be made.
@@ -61,13 +61,13 @@
     /// Connections to upstreams.
     pub pool: Arc<Pool>,
     /// Engines that this entry gives orders to.
-    pub desks: Mutex<HashMap<UpstreamId, DeskHandle>>,
+    pub controllers: Mutex<HashMap<UpstreamId, ControllerHandle>>,
     /// This entry's right to give orders.
-    pub mandate: Mutex<Mandate>,
+    pub order_lease: Mutex<OrderLease>,
     /// Counts what other entries should hear of at once.
     pub changed: watch::Sender<u64>,
     /// Told when upstreams started or went.
-    pub roster_changed: Notify,
+    pub registry_changed: Notify,
     /// Link addresses of entries that may be up, from the settings.
     pub seeds: Mutex<Vec<SocketAddr>>,
     /// Link addresses of entries that have a record in the store.
@@ -84,7 +84,7 @@
             incarnation: clock::unix_ms(),
             codec,
             routes: ArcSwap::from_pointee(RouteTable::default()),
-            roster: Mutex::default(),
+            registry: Mutex::default(),
             outliers: Mutex::default(),
             budget: Mutex::new(budget),
             versions: Mutex::default(),
@@ -92,10 +92,10 @@
             usage: Usage::default(),
             peers: Mutex::default(),
             pool: Arc::new(Pool::new(config.callers.ip())),
-            desks: Mutex::default(),
-            mandate: Mutex::default(),
+            controllers: Mutex::default(),
+            order_lease: Mutex::default(),
             changed: watch::Sender::new(0),
-            roster_changed: Notify::new(),
+            registry_changed: Notify::new(),
             seeds: Mutex::new(config.peers.0.clone()),
             listed_links: Mutex::default(),
             links: Mutex::default(),
@@ -117,11 +117,11 @@
     /// Begins to stop.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
-        self.hurry();
+        self.notify_peers();
     }
 
     /// Has other entries hear of a change at once.
-    pub fn hurry(&self) {
+    pub fn notify_peers(&self) {
         self.changed.send_modify(|n| *n += 1);
     }
 
@@ -139,7 +139,7 @@
         let (routes, services) = (deployment.routes.len(), deployment.services.len());
         self.routes.store(Arc::new(RouteTable::new(deployment)));
         info!(revision = revision, before = before, routes = routes, services = services, source = source; "configuration in force");
-        self.hurry();
+        self.notify_peers();
         true
     }
 
@@ -164,7 +164,7 @@
         versions.insert(key.clone(), version);
         drop(versions);
         info!(adapter:% = key, version = version, before = known; "newer version of an adapter");
-        self.hurry();
+        self.notify_peers();
         true
     }
 
@@ -194,7 +194,7 @@
 
     /// Whether orders may be given now.
     pub fn may_order(&self) -> bool {
-        !self.is_leaving() && lock(&self.mandate).may_order(BootInstant::now())
+        !self.is_leaving() && lock(&self.order_lease).may_order(BootInstant::now())
     }
 
     /// Whether requests use `key` at `upstream`, of any entry.
@@ -210,9 +210,9 @@
     /// Upstreams of `service` that may take new work, without those in `excluded`.
     pub fn serving(&self, service: &str, excluded: &[UpstreamId]) -> Vec<Arc<Registration>> {
         let now = BootInstant::now();
-        let roster = lock(&self.roster);
+        let registry = lock(&self.registry);
         let outliers = lock(&self.outliers);
-        let wanted = roster
+        let wanted = registry
             .serving(service)
             .filter(|r| !excluded.contains(&r.id));
         let mut all: Vec<Arc<Registration>> = wanted.cloned().collect();
@@ -259,8 +259,8 @@
         peers: &Peers,
         now: BootInstant,
     ) -> (Option<u32>, bool) {
-        if let Some(desk) = lock(&self.desks).get(&upstream.id) {
-            let (version, active) = desk.lookup(key);
+        if let Some(controller) = lock(&self.controllers).get(&upstream.id) {
+            let (version, active) = controller.lookup(key);
             return (version, active && self.may_order());
         }
         if let Some((peer, held)) = peers.held(&upstream.id) {
--- a/src/entry/desk.rs
+++ b/src/entry/controller.rs
@@ -8,7 +8,7 @@
         orders::{Issuer, Order, OrderAnswer, Orders},
         registration::{AdapterKey, Registration},
     },
-    entry::{context::Entry, messages::Ensured, peers::HeldEngine},
+    entry::{context::Entry, messages::EnsureResult, peers::HeldEngine},
     holding::lock,
     ident::{Generation, UpstreamId},
     metrics,
@@ -22,10 +22,10 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-/// Questions waiting for a desk.
+/// Questions waiting for a controller.
 const QUEUE: usize = 1_024;
 
-/// Interval at which a desk looks for evictions that are due and for those who waited too long.
+/// Interval at which a controller looks for evictions that are due and for those who waited too long.
 const TICK: Duration = Duration::from_millis(50);
 
 /// Longest wait for a load; beyond it the request is better off elsewhere.
@@ -55,11 +55,11 @@
 /// Interval between tries to read the engine's first report.
 const REPORT_DELAY: Duration = Duration::from_millis(200);
 
-/// What a desk is asked.
+/// What a controller is asked.
 #[derive(Debug)]
-pub enum DeskAsk {
+pub enum Command {
     /// Bring an adapter.
-    Want(AdapterKey, u32, oneshot::Sender<Ensured>),
+    Want(AdapterKey, u32, oneshot::Sender<EnsureResult>),
     /// Requests for an adapter were sent.
     Asked(AdapterKey, u32),
     /// The engine's entry lists these adapters, with their versions.
@@ -68,18 +68,18 @@
     Missing(AdapterKey),
 }
 
-/// Reaches a desk.
+/// Reaches a controller.
 #[derive(Clone, Debug)]
-pub struct DeskHandle {
+pub struct ControllerHandle {
     /// The engine's process.
     pub upstream: Arc<Registration>,
     /// Fencing number.
     pub generation: Generation,
-    asks: mpsc::Sender<DeskAsk>,
+    asks: mpsc::Sender<Command>,
     engine: Arc<Mutex<HeldEngine>>,
 }
 
-impl DeskHandle {
+impl ControllerHandle {
     /// What is known of the engine.
     pub fn engine(&self) -> HeldEngine {
         lock(&self.engine).clone()
@@ -91,24 +91,24 @@
         (engine.adapters.get(key).copied(), engine.active)
     }
 
-    /// Tells the desk something; dropped if the desk is behind.
-    pub fn tell(&self, ask: DeskAsk) {
+    /// Tells the controller something; dropped if the controller is behind.
+    pub fn tell(&self, ask: Command) {
         if self.asks.try_send(ask).is_err() {
             warn!(upstream = &*self.upstream.id; "the engine's queue of questions is full");
         }
     }
 
     /// Brings an adapter and waits for it.
-    pub async fn ensure(&self, key: AdapterKey, version: u32) -> Ensured {
+    pub async fn ensure(&self, key: AdapterKey, version: u32) -> EnsureResult {
         let (reply, answer) = oneshot::channel();
         if self
             .asks
-            .try_send(DeskAsk::Want(key, version, reply))
+            .try_send(Command::Want(key, version, reply))
             .is_err()
         {
-            return Ensured::Full;
+            return EnsureResult::Full;
         }
-        answer.await.unwrap_or(Ensured::NotHolder)
+        answer.await.unwrap_or(EnsureResult::NotHolder)
     }
 }
 
@@ -117,7 +117,7 @@
 struct Waiter {
     version: u32,
     since: BootInstant,
-    reply: oneshot::Sender<Ensured>,
+    reply: oneshot::Sender<EnsureResult>,
 }
 
 /// How an order ended.
@@ -132,7 +132,7 @@
 }
 
 /// One engine and what is to be done there.
-struct Desk<O> {
+struct Controller<O> {
     entry: Arc<Entry>,
     orders: O,
     upstream: Arc<Registration>,
@@ -144,7 +144,7 @@
     engine: Arc<Mutex<HeldEngine>>,
 }
 
-/// Takes over an engine: starts its desk, which ends when its handle is dropped.
+/// Takes over an engine: starts its controller, which ends when its handle is dropped.
 pub fn open<O: Orders>(
     entry: &Arc<Entry>,
     orders: &O,
@@ -152,13 +152,13 @@
     spec: &EngineSpec,
     generation: Generation,
     from: BootInstant,
-) -> DeskHandle {
+) -> ControllerHandle {
     let (asks, incoming) = mpsc::channel(QUEUE);
     let engine = Arc::new(Mutex::new(HeldEngine {
         generation,
         ..HeldEngine::default()
     }));
-    let desk = Desk {
+    let controller = Controller {
         entry: Arc::clone(entry),
         orders: orders.clone(),
         upstream: Arc::clone(upstream),
@@ -169,8 +169,8 @@
         engine: Arc::clone(&engine),
     };
     let models = spec.models.iter().map(|m| Arc::clone(&m.name)).collect();
-    tokio::spawn(desk.run(incoming, models));
-    DeskHandle {
+    tokio::spawn(controller.run(incoming, models));
+    ControllerHandle {
         upstream: Arc::clone(upstream),
         generation,
         asks,
@@ -178,8 +178,8 @@
     }
 }
 
-impl<O: Orders> Desk<O> {
-    async fn run(mut self, mut incoming: mpsc::Receiver<DeskAsk>, models: Vec<Arc<str>>) {
+impl<O: Orders> Controller<O> {
+    async fn run(mut self, mut incoming: mpsc::Receiver<Command>, models: Vec<Arc<str>>) {
         let prepared = tokio::select! {
             prepared = self.prepare(&models) => prepared,
             () = closed(&incoming) => false,
@@ -238,10 +238,10 @@
         ended.done
     }
 
-    fn take(&mut self, ask: DeskAsk) {
+    fn take(&mut self, ask: Command) {
         let now = BootInstant::now();
         match ask {
-            DeskAsk::Want(key, version, reply) => {
+            Command::Want(key, version, reply) => {
                 let waiter = Waiter {
                     version,
                     since: now,
@@ -249,14 +249,14 @@
                 };
                 self.waiting.entry(key).or_default().push(waiter);
             }
-            DeskAsk::Asked(key, times) => self.residency.asked(&key, times, now),
-            DeskAsk::Listed(adapters) => {
+            Command::Asked(key, times) => self.residency.asked(&key, times, now),
+            Command::Listed(adapters) => {
                 let listed = adapters.iter().map(|(key, version)| (key, *version));
                 for key in self.residency.listed(listed, now) {
                     warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine holds an adapter that nobody here ordered");
                 }
             }
-            DeskAsk::Missing(key) => {
+            Command::Missing(key) => {
                 warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine lacks an adapter that was noted as loaded");
                 self.residency.missing(&key);
                 self.publish();
@@ -280,8 +280,8 @@
             let (entry, upstream) = (Arc::clone(&self.entry), Arc::clone(&self.upstream.id));
             let in_use = |k: &AdapterKey| entry.in_use(&upstream, k);
             match self.residency.plan(&key, version, now, in_use) {
-                Plan::Ready => self.answer(&key, Ensured::Ready),
-                Plan::Full => self.answer(&key, Ensured::Full),
+                Plan::Ready => self.answer(&key, EnsureResult::Ready),
+                Plan::Full => self.answer(&key, EnsureResult::Full),
                 Plan::Wait => {}
                 Plan::Load => orders.push(Order::LoadAdapter(key, Some(version))),
                 Plan::Evict(victim) => orders.push(Order::EvictAdapter(victim)),
@@ -300,10 +300,10 @@
         orders
     }
 
-    fn answer(&mut self, key: &AdapterKey, ensured: Ensured) {
+    fn answer(&mut self, key: &AdapterKey, result: EnsureResult) {
         for waiter in self.waiting.remove(key).into_iter().flatten() {
             // The asking request may have ended meanwhile.
-            let _gone = waiter.reply.send(ensured);
+            let _gone = waiter.reply.send(result);
         }
     }
 
@@ -318,7 +318,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in due {
-            self.answer(&key, Ensured::Full);
+            self.answer(&key, EnsureResult::Full);
         }
         self.publish();
     }
@@ -331,11 +331,11 @@
                 if ended.uncertain {
                     self.residency.order_uncertain(key, now);
                 }
-                self.answer(key, Ensured::Ready);
+                self.answer(key, EnsureResult::Ready);
             }
             Order::LoadAdapter(key, _) => {
                 self.residency.load_failed(key, ended.uncertain, now);
-                self.answer(key, Ensured::Failed);
+                self.answer(key, EnsureResult::Failed);
             }
             Order::EvictAdapter(key) if ended.kept => self.residency.keep(key),
             // An eviction without an answer may still come: the adapter counts as gone, its place as taken.
@@ -371,13 +371,13 @@
         if *engine != held {
             *engine = held;
             drop(engine);
-            self.entry.hurry();
+            self.entry.notify_peers();
         }
     }
 }
 
 /// Resolves once every handle is gone.
-async fn closed(incoming: &mpsc::Receiver<DeskAsk>) {
+async fn closed(incoming: &mpsc::Receiver<Command>) {
     while !incoming.is_closed() {
         tokio::time::sleep(REPORT_DELAY).await;
     }
@@ -474,16 +474,16 @@
     upstream: &UpstreamId,
     key: &AdapterKey,
     version: u32,
-) -> Ensured {
-    let desk = lock(&entry.desks).get(upstream).cloned();
-    if let Some(desk) = desk {
-        return desk.ensure(key.clone(), version).await;
+) -> EnsureResult {
+    let controller = lock(&entry.controllers).get(upstream).cloned();
+    if let Some(controller) = controller {
+        return controller.ensure(key.clone(), version).await;
     }
     let holder = lock(&entry.peers)
         .held(upstream)
         .map(|(peer, _)| peer.info.link);
     match holder {
         Some(address) => super::peer_link::ask(entry, address, upstream, key, version).await,
-        None => Ensured::NotHolder,
+        None => EnsureResult::NotHolder,
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     clock::BootInstant,
-    decide::roster::RosterChange,
+    decide::registry::RegistryChange,
     edge::{
         registration::Registration,
         store::{Change, Kind, Listing, Object, Store, StoreError},
     },
-    entry::{context::Entry, desk::DeskAsk},
+    entry::{context::Entry, controller::Command},
     holding::lock,
     supervisor::ChildError,
 };
@@ -118,14 +118,14 @@
         }
         info!(kind:? = self.kind; "dependency regained: the store answers");
         if self.kind == Kind::Upstreams {
-            lock(&self.entry.roster).store_returned(BootInstant::now());
+            lock(&self.entry.registry).store_returned(BootInstant::now());
         }
     }
 
     fn listed(&self, listing: &Listing) {
         if self.kind == Kind::Upstreams {
             let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
-            let gone = lock(&self.entry.roster).listed(&present, BootInstant::now());
+            let gone = lock(&self.entry.registry).listed(&present, BootInstant::now());
             for id in gone {
                 self.upstream_gone(&id, "missing from the list");
             }
@@ -141,9 +141,9 @@
             self.present(&change.object);
         } else if self.kind == Kind::Upstreams {
             let id = &change.object.name;
-            match lock(&self.entry.roster).removed(id, BootInstant::now()) {
-                RosterChange::Gone => self.upstream_gone(id, "entry removed"),
-                RosterChange::Lapsed => {
+            match lock(&self.entry.registry).removed(id, BootInstant::now()) {
+                RegistryChange::Gone => self.upstream_gone(id, "entry removed"),
+                RegistryChange::Lapsed => {
                     info!(upstream = id; "an entry lapsed while the store was away");
                 }
                 _ => {}
@@ -156,11 +156,11 @@
         let read = match self.kind {
             Kind::Upstreams => codec.registration(object).map(|r| {
                 let (id, service) = (Arc::clone(&r.id), Arc::clone(&r.service));
-                self.tell_desk(&r);
-                let change = lock(&self.entry.roster).registered(r);
-                if change != RosterChange::Same {
+                self.tell_controller(&r);
+                let change = lock(&self.entry.registry).registered(r);
+                if change != RegistryChange::Same {
                     info!(upstream = &*id, service = &*service, change:? = change; "upstream changed");
-                    self.entry.roster_changed.notify_one();
+                    self.entry.registry_changed.notify_one();
                 }
             }),
             Kind::Configuration => codec.deployment(object).map(|d| {
@@ -180,28 +180,28 @@
     }
 
     /// Passes on what an engine says that it holds, if this entry gives it orders.
-    fn tell_desk(&self, registration: &Registration) {
-        let desks = lock(&self.entry.desks);
-        let Some(desk) = desks.get(&registration.id) else {
+    fn tell_controller(&self, registration: &Registration) {
+        let controllers = lock(&self.entry.controllers);
+        let Some(controller) = controllers.get(&registration.id) else {
             return;
         };
-        if desk.upstream.is_same_process(registration) {
+        if controller.upstream.is_same_process(registration) {
             let adapters = registration.models.iter().flat_map(|m| &m.adapters);
             let listed = adapters.map(|a| (a.key.clone(), a.version)).collect();
-            desk.tell(DeskAsk::Listed(listed));
+            controller.tell(Command::Listed(listed));
         }
     }
 
     /// An entry that can't be read names no upstream any more.
     fn unusable(&self, id: &str) {
-        let gone = lock(&self.entry.roster).discard(id);
+        let gone = lock(&self.entry.registry).discard(id);
         if gone {
             self.upstream_gone(id, "entry can't be read");
         }
     }
 
     fn settle(&self) {
-        let gone = lock(&self.entry.roster).expire(BootInstant::now());
+        let gone = lock(&self.entry.registry).expire(BootInstant::now());
         for id in gone {
             self.upstream_gone(&id, "missed since the store's return");
         }
@@ -213,7 +213,7 @@
         self.entry.usage.forget(id);
         lock(&self.entry.prefill).forget(id);
         self.entry.pool.forget(id);
-        self.entry.roster_changed.notify_one();
+        self.entry.registry_changed.notify_one();
     }
 }
 
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -2,13 +2,16 @@
 
 use crate::{
     clock::BootInstant,
-    decide::succession::{self, HolderRecord, HolderState, MemberRecord, Own, Step},
+    decide::{
+        order_lease::TERMS,
+        succession::{self, HolderRecord, HolderState, MemberRecord, Own, Step},
+    },
     edge::{
         orders::Orders,
         registration::Registration,
         store::{Kind, Listing, Object, Store, StoreError},
     },
-    entry::{context::Entry, desk},
+    entry::{context::Entry, controller},
     holding::lock,
     ident::UpstreamId,
     lease::{Observer, Renewal},
@@ -63,7 +66,7 @@
         entry,
         store,
         orders,
-        observer: Observer::default(),
+        observer: Observer::new(TERMS),
         members: HashMap::new(),
         taken: HashMap::new(),
     };
@@ -71,7 +74,7 @@
         () = stop.cancelled() => {}
         () = holder.run() => {}
     }
-    lock(&holder.entry.desks).clear();
+    lock(&holder.entry.controllers).clear();
     Ok(())
 }
 
@@ -82,7 +85,7 @@
             if let Err(e) = self.look().await {
                 debug!("reading who holds what: {e}");
             }
-            metrics::upstreams_held(lock(&self.entry.desks).len());
+            metrics::upstreams_held(lock(&self.entry.controllers).len());
             self.wait().await;
         }
     }
@@ -93,14 +96,15 @@
         loop {
             tokio::select! {
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
-                () = self.entry.roster_changed.notified() => {
+                () = self.entry.registry_changed.notified() => {
                     tokio::time::sleep(MIN_LOOK).await;
                     return;
                 }
             }
             let waited = BootInstant::now().since(begun);
-            let mandate = *lock(&self.entry.mandate);
-            let unconfirmed = mandate.is_fresh(BootInstant::now()) && !mandate.is_confirmed();
+            let order_lease = *lock(&self.entry.order_lease);
+            let unconfirmed =
+                order_lease.is_fresh(BootInstant::now()) && !order_lease.is_confirmed();
             let due = waited >= LOOK_INTERVAL && self.is_amiss();
             if unconfirmed || due || waited >= CALM_INTERVAL {
                 return;
@@ -112,12 +116,12 @@
     fn is_amiss(&self) -> bool {
         let now = BootInstant::now();
         let engines = self.engines();
-        let desks = lock(&self.entry.desks);
+        let controllers = lock(&self.entry.controllers);
         let peers = lock(&self.entry.peers);
         engines.iter().any(|engine| {
             let held = peers.held(&engine.id);
             let live = held.is_some_and(|(p, _)| p.is_live(now) && !p.info.leaving);
-            !live && !desks.contains_key(&engine.id)
+            !live && !controllers.contains_key(&engine.id)
         })
     }
 
@@ -134,7 +138,7 @@
             }
         }
         self.drop_lost(&records);
-        lock(&self.entry.mandate).confirmed(asked);
+        lock(&self.entry.order_lease).confirmed(asked);
         if self.entry.may_order() {
             for engine in self.engines() {
                 self.step(&engine, records.get(&engine.id)).await;
@@ -164,30 +168,30 @@
 
     /// Engines that are registered, those that are leaving included: they may need no orders, but have a holder.
     fn engines(&self) -> Vec<Arc<Registration>> {
-        let roster = lock(&self.entry.roster);
+        let registry = lock(&self.entry.registry);
         let table = self.entry.routes.load();
         let is_engine = |r: &&Arc<Registration>| {
             let service = table.deployment.service(&r.service);
             r.is_serving() && service.is_some_and(|s| s.engine.is_some())
         };
-        roster.all().filter(is_engine).cloned().collect()
+        registry.all().filter(is_engine).cloned().collect()
     }
 
-    /// Closes desks of engines that are gone, restarted, or held by somebody else.
+    /// Closes controllers of engines that are gone, restarted, or held by somebody else.
     fn drop_lost(&mut self, records: &HashMap<UpstreamId, Held>) {
         let own = &self.entry.config.id;
         let incarnation = self.entry.incarnation;
-        let mut desks = lock(&self.entry.desks);
-        let roster = lock(&self.entry.roster);
-        desks.retain(|id, desk| {
-            let same = roster
+        let mut controllers = lock(&self.entry.controllers);
+        let registry = lock(&self.entry.registry);
+        controllers.retain(|id, controller| {
+            let same = registry
                 .get(id)
-                .is_some_and(|r| r.is_same_process(&desk.upstream));
+                .is_some_and(|r| r.is_same_process(&controller.upstream));
             let ours = records.get(id).is_some_and(|(r, _)| {
-                *r.holder == **own && r.incarnation == incarnation && r.generation == desk.generation
+                *r.holder == **own && r.incarnation == incarnation && r.generation == controller.generation
             });
             if !same || !ours {
-                info!(upstream = &**id, generation = desk.generation, same_process = same, still_ours = ours; "placement: engine dropped");
+                info!(upstream = &**id, generation = controller.generation, same_process = same, still_ours = ours; "placement: engine dropped");
             }
             same && ours
         });
@@ -275,9 +279,9 @@
         }
     }
 
-    /// Opens a desk for an engine that is ours, if there is none.
+    /// Opens a controller for an engine that is ours, if there is none.
     fn open(&self, engine: &Arc<Registration>, record: &HolderRecord) {
-        if lock(&self.entry.desks).contains_key(&engine.id) {
+        if lock(&self.entry.controllers).contains_key(&engine.id) {
             return;
         }
         let service = self.entry.service(&engine.service);
@@ -286,7 +290,7 @@
         };
         let noted = self.taken.get(&engine.id).filter(|(r, _)| r == record);
         let from = noted.map_or_else(BootInstant::now, |(_, from)| *from);
-        let handle = desk::open(
+        let handle = controller::open(
             &self.entry,
             &self.orders,
             engine,
@@ -294,7 +298,7 @@
             record.generation,
             from,
         );
-        lock(&self.entry.desks).insert(Arc::clone(&engine.id), handle);
+        lock(&self.entry.controllers).insert(Arc::clone(&engine.id), handle);
     }
 }
 
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -108,7 +108,7 @@
 
 /// What became of an [`EnsureAsk`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Ensured {
+pub enum EnsureResult {
     /// The adapter is there.
     Ready,
     /// Every place of the engine is in use.
@@ -119,7 +119,7 @@
     Failed,
 }
 
-impl Ensured {
+impl EnsureResult {
     /// Name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! The entry process: callers' listener, directory, readiness, peers, and the orders to the engines it holds.
 
 pub mod context;
-pub mod desk;
+pub mod controller;
 pub mod directory;
 pub mod follow;
 pub mod holder;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -5,10 +5,10 @@
     edge::{deployment::Deployment, registration::AdapterKey},
     entry::{
         context::Entry,
-        desk::{self, DeskAsk},
+        controller::{self, Command},
         messages::{
-            AdapterUse, DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, Ensured, HeldChange, PEER_PATH,
-            PeerAck, PeerUpdate,
+            AdapterUse, DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, EnsureResult, HeldChange,
+            PEER_PATH, PeerAck, PeerUpdate,
         },
         peers::HeldEngine,
     },
@@ -56,12 +56,12 @@
 ///
 /// # Errors
 /// None.
-pub async fn spread(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+pub async fn connect_peers(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
     let mut spoken: HashSet<SocketAddr> = HashSet::from([entry.config.link]);
     while !stop.is_cancelled() {
         for address in known(&entry) {
             if spoken.insert(address) {
-                tokio::spawn(talk(Arc::clone(&entry), address, stop.clone()));
+                tokio::spawn(send_updates(Arc::clone(&entry), address, stop.clone()));
             }
         }
         tokio::select! {
@@ -81,13 +81,13 @@
 }
 
 /// Tells the entry at `address` about this one, until `stop`.
-async fn talk(entry: Arc<Entry>, address: SocketAddr, stop: CancellationToken) {
+async fn send_updates(entry: Arc<Entry>, address: SocketAddr, stop: CancellationToken) {
     let mut pause = FIRST_RECONNECT;
     let mut connected = false;
     while !stop.is_cancelled() {
         let told = tokio::select! {
             () = stop.cancelled() => return,
-            told = Teller::new(&entry, address).run() => told,
+            told = UpdateSender::new(&entry, address).run() => told,
         };
         let (updates, error) = told;
         if updates > 0 {
@@ -103,7 +103,7 @@
 }
 
 /// Sends one stream of updates.
-struct Teller<'a> {
+struct UpdateSender<'a> {
     entry: &'a Arc<Entry>,
     address: SocketAddr,
     sequence: u64,
@@ -115,7 +115,7 @@
     changes: watch::Receiver<u64>,
 }
 
-impl<'a> Teller<'a> {
+impl<'a> UpdateSender<'a> {
     fn new(entry: &'a Arc<Entry>, address: SocketAddr) -> Self {
         Self {
             entry,
@@ -224,11 +224,11 @@
     }
 
     fn held_changes(&mut self) -> Vec<HeldChange> {
-        let desks = lock(&self.entry.desks).clone();
+        let controllers = lock(&self.entry.controllers).clone();
         let may_order = self.entry.may_order();
         let mut changes = Vec::new();
-        for (upstream, desk) in &desks {
-            let mut engine = desk.engine();
+        for (upstream, controller) in &controllers {
+            let mut engine = controller.engine();
             engine.active &= may_order;
             let known = self.held.get(upstream);
             if known != Some(&engine) {
@@ -239,7 +239,7 @@
         let released: Vec<UpstreamId> = self
             .held
             .keys()
-            .filter(|id| !desks.contains_key(*id))
+            .filter(|id| !controllers.contains_key(*id))
             .cloned()
             .collect();
         for upstream in released {
@@ -295,7 +295,7 @@
         return;
     };
     let ended = match path.as_str() {
-        PEER_PATH => hear(&entry, sender, receiver).await,
+        PEER_PATH => receive_updates(&entry, sender, receiver).await,
         ENSURE_PATH => answer_ensure(&entry, sender, receiver).await,
         _ => answer_deployment(&entry, sender, receiver).await,
     };
@@ -305,7 +305,7 @@
 }
 
 /// Takes in the updates of another entry.
-async fn hear(
+async fn receive_updates(
     entry: &Arc<Entry>,
     mut sender: Sender,
     mut receiver: Receiver,
@@ -323,8 +323,8 @@
             entry.announce(key, *version);
         }
         for used in update.uses.iter().filter(|u| u.asked > 0) {
-            if let Some(desk) = lock(&entry.desks).get(&used.upstream) {
-                desk.tell(DeskAsk::Asked(used.key.clone(), used.asked));
+            if let Some(controller) = lock(&entry.controllers).get(&used.upstream) {
+                controller.tell(Command::Asked(used.key.clone(), used.asked));
             }
         }
         if update.info.revision > entry.revision() {
@@ -374,12 +374,12 @@
     let Some(ask) = receiver.next::<EnsureAsk>().await? else {
         return Ok(());
     };
-    let desk = lock(&entry.desks).get(&ask.upstream).cloned();
-    let ensured = match desk {
-        Some(desk) => desk.ensure(ask.key, ask.version).await,
-        None => Ensured::NotHolder,
+    let controller = lock(&entry.controllers).get(&ask.upstream).cloned();
+    let result = match controller {
+        Some(controller) => controller.ensure(ask.key, ask.version).await,
+        None => EnsureResult::NotHolder,
     };
-    sender.send(&ensured).await?;
+    sender.send(&result).await?;
     sender.finish();
     Ok(())
 }
@@ -391,7 +391,7 @@
     upstream: &UpstreamId,
     key: &AdapterKey,
     version: u32,
-) -> Ensured {
+) -> EnsureResult {
     let ask = EnsureAsk {
         upstream: Arc::clone(upstream),
         key: key.clone(),
@@ -400,28 +400,28 @@
     let asked = timeout(ENSURE_TIMEOUT, async {
         let link = entry.link(address);
         let mut receiver = link.open(ENSURE_PATH, &ask).await?;
-        receiver.next::<Ensured>().await
+        receiver.next::<EnsureResult>().await
     });
     match asked.await {
-        Ok(Ok(Some(ensured))) => ensured,
-        Ok(Ok(None)) | Err(_) => Ensured::Failed,
+        Ok(Ok(Some(result))) => result,
+        Ok(Ok(None)) | Err(_) => EnsureResult::Failed,
         Ok(Err(e)) => {
             warn!(peer:% = address, upstream = &**upstream, error:% = e; "the holder could not be asked");
-            Ensured::NotHolder
+            EnsureResult::NotHolder
         }
     }
 }
 
 /// Tells the holder of an engine that it lacks an adapter that was noted as loaded.
 pub fn tell_missing(entry: &Arc<Entry>, upstream: &UpstreamId, key: &AdapterKey) {
-    if let Some(desk) = lock(&entry.desks).get(upstream) {
-        desk.tell(DeskAsk::Missing(key.clone()));
+    if let Some(controller) = lock(&entry.controllers).get(upstream) {
+        controller.tell(Command::Missing(key.clone()));
     }
 }
 
 /// Counts a request for an adapter where this entry holds the engine; other holders learn of it by updates.
 pub fn count_asked(entry: &Entry, upstream: &UpstreamId, key: &AdapterKey) {
-    if let Some(desk) = lock(&entry.desks).get(upstream) {
-        desk.tell(desk::DeskAsk::Asked(key.clone(), 1));
+    if let Some(controller) = lock(&entry.controllers).get(upstream) {
+        controller.tell(controller::Command::Asked(key.clone(), 1));
     }
 }
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -67,7 +67,7 @@
         match &written {
             Ok(object) => {
                 self.revision = Some(object.revision);
-                lock(&self.entry.mandate).renewed(sent, BootInstant::now());
+                lock(&self.entry.order_lease).renewed(sent, BootInstant::now());
             }
             Err(_e) => self.revision = None,
         }
@@ -94,7 +94,7 @@
     }
 
     fn log(&mut self, written: &Result<Object, StoreError>) {
-        let fresh = lock(&self.entry.mandate).is_fresh(BootInstant::now());
+        let fresh = lock(&self.entry.order_lease).is_fresh(BootInstant::now());
         if let Err(e) = written {
             warn!(error:% = e, counter = self.record.counter, lease_fresh = fresh; "the lease was not renewed");
         }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -153,7 +153,7 @@
     });
     let e = Arc::clone(entry);
     supervise(tree, "peers", stop.clone(), move |stop| {
-        Box::pin(peer_link::spread(Arc::clone(&e), stop))
+        Box::pin(peer_link::connect_peers(Arc::clone(&e), stop))
     });
     let e = Arc::clone(entry);
     supervise(tree, "settings", stop.clone(), move |stop| {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -15,16 +15,40 @@
 /// Longest gap between two successful reads that still count as one observation.
 pub const MAX_READ_GAP: Duration = Duration::from_secs(3);
 
+/// How long a lease lasts, and how long others wait for its end.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTerms {
+    /// Time a renewal stays good, counted from before it was sent.
+    pub lease: Duration,
+    /// Time an observer must see a counter unchanged.
+    pub takeover: Duration,
+}
+
+impl Default for LeaseTerms {
+    fn default() -> Self {
+        Self {
+            lease: LEASE,
+            takeover: TAKEOVER_AFTER,
+        }
+    }
+}
+
 /// A holder's view of its own lease.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HolderLease {
+    terms: LeaseTerms,
     until: Option<BootInstant>,
 }
 
 impl HolderLease {
+    /// A lease under `terms` that was not renewed yet.
+    pub fn new(terms: LeaseTerms) -> Self {
+        Self { terms, until: None }
+    }
+
     /// Records a renewal that took effect; `sent` was read before it was sent.
     pub fn renewed(&mut self, sent: BootInstant) {
-        let until = sent + LEASE;
+        let until = sent + self.terms.lease;
         self.until = Some(self.until.map_or(until, |u| u.max(until)));
     }
 
@@ -61,7 +85,12 @@
 }
 
 impl Seen {
-    fn next(before: Option<Self>, renewal: Renewal, sent: BootInstant, done: BootInstant) -> Self {
+    fn next(
+        before: Option<Self>,
+        renewal: Renewal,
+        (sent, done): (BootInstant, BootInstant),
+        takeover: Duration,
+    ) -> Self {
         let fresh = Self {
             renewal,
             since: done,
@@ -73,7 +102,7 @@
         if before.renewal.incarnation != renewal.incarnation {
             return fresh;
         }
-        let settled = before.settled || sent.since(before.born) >= TAKEOVER_AFTER;
+        let settled = before.settled || sent.since(before.born) >= takeover;
         if before.renewal.counter != renewal.counter {
             return Self {
                 born: before.born,
@@ -81,7 +110,7 @@
                 ..fresh
             };
         }
-        let lapsed = before.lapsed || sent.since(before.since) >= TAKEOVER_AFTER;
+        let lapsed = before.lapsed || sent.since(before.since) >= takeover;
         Self {
             lapsed,
             settled,
@@ -93,11 +122,20 @@
 /// An observer's view of every dispatcher's lease.
 #[derive(Debug, Default)]
 pub struct Observer {
+    terms: LeaseTerms,
     seen: HashMap<DispatcherId, Seen>,
     last_read: Option<BootInstant>,
 }
 
 impl Observer {
+    /// An observer of leases under `terms` that has seen none.
+    pub fn new(terms: LeaseTerms) -> Self {
+        Self {
+            terms,
+            ..Self::default()
+        }
+    }
+
     /// Takes in a successful read that was sent at `sent` and answered at `done`.
     pub fn observe<'a>(
         &mut self,
@@ -112,7 +150,10 @@
         let mut next = HashMap::new();
         for (id, renewal) in records {
             let before = self.seen.get(id).filter(|_| !gap).copied();
-            next.insert(Arc::clone(id), Seen::next(before, renewal, sent, done));
+            next.insert(
+                Arc::clone(id),
+                Seen::next(before, renewal, (sent, done), self.terms.takeover),
+            );
         }
         self.seen = next;
     }
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -10,7 +10,7 @@
     entry::{peer_link, usage::UsageGuard},
     holding::lock,
     path::{
-        job::{Job, Placed},
+        job::{Job, Placement},
         pool::{self, Connection, SendError},
     },
 };
@@ -43,7 +43,7 @@
 
 /// How one try ended.
 #[derive(Debug)]
-pub enum Tried {
+pub enum Attempt {
     /// An answer began.
     Answered(Box<Answered>),
     /// It was not run.
@@ -81,28 +81,28 @@
 }
 
 impl Job {
-    /// Sends the request to `placed`, after `last_event` where a stream goes on; the first part of its answer is
+    /// Sends the request to `placement`, after `last_event` where a stream goes on; the first part of its answer is
     /// `expected` after that time.
-    pub async fn try_at(
+    pub async fn attempt(
         &self,
-        placed: &Placed,
+        placement: &Placement,
         last_event: Option<u64>,
         expected: Duration,
-    ) -> Tried {
-        let upstream = &placed.upstream;
+    ) -> Attempt {
+        let upstream = &placement.upstream;
         let usage = self.entry.usage.begin(&upstream.id, self.adapter());
         if let Some(key) = self.adapter() {
             peer_link::count_asked(&self.entry, &upstream.id, key);
         }
         let left = self.left();
-        let Some(request) = self.request(placed, last_event, left) else {
-            return Tried::NotRun;
+        let Some(request) = self.request(placement, last_event, left) else {
+            return Attempt::NotRun;
         };
         let sent_at = BootInstant::now();
         let sent = self.entry.pool.send(upstream, request);
         let answer = match tokio::time::timeout(left, sent).await {
             Ok(answer) => answer,
-            Err(_elapsed) => return Tried::Timeout,
+            Err(_elapsed) => return Attempt::Timeout,
         };
         match answer {
             Ok((response, connection)) => {
@@ -111,22 +111,22 @@
                     expected,
                     usage,
                 };
-                self.judge(placed, response, connection, sent)
+                self.judge(placement, response, connection, sent)
             }
             Err(SendError::NotSent) => {
                 self.failed(upstream, "no connection");
-                Tried::NotRun
+                Attempt::NotRun
             }
             Err(SendError::Broken) => {
                 self.failed(upstream, "connection broke");
-                Tried::Uncertain
+                Attempt::Uncertain
             }
         }
     }
 
     fn request(
         &self,
-        placed: &Placed,
+        placement: &Placement,
         last_event: Option<u64>,
         left: Duration,
     ) -> Option<Request<Full<Bytes>>> {
@@ -136,8 +136,8 @@
         headers.remove(header::CONTENT_LENGTH);
         let forwarding = Forwarding {
             left,
-            process: &placed.upstream.id,
-            version: placed.version,
+            process: &placement.upstream.id,
+            version: placement.version,
             urgency: self.call.work.as_ref().map(|_| urgency(&self.route)),
             last_event,
         };
@@ -152,12 +152,12 @@
     /// Decides from its head what an answer is worth.
     fn judge(
         &self,
-        placed: &Placed,
+        placement: &Placement,
         mut response: Response<Incoming>,
         connection: Connection,
         sent: Sent,
-    ) -> Tried {
-        let upstream = &placed.upstream;
+    ) -> Attempt {
+        let upstream = &placement.upstream;
         let status = response.status();
         let codec = &self.entry.codec;
         let head = codec.reply(&self.call.id, status, response.headers());
@@ -170,17 +170,17 @@
             if misdirected {
                 self.misdirected(upstream);
             }
-            return Tried::NotRun;
+            return Attempt::NotRun;
         }
         if !head.is_ours {
             let reused = connection.is_reused();
             info!(request = &*self.call.id, upstream = &*upstream.id, reused = reused; "routing: an answer to another request");
-            return Tried::Uncertain;
+            return Attempt::Uncertain;
         }
         lock(&self.entry.outliers).succeeded(&upstream.id);
         let keep = pool::keep_time(response.headers());
         strip_hop_headers(response.headers_mut());
-        Tried::Answered(Box::new(Answered {
+        Attempt::Answered(Box::new(Answered {
             response: response.map(Some),
             connection,
             keep,
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -10,7 +10,7 @@
     ident::{UpstreamId, pair_hash},
     metrics,
     path::{
-        attempt::Tried,
+        attempt::Attempt,
         job::Job,
         refusal::{self, Reason},
         relay,
@@ -157,17 +157,17 @@
     let mut tries = 0;
     let mut uncertain = false;
     let reason = loop {
-        let placed = match job.place(&excluded).await {
-            Ok(placed) => placed,
+        let placement = match job.place(&excluded).await {
+            Ok(placement) => placement,
             Err(reason) => break reason,
         };
         if tries > 0 && !may_repeat(&job) {
             break Reason::Refused;
         }
         tries += 1;
-        let read = job.pace(&placed.upstream.id).await;
-        match job.try_at(&placed, job.call.last_event, read).await {
-            Tried::Answered(answered) => {
+        let read = job.reserve_prefill(&placement.upstream.id).await;
+        match job.attempt(&placement, job.call.last_event, read).await {
+            Attempt::Answered(answered) => {
                 let failed = answered.response.status().is_server_error();
                 let again = job.route.kind.is_repeatable() && tries < job.route.attempts;
                 if !(failed && again && budget_allows(&job)) {
@@ -175,30 +175,30 @@
                 }
                 info!(request = &*job.call.id, status = answered.response.status().as_u16(); "routing: a failure is repeated elsewhere");
             }
-            Tried::NotRun if tries < job.route.attempts + MAX_REFUSALS => {}
-            Tried::NotRun => break Reason::Refused,
-            Tried::Uncertain => {
+            Attempt::NotRun if tries < job.route.attempts + MAX_REFUSALS => {}
+            Attempt::NotRun => break Reason::Refused,
+            Attempt::Uncertain => {
                 uncertain = true;
                 if !job.route.kind.is_repeatable() || tries >= job.route.attempts {
                     break Reason::Lost;
                 }
             }
-            Tried::Timeout => {
+            Attempt::Timeout => {
                 uncertain = true;
                 break Reason::Timeout;
             }
         }
-        excluded.push(Arc::clone(&placed.upstream.id));
+        excluded.push(Arc::clone(&placement.upstream.id));
     };
     refuse(
         &job.call.id,
         job.route.kind.as_str(),
-        honest(reason, uncertain, job.left()),
+        without_false_refusal(reason, uncertain, job.left()),
     )
 }
 
 /// A refusal says that the request was not run; after an uncertain try it may have been.
-fn honest(reason: Reason, uncertain: bool, left: Duration) -> Reason {
+fn without_false_refusal(reason: Reason, uncertain: bool, left: Duration) -> Reason {
     match reason {
         Reason::Timeout | Reason::Lost => reason,
         _ if !uncertain => reason,
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -8,7 +8,7 @@
         deployment::Route,
         registration::{AdapterKey, Registration},
     },
-    entry::{context::Entry, desk, messages::Ensured},
+    entry::{context::Entry, controller, messages::EnsureResult},
     holding::lock,
     ident::UpstreamId,
     path::refusal::Reason,
@@ -51,7 +51,7 @@
 
 /// An upstream that a request is sent to next.
 #[derive(Debug)]
-pub struct Placed {
+pub struct Placement {
     /// The upstream.
     pub upstream: Arc<Registration>,
     /// Version of the adapter that must be there.
@@ -73,7 +73,7 @@
     ///
     /// # Errors
     /// Why there is none.
-    pub async fn place(&self, excluded: &[UpstreamId]) -> Result<Placed, Reason> {
+    pub async fn place(&self, excluded: &[UpstreamId]) -> Result<Placement, Reason> {
         let mut excluded = excluded.to_vec();
         let mut loads = 0;
         loop {
@@ -83,18 +83,18 @@
             let upstreams = self.entry.serving(&self.service, &excluded);
             let chosen = self.choose(&upstreams);
             match chosen {
-                Choice::Send(i) => return self.placed(&upstreams, i),
+                Choice::Send(i) => return self.placement(&upstreams, i),
                 Choice::SendAndCopy(i, copy) => {
                     if let Some(target) = upstreams.get(copy) {
                         self.copy_to(target);
                     }
-                    return self.placed(&upstreams, i);
+                    return self.placement(&upstreams, i);
                 }
                 Choice::Load(i) => {
                     let upstream = upstreams.get(i).ok_or(Reason::NoUpstream)?;
                     loads += 1;
-                    if self.bring(upstream).await == Ensured::Ready {
-                        return self.placed(&upstreams, i);
+                    if self.load_adapter(upstream).await == EnsureResult::Ready {
+                        return self.placement(&upstreams, i);
                     }
                     if loads >= MAX_LOADS {
                         return Err(Reason::NoAdapter);
@@ -120,10 +120,10 @@
         choice
     }
 
-    fn placed(&self, upstreams: &[Arc<Registration>], i: usize) -> Result<Placed, Reason> {
+    fn placement(&self, upstreams: &[Arc<Registration>], i: usize) -> Result<Placement, Reason> {
         let upstream = upstreams.get(i).ok_or(Reason::NoUpstream)?;
         let version = self.adapter().map(|key| self.entry.version(key));
-        Ok(Placed {
+        Ok(Placement {
             upstream: Arc::clone(upstream),
             version,
         })
@@ -132,14 +132,14 @@
     /// Reserves the reading of the prompt, and holds the request back until the engine is ready for it.
     ///
     /// Returns the time in which its first part is expected after it is sent.
-    pub async fn pace(&self, upstream: &UpstreamId) -> Duration {
+    pub async fn reserve_prefill(&self, upstream: &UpstreamId) -> Duration {
         let Some(work) = &self.call.work else {
             return Duration::ZERO;
         };
         let now = BootInstant::now();
         let (wait, read) = lock(&self.entry.prefill).reserve(upstream, work.prompt_tokens, now);
         self.entry.usage.reserve(upstream, work.prompt_tokens);
-        self.entry.hurry();
+        self.entry.notify_peers();
         if !wait.is_zero() {
             tokio::time::sleep(wait.min(self.left())).await;
         }
@@ -147,23 +147,23 @@
     }
 
     /// Waits until the adapter is at `upstream`.
-    async fn bring(&self, upstream: &Registration) -> Ensured {
+    async fn load_adapter(&self, upstream: &Registration) -> EnsureResult {
         let Some(key) = self.adapter() else {
-            return Ensured::Ready;
+            return EnsureResult::Ready;
         };
         let begun = BootInstant::now();
         let version = self.entry.version(key);
-        let brought = desk::ensure(&self.entry, &upstream.id, key, version);
+        let brought = controller::ensure(&self.entry, &upstream.id, key, version);
         let brought = tokio::time::timeout(self.left(), brought).await;
-        let ensured = brought.unwrap_or(Ensured::Failed);
+        let result = brought.unwrap_or(EnsureResult::Failed);
         let stall = BootInstant::now().since(begun);
         crate::metrics::load_stall(self.route.kind.as_str(), stall.as_secs_f64());
         info!(
             request = &*self.call.id, upstream = &*upstream.id, adapter:% = key, version = version,
-            outcome = ensured.as_str(), stall_ms = stall.as_millis() as u64;
+            outcome = result.as_str(), stall_ms = stall.as_millis() as u64;
             "placement: adapter asked for"
         );
-        ensured
+        result
     }
 
     /// Has the adapter brought to `upstream` for later requests.
@@ -174,8 +174,8 @@
         let (entry, id) = (Arc::clone(&self.entry), Arc::clone(&upstream.id));
         tokio::spawn(async move {
             let version = entry.version(&key);
-            let ensured = desk::ensure(&entry, &id, &key, version).await;
-            info!(upstream = &*id, adapter:% = key, outcome = ensured.as_str(); "placement: copy of a busy adapter");
+            let result = controller::ensure(&entry, &id, &key, version).await;
+            info!(upstream = &*id, adapter:% = key, outcome = result.as_str(); "placement: copy of a busy adapter");
         });
     }
 
