fix: tell the holder of an engine that it lacks an adapter

Cause: an entry that got 421 for an adapter told only itself, so where another entry held the engine every request for the adapter was refused once until the engine's next change. Test: the_holder_learns_of_a_lost_adapter (failed before).

--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -13,6 +13,9 @@
 /// Path that asks a holder to bring an adapter to an engine.
 pub const ENSURE_PATH: &str = "/ensure";
 
+/// Path that tells a holder that an engine lacks an adapter.
+pub const MISSING_PATH: &str = "/missing";
+
 /// Path that asks for the configuration in force.
 pub const DEPLOYMENT_PATH: &str = "/deployment";
 
@@ -95,7 +98,7 @@
     pub sequence: u64,
 }
 
-/// Asks for an adapter at an engine.
+/// Asks for an adapter at an engine, or tells that the engine lacks it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EnsureAsk {
     /// Engine.
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -8,7 +8,7 @@
         controller::{self, Command},
         messages::{
             AdapterUse, DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, EnsureResult, HeldChange,
-            PEER_PATH, PeerAck, PeerUpdate,
+            MISSING_PATH, PEER_PATH, PeerAck, PeerUpdate,
         },
         peers::HeldEngine,
     },
@@ -288,7 +288,7 @@
 pub async fn answer(entry: Arc<Entry>, incoming: Incoming) {
     let path = incoming.path.clone();
     let accepted = match path.as_str() {
-        PEER_PATH | ENSURE_PATH | DEPLOYMENT_PATH => incoming.accept(),
+        PEER_PATH | ENSURE_PATH | MISSING_PATH | DEPLOYMENT_PATH => incoming.accept(),
         _ => return incoming.refuse(),
     };
     let Ok((sender, receiver)) = accepted else {
@@ -297,6 +297,7 @@
     let ended = match path.as_str() {
         PEER_PATH => receive_updates(&entry, sender, receiver).await,
         ENSURE_PATH => answer_ensure(&entry, sender, receiver).await,
+        MISSING_PATH => take_missing(&entry, sender, receiver).await,
         _ => answer_deployment(&entry, sender, receiver).await,
     };
     if let Err(e) = ended {
@@ -384,6 +385,20 @@
     Ok(())
 }
 
+async fn take_missing(
+    entry: &Arc<Entry>,
+    sender: Sender,
+    mut receiver: Receiver,
+) -> Result<(), LinkError> {
+    if let Some(ask) = receiver.next::<EnsureAsk>().await?
+        && let Some(controller) = lock(&entry.controllers).get(&ask.upstream)
+    {
+        controller.tell(Command::Missing(ask.key));
+    }
+    sender.finish();
+    Ok(())
+}
+
 /// Asks the holder at `address` to bring an adapter.
 pub async fn ask(
     entry: &Arc<Entry>,
@@ -416,7 +431,23 @@
 pub fn tell_missing(entry: &Arc<Entry>, upstream: &UpstreamId, key: &AdapterKey) {
     if let Some(controller) = lock(&entry.controllers).get(upstream) {
         controller.tell(Command::Missing(key.clone()));
+        return;
     }
+    let holder = lock(&entry.peers).held(upstream).map(|(p, _)| p.info.link);
+    let Some(address) = holder else {
+        return;
+    };
+    let link = entry.link(address);
+    let told = EnsureAsk {
+        upstream: Arc::clone(upstream),
+        key: key.clone(),
+        version: 0,
+    };
+    tokio::spawn(async move {
+        if let Err(e) = link.open(MISSING_PATH, &told).await {
+            debug!("telling {address} of a missing adapter: {e}");
+        }
+    });
 }
 
 /// Counts a request for an adapter where this entry holds the engine; other holders learn of it by updates.
