fix: serve who waits longest for an adapter first, and wait for adapters that have just come

Change: such an adapter is waited for, its least stay is 250 ms, ties and waiters have an order. Test: an_adapter_that_has_just_come_is_waited_for (failed before).

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -23,8 +23,9 @@
 /// Time for which an order without an answer may still be carried out; the platform tells of 12 s at most.
 const LATE_ORDER: Duration = Duration::from_secs(15);
 
-/// Time that an adapter is kept after its load, so that those who waited for it find it.
-const MIN_STAY: Duration = Duration::from_millis(500);
+/// Time that an adapter is kept after its load, so that those who waited for it find it: entries tell each other
+/// of their requests within 200 ms.
+const MIN_STAY: Duration = Duration::from_millis(250);
 
 /// Time after an eviction for which the engine's own list, which is older, may still name the adapter.
 const LIST_AGE: Duration = Duration::from_secs(4);
@@ -219,9 +220,13 @@
         if self.count(PlaceState::Evicting) > 0 {
             return Plan::Wait;
         }
+        let is_idle = |(key, p): (&AdapterKey, &Place)| {
+            p.state == PlaceState::Resident && !self.late.contains_key(key) && !in_use(key)
+        };
+        let soon = self.in_transit() > 0 || self.places.iter().any(is_idle);
         match self.begin_evict(now, in_use) {
             Some(victim) => Plan::Evict(victim),
-            None if self.in_transit() > 0 => Plan::Wait,
+            None if soon => Plan::Wait,
             None => Plan::Full,
         }
     }
@@ -242,7 +247,9 @@
         });
         let victim = idle.min_by(|a, b| {
             let by_rate = rate(a.0).total_cmp(&rate(b.0));
-            by_rate.then_with(|| a.1.since.cmp(&b.1.since))
+            by_rate
+                .then_with(|| a.1.since.cmp(&b.1.since))
+                .then_with(|| a.0.cmp(b.0))
         });
         let key = victim.map(|(key, _)| key.clone())?;
         if let Some(place) = self.places.get_mut(&key) {
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -5,13 +5,17 @@
     decide::residency::{PlaceState, Plan, Residency},
     edge::{
         deployment::EngineSpec,
-        orders::{Issuer, Order, OrderAnswer, Orders},
+        orders::{Order, Orders},
         registration::{AdapterKey, Registration},
     },
-    entry::{context::Entry, messages::EnsureResult, peers::HeldEngine},
+    entry::{
+        context::Entry,
+        messages::EnsureResult,
+        order_run::{Ended, OrderRun},
+        peers::HeldEngine,
+    },
     holding::lock,
-    ident::{Generation, UpstreamId},
-    metrics,
+    ident::Generation,
 };
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use log::{info, warn};
@@ -31,27 +35,6 @@
 /// Longest wait for a load; beyond it the request is better off elsewhere.
 const WANT_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Waits between repeats of a load order; a warm load takes about 25 ms, one from the store 250 ms.
-const LOAD_POLLS_MS: [u64; 10] = [30, 30, 60, 70, 70, 20, 20, 20, 30, 40];
-
-/// Wait between further repeats.
-const LATE_POLL: Duration = Duration::from_millis(60);
-
-/// Wait after an order that another one is in the way of, or that got no answer.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Longest time for an adapter's load or eviction; many loads at once slow each other down.
-const ORDER_LIMIT: Duration = Duration::from_secs(6);
-
-/// Longest time for a base model's load.
-const MODEL_LIMIT: Duration = Duration::from_secs(30);
-
-/// Interval between repeats of a base model's load order.
-const MODEL_POLL: Duration = Duration::from_millis(200);
-
-/// Time from announcing an eviction to ordering it, in which other entries learn of it.
-const EVICT_NOTICE: Duration = Duration::from_millis(30);
-
 /// Interval between tries to read the engine's first report.
 const REPORT_DELAY: Duration = Duration::from_millis(200);
 
@@ -120,17 +103,6 @@
     reply: oneshot::Sender<EnsureResult>,
 }
 
-/// How an order ended.
-#[derive(Debug)]
-struct Ended {
-    order: Order,
-    done: bool,
-    /// Whether some try of it got no answer.
-    uncertain: bool,
-    /// Whether it was not begun because its adapter came into use.
-    kept: bool,
-}
-
 /// One engine and what is to be done there.
 struct Controller<O> {
     entry: Arc<Entry>,
@@ -264,6 +236,24 @@
         }
     }
 
+    /// Adapters that are waited for, with the versions that will do; who has waited longest goes first.
+    fn wanted(&self) -> Vec<(AdapterKey, u32)> {
+        let mut wanted: Vec<(BootInstant, &AdapterKey, u32)> = self
+            .waiting
+            .iter()
+            .filter_map(|(key, all)| {
+                let since = all.iter().map(|w| w.since).min()?;
+                let version = all.iter().map(|w| w.version).max()?;
+                Some((since, key, version))
+            })
+            .collect();
+        wanted.sort();
+        let wanted = wanted.into_iter();
+        wanted
+            .map(|(_, key, version)| (key.clone(), version))
+            .collect()
+    }
+
     /// Orders that are due.
     fn plan(&mut self) -> Vec<Order> {
         if !self.entry.may_order() {
@@ -271,12 +261,7 @@
         }
         let now = BootInstant::now();
         let mut orders = Vec::new();
-        let wanted: Vec<(AdapterKey, u32)> = self
-            .waiting
-            .iter()
-            .filter_map(|(key, all)| Some((key.clone(), all.iter().map(|w| w.version).max()?)))
-            .collect();
-        for (key, version) in wanted {
+        for (key, version) in self.wanted() {
             let (entry, upstream) = (Arc::clone(&self.entry), Arc::clone(&self.upstream.id));
             let in_use = |k: &AdapterKey| entry.in_use(&upstream, k);
             match self.residency.plan(&key, version, now, in_use) {
@@ -347,13 +332,13 @@
 
     /// Gives an order and repeats it until it holds; it is idempotent.
     fn carry_out(&self, order: Order) -> BoxFuture<'static, Ended> {
-        let carrier = Carrier {
+        let run = OrderRun {
             entry: Arc::clone(&self.entry),
             orders: self.orders.clone(),
             upstream: Arc::clone(&self.upstream),
             generation: self.generation,
         };
-        Box::pin(async move { carrier.run(order).await })
+        Box::pin(async move { run.drive(order).await })
     }
 
     /// Shows other parts, and other entries, what requests may use.
@@ -382,108 +367,3 @@
         tokio::time::sleep(REPORT_DELAY).await;
     }
 }
-
-/// Carries out one order.
-struct Carrier<O> {
-    entry: Arc<Entry>,
-    orders: O,
-    upstream: Arc<Registration>,
-    generation: Generation,
-}
-
-impl<O: Orders> Carrier<O> {
-    async fn run(&self, order: Order) -> Ended {
-        let begun = BootInstant::now();
-        let limit = match order {
-            Order::LoadModel(_) => MODEL_LIMIT,
-            Order::LoadAdapter(..) | Order::EvictAdapter(_) => ORDER_LIMIT,
-        };
-        let mut ended = Ended {
-            order,
-            done: false,
-            uncertain: false,
-            kept: false,
-        };
-        if let Order::EvictAdapter(key) = &ended.order {
-            tokio::time::sleep(EVICT_NOTICE).await;
-            if self.entry.in_use(&self.upstream.id, key) {
-                ended.kept = true;
-                return ended;
-            }
-        }
-        let mut tries = 0;
-        let mut last = OrderAnswer::NotSent;
-        while BootInstant::now().since(begun) < limit && self.entry.may_order() {
-            last = self.give(&ended.order).await;
-            ended.uncertain |= last == OrderAnswer::Unknown;
-            match last {
-                OrderAnswer::Holds => {
-                    ended.done = true;
-                    break;
-                }
-                OrderAnswer::Accepted => tokio::time::sleep(poll_delay(&ended.order, tries)).await,
-                OrderAnswer::Busy | OrderAnswer::Unknown | OrderAnswer::NotSent => {
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-                OrderAnswer::Fenced | OrderAnswer::OtherProcess | OrderAnswer::Invalid => break,
-            }
-            tries += 1;
-        }
-        // What was accepted and not seen to end may end later.
-        ended.uncertain |= !ended.done && tries > 0;
-        self.log(&ended, last, begun);
-        ended
-    }
-
-    async fn give(&self, order: &Order) -> OrderAnswer {
-        let issuer = Issuer {
-            holder: &self.entry.config.id,
-            generation: self.generation,
-        };
-        let answer = self.orders.give(&self.upstream, issuer, order).await;
-        metrics::order(order.as_str(), answer.as_str());
-        answer
-    }
-
-    fn log(&self, ended: &Ended, last: OrderAnswer, begun: BootInstant) {
-        let adapter = match &ended.order {
-            Order::LoadModel(model) => model.to_string(),
-            Order::LoadAdapter(key, _) | Order::EvictAdapter(key) => key.to_string(),
-        };
-        let took_ms = BootInstant::now().since(begun).as_millis() as u64;
-        info!(
-            upstream = &*self.upstream.id, order = ended.order.as_str(), model = adapter, generation = self.generation,
-            done = ended.done, answer = last.as_str(), uncertain = ended.uncertain, took_ms = took_ms;
-            "placement: order ended"
-        );
-    }
-}
-
-fn poll_delay(order: &Order, tries: usize) -> Duration {
-    match order {
-        Order::LoadModel(_) => MODEL_POLL,
-        Order::LoadAdapter(..) | Order::EvictAdapter(_) => LOAD_POLLS_MS
-            .get(tries)
-            .map_or(LATE_POLL, |ms| Duration::from_millis(*ms)),
-    }
-}
-
-/// Brings `key` to `upstream`, here or through its holder.
-pub async fn ensure(
-    entry: &Arc<Entry>,
-    upstream: &UpstreamId,
-    key: &AdapterKey,
-    version: u32,
-) -> EnsureResult {
-    let controller = lock(&entry.controllers).get(upstream).cloned();
-    if let Some(controller) = controller {
-        return controller.ensure(key.clone(), version).await;
-    }
-    let holder = lock(&entry.peers)
-        .held(upstream)
-        .map(|(peer, _)| peer.info.link);
-    match holder {
-        Some(address) => super::peer_link::ask(entry, address, upstream, key, version).await,
-        None => EnsureResult::NotHolder,
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,9 +3,11 @@
 pub mod context;
 pub mod controller;
 pub mod directory;
+pub mod ensure;
 pub mod follow;
 pub mod holder;
 pub mod messages;
+pub mod order_run;
 pub mod peer_link;
 pub mod peers;
 pub mod reload;
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -8,7 +8,7 @@
         deployment::Route,
         registration::{AdapterKey, Registration},
     },
-    entry::{context::Entry, controller, messages::EnsureResult},
+    entry::{context::Entry, ensure, messages::EnsureResult},
     holding::lock,
     ident::UpstreamId,
     path::refusal::Reason,
@@ -153,7 +153,7 @@
         };
         let begun = BootInstant::now();
         let version = self.entry.version(key);
-        let brought = controller::ensure(&self.entry, &upstream.id, key, version);
+        let brought = ensure::ensure(&self.entry, &upstream.id, key, version);
         let brought = tokio::time::timeout(self.left(), brought).await;
         let result = brought.unwrap_or(EnsureResult::Failed);
         let stall = BootInstant::now().since(begun);
@@ -174,7 +174,7 @@
         let (entry, id) = (Arc::clone(&self.entry), Arc::clone(&upstream.id));
         tokio::spawn(async move {
             let version = entry.version(&key);
-            let result = controller::ensure(&entry, &id, &key, version).await;
+            let result = ensure::ensure(&entry, &id, &key, version).await;
             info!(upstream = &*id, adapter:% = key, outcome = result.as_str(); "placement: copy of a busy adapter");
         });
     }
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -17,6 +17,7 @@
     one_load_for_all_who_wait,
     an_adapter_in_use_never_makes_room,
     the_least_asked_makes_room,
+    an_adapter_that_has_just_come_is_waited_for,
     no_more_than_four_on_their_way,
     a_newer_version_waits_for_the_runs_of_the_older,
     a_replacement_takes_a_second_place_until_it_ends,
@@ -82,6 +83,15 @@
         assert_eq!(r.plan(&key(9), 1, at(5_000), idle), Plan::Evict(key(1)));
     }
 
+    /// A calm day of cold adapters on small engines refused requests while adapters lay idle there.
+    pub(super) fn an_adapter_that_has_just_come_is_waited_for() {
+        let mut r = engine(2, 2);
+        assert_eq!(r.plan(&key(9), 1, at(100), idle), Plan::Wait);
+        let all_in_use = |_: &AdapterKey| true;
+        assert_eq!(r.plan(&key(9), 1, at(100), all_in_use), Plan::Full);
+        assert!(matches!(r.plan(&key(9), 1, at(600), idle), Plan::Evict(_)));
+    }
+
     pub(super) fn no_more_than_four_on_their_way() {
         let mut r = Residency::new(19);
         for n in 0..4 {
