--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,341 @@
+//! Decisions of an entry without input or output.
+
+use carobfield::{
+    clock::BootInstant,
+    decide::{
+        budget::{BudgetLimits, RepeatBudget},
+        choice::{self, Candidate, Choice},
+        outliers::Outliers,
+        registry::{Registry, RegistryChange},
+        routes::{self, RouteTable},
+        succession::{self, HolderRecord, HolderState, Own, Step},
+    },
+    edge::{
+        deployment::{Deployment, Route, RouteKind, Target},
+        registration::{Phase, Registration},
+    },
+    ident::UpstreamId,
+    sse::EventCutter,
+};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+
+macro_rules! cases {
+    ($($name:ident),* $(,)?) => {
+        $(#[test] fn $name() { case::$name(); })*
+    };
+}
+
+cases! {
+    the_longest_prefix_wins,
+    services_get_their_shares,
+    an_adapter_stays_at_its_first_engine,
+    a_hot_adapter_is_copied_past_the_bound,
+    a_cold_adapter_is_loaded_below_the_bound,
+    full_and_absent_upstreams_are_told_apart,
+    a_held_back_prompt_goes_elsewhere,
+    repeats_stay_within_the_window,
+    failures_in_a_row_lengthen_the_pause,
+    a_restart_under_one_name_is_seen,
+    older_heartbeats_change_nothing,
+    entries_that_lapsed_in_an_outage_count_for_a_moment,
+    an_engine_is_taken_by_one_successor,
+    a_takeover_waits_for_the_earlier_holder,
+    a_cut_stream_goes_on_after_its_last_whole_event,
+}
+
+fn at(ms: u64) -> BootInstant {
+    BootInstant(1_000_000_000_000) + Duration::from_millis(ms)
+}
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: Arc::from(prefix),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(300),
+        priority: 1,
+        targets: vec![
+            Target {
+                service: Arc::from("most"),
+                weight: 90,
+            },
+            Target {
+                service: Arc::from("few"),
+                weight: 10,
+            },
+        ],
+        attempts: 2,
+    }
+}
+
+fn registration(id: &str, born: u64, beat: u64) -> Registration {
+    Registration {
+        id: Arc::from(id),
+        service: Arc::from("engines"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: Arc::from("north"),
+        slots: 32,
+        phase: Phase::Serving,
+        born: Some(born),
+        beat,
+        models: Vec::new(),
+    }
+}
+
+fn ids(count: usize) -> Vec<UpstreamId> {
+    (0..count)
+        .map(|n| UpstreamId::from(format!("engine-{n}")))
+        .collect()
+}
+
+fn candidates(ids: &[UpstreamId]) -> Vec<Candidate<'_>> {
+    let all = ids.iter().map(|id| Candidate {
+        id,
+        slots: 32,
+        load: 0,
+        wait: Duration::ZERO,
+        resident: false,
+        loadable: true,
+    });
+    all.collect()
+}
+
+mod case {
+    use super::{
+        Arc, BudgetLimits, Choice, Deployment, Duration, EventCutter, HashSet, HolderRecord,
+        HolderState, Outliers, Own, Phase, Registry, RegistryChange, RepeatBudget, RouteTable,
+        Step, UpstreamId, at, candidates, choice, ids, registration, route, routes, succession,
+    };
+
+    pub(super) fn the_longest_prefix_wins() {
+        let table = RouteTable::new(Deployment {
+            revision: 1,
+            routes: vec![
+                route("a.example", "/x/"),
+                route("a.example", "/x/y/"),
+                route("b.example", "/"),
+            ],
+            ..Deployment::default()
+        });
+        let found = |host, path| table.find(host, path).map(|r| r.prefix.to_string());
+        assert_eq!(found("a.example", "/x/y/z").as_deref(), Some("/x/y/"));
+        assert_eq!(found("A.example:8080", "/x/yz").as_deref(), Some("/x/"));
+        assert_eq!(found("a.example", "/x"), None);
+        assert_eq!(found("a.example", "/other/"), None);
+        assert_eq!(found("b.example", "/anything").as_deref(), Some("/"));
+        assert_eq!(found("c.example", "/x/"), None);
+    }
+
+    pub(super) fn services_get_their_shares() {
+        let route = route("a", "/");
+        let few = (0..1_000_u64).filter(|n| {
+            let service = routes::pick_service(&route, n * 7_919);
+            service.is_some_and(|s| &**s == "few")
+        });
+        assert_eq!(few.count(), 100);
+    }
+
+    pub(super) fn an_adapter_stays_at_its_first_engine() {
+        let ids = ids(18);
+        let mut all = candidates(&ids);
+        let Choice::Load(first) = choice::for_adapter("a1", &all) else {
+            panic!("a cold adapter is loaded");
+        };
+        all[first].resident = true;
+        all[first].load = 3;
+        assert_eq!(choice::for_adapter("a1", &all), Choice::Send(first));
+        let Choice::Load(other) = choice::for_adapter("a2", &candidates(&ids)) else {
+            panic!("another adapter is cold");
+        };
+        assert_ne!(first, other);
+    }
+
+    pub(super) fn a_hot_adapter_is_copied_past_the_bound() {
+        let ids = ids(18);
+        let mut all = candidates(&ids);
+        let Choice::Load(first) = choice::for_adapter("a1", &all) else {
+            panic!("a cold adapter is loaded");
+        };
+        all[first].resident = true;
+        all[first].load = 20;
+        let chosen = choice::for_adapter("a1", &all);
+        assert!(matches!(chosen, Choice::SendAndCopy(i, copy) if i == first && copy != first));
+        all[first].load = 32;
+        assert!(matches!(choice::for_adapter("a1", &all), Choice::Load(i) if i != first));
+    }
+
+    pub(super) fn a_cold_adapter_is_loaded_below_the_bound() {
+        let ids = ids(18);
+        let mut all = candidates(&ids);
+        let Choice::Load(first) = choice::for_adapter("a1", &all) else {
+            panic!("a cold adapter is loaded");
+        };
+        all[first].load = 30;
+        assert!(matches!(choice::for_adapter("a1", &all), Choice::Load(i) if i != first));
+    }
+
+    pub(super) fn full_and_absent_upstreams_are_told_apart() {
+        let ids = ids(3);
+        let mut all = candidates(&ids);
+        assert_eq!(choice::least_filled("r", &all), Choice::Nowhere);
+        for c in &mut all {
+            c.resident = true;
+            c.load = 32;
+        }
+        assert_eq!(choice::least_filled("r", &all), Choice::Full);
+        assert_eq!(choice::for_adapter("a1", &all), Choice::Full);
+        all[2].load = 31;
+        assert_eq!(choice::least_filled("r", &all), Choice::Send(2));
+        for c in &mut all {
+            c.resident = false;
+            c.loadable = false;
+        }
+        assert_eq!(choice::for_adapter("a1", &all), Choice::Nowhere);
+    }
+
+    pub(super) fn a_held_back_prompt_goes_elsewhere() {
+        let ids = ids(2);
+        let mut all = candidates(&ids);
+        for c in &mut all {
+            c.resident = true;
+        }
+        let Choice::Send(first) = choice::for_adapter("a1", &all) else {
+            panic!("it is resident");
+        };
+        all[first].wait = Duration::from_millis(300);
+        assert_eq!(choice::for_adapter("a1", &all), Choice::Send(1 - first));
+    }
+
+    pub(super) fn repeats_stay_within_the_window() {
+        let limits = BudgetLimits {
+            ratio: 0.2,
+            slack: 52.0,
+            window: Duration::from_secs(10),
+        };
+        let service = Arc::from("engines");
+        let entries = 6;
+        let mut taken = 0;
+        for _entry in 0..entries {
+            let mut budget = RepeatBudget::new(limits);
+            for n in 0..100 {
+                budget.requested(&service, at(n * 20));
+                taken += u32::from(budget.take(&service, entries, at(n * 20)));
+                taken += u32::from(budget.take(&service, entries, at(n * 20)));
+            }
+            assert!(!budget.take(&service, entries, at(2_000)));
+            assert!(budget.take(&service, entries, at(12_100)));
+        }
+        let bound = 0.2 * 600.0 + 52.0;
+        assert!(f64::from(taken) <= bound, "{taken} of {bound}");
+    }
+
+    pub(super) fn failures_in_a_row_lengthen_the_pause() {
+        let id = UpstreamId::from("engine-1");
+        let mut outliers = Outliers::default();
+        let first = outliers.failed(&id, at(0));
+        // Requests that were lost together count once.
+        outliers.failed(&id, at(1));
+        assert!(outliers.is_paused(&id, at(10)));
+        assert!(!outliers.is_paused(&id, at(0) + first));
+        let second = outliers.failed(&id, at(0) + first);
+        assert_eq!(second, first * 2);
+        outliers.succeeded(&id);
+        assert!(!outliers.is_paused(&id, at(0) + first));
+    }
+
+    pub(super) fn a_restart_under_one_name_is_seen() {
+        let mut registry = Registry::default();
+        assert_eq!(
+            registry.registered(registration("e", 5, 9)),
+            RegistryChange::Started
+        );
+        assert_eq!(
+            registry.registered(registration("e", 5, 10)),
+            RegistryChange::Same
+        );
+        assert_eq!(
+            registry.registered(registration("e", 6, 1)),
+            RegistryChange::Started
+        );
+    }
+
+    pub(super) fn older_heartbeats_change_nothing() {
+        let mut registry = Registry::default();
+        let mut leaving = registration("e", 5, 10);
+        leaving.phase = Phase::Leaving { remaining: None };
+        registry.registered(registration("e", 5, 9));
+        assert_eq!(registry.registered(leaving), RegistryChange::Leaving);
+        registry.registered(registration("e", 5, 8));
+        assert_eq!(registry.serving("engines").count(), 0);
+    }
+
+    pub(super) fn entries_that_lapsed_in_an_outage_count_for_a_moment() {
+        let mut registry = Registry::default();
+        registry.registered(registration("kept", 1, 1));
+        registry.registered(registration("gone", 1, 1));
+        registry.store_returned(at(1_000));
+        assert!(registry.listed(&HashSet::new(), at(1_050)).is_empty());
+        assert_eq!(registry.serving("engines").count(), 2);
+        registry.registered(registration("kept", 1, 5));
+        let expired = registry.expire(at(3_050));
+        assert_eq!(expired, [UpstreamId::from("gone")]);
+        assert_eq!(registry.serving("engines").count(), 1);
+        // Without an outage a removed entry is gone at once.
+        assert_eq!(registry.removed("kept", at(9_000)), RegistryChange::Gone);
+    }
+
+    pub(super) fn an_engine_is_taken_by_one_successor() {
+        let names: Vec<Arc<str>> = (0..6).map(|n| Arc::from(format!("entry-{n}"))).collect();
+        for upstream in ids(40) {
+            let record = HolderRecord {
+                holder: Arc::clone(&names[2]),
+                incarnation: 7,
+                generation: 3,
+            };
+            let steps = |record: Option<&HolderRecord>, state| {
+                let all = names.iter().map(|name| {
+                    let own = Own {
+                        name,
+                        incarnation: 9,
+                    };
+                    succession::step(own, &upstream, record, state, &names)
+                });
+                all.collect::<Vec<Step>>()
+            };
+            let creates = steps(None, HolderState::Live);
+            assert_eq!(creates.iter().filter(|s| **s == Step::Create).count(), 1);
+            let ended = steps(Some(&record), HolderState::Ended);
+            let others = ended.iter().enumerate().filter(|(n, _)| *n != 2);
+            let taken = others.filter(|(_, s)| **s == Step::Replace(4));
+            assert_eq!(taken.count(), 1);
+            let live = steps(Some(&record), HolderState::Live);
+            assert_eq!(live.iter().filter(|s| **s == Step::Leave).count(), 5);
+            assert_eq!(live[2], Step::Replace(4), "its own restart takes it back");
+        }
+    }
+
+    pub(super) fn a_takeover_waits_for_the_earlier_holder() {
+        let record = HolderRecord {
+            holder: Arc::from("entry-1"),
+            incarnation: 1,
+            generation: 1,
+        };
+        let wait = |own, earlier| succession::first_order(own, earlier, at(0)).since(at(0));
+        assert_eq!(wait("entry-2", None), Duration::ZERO);
+        assert!(wait("entry-2", Some(&record)) > Duration::from_secs(3));
+        assert!(wait("entry-1", Some(&record)) < Duration::from_secs(1));
+    }
+
+    pub(super) fn a_cut_stream_goes_on_after_its_last_whole_event() {
+        let mut cutter = EventCutter::new(None);
+        let first = cutter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("small");
+        assert_eq!(first.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+        assert_eq!(cutter.last_event(), Some(1));
+        cutter.forget_partial();
+        let second = cutter.push(b"id: 2\ndata: b\n\n").expect("small");
+        assert_eq!(second.as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
+        assert_eq!((cutter.last_event(), cutter.rest()), (Some(2), None));
+    }
+}
