fix: a request that may have run outlives refusals after a crash

Change: refusals after a try that may have run are not counted and are paused for, 50 ms to 1 s; the retry budget still bounds them.

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -28,6 +28,13 @@
 /// Wait before a try after a dispatcher said that it isn't the holder.
 const MOVED_DELAY: Duration = Duration::from_millis(50);
 
+/// First pause of a request that may have run and is refused since; doubled with each refusal. An engine that
+/// crashed is back after about half a second.
+const REFUSED_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest such pause.
+const MAX_REFUSED_DELAY: Duration = Duration::from_secs(1);
+
 /// Crashed upstreams after which a request is refused for good.
 const MAX_CRASHES: u32 = 2;
 
@@ -114,6 +121,8 @@
     job: &'a Job,
     events: &'a mpsc::Sender<Event>,
     attempt: u32,
+    /// Refusals since a try that may have run.
+    refusals: u32,
     excluded: HashSet<UpstreamId>,
     uncertain: Option<Failure>,
     crashes: u32,
@@ -137,6 +146,7 @@
         job,
         events,
         attempt: 0,
+        refusals: 0,
         excluded: HashSet::new(),
         uncertain: None,
         crashes: 0,
@@ -167,11 +177,14 @@
             match self.attempt_at(&located).await {
                 Tried::Complete | Tried::Gone => return None,
                 Tried::Refused(reason, retry_ms) => {
+                    self.refusals += u32::from(self.uncertain.is_some());
                     if !self.may_retry_refused(reason) {
                         return Some(self.give_up(reason, retry_ms));
                     }
                     self.excluded.insert(Arc::clone(&located.status.id));
-                    if matches!(reason, Refusal::NotHolder | Refusal::Leaving) {
+                    if self.uncertain.is_some() {
+                        tokio::time::sleep(self.refused_delay()).await;
+                    } else if matches!(reason, Refusal::NotHolder | Refusal::Leaving) {
                         tokio::time::sleep(MOVED_DELAY).await;
                     }
                 }
@@ -207,7 +220,9 @@
     }
 
     fn may_retry_refused(&self, reason: Refusal) -> bool {
-        if !reason.is_retriable() || self.attempt >= MAX_ATTEMPTS || self.is_late() {
+        // Nothing is lost by a refusal, and without another try the caller could only be told "unknown".
+        let counted = self.attempt - self.refusals;
+        if !reason.is_retriable() || counted >= MAX_ATTEMPTS || self.is_late() {
             return false;
         }
         // A moved upstream is no sign of overload, so finding it costs no budget.
@@ -219,11 +234,19 @@
         let worth_it = !matches!(reason, Failure::Deadline);
         harmless
             && worth_it
-            && self.attempt < MAX_ATTEMPTS
+            && self.attempt - self.refusals < MAX_ATTEMPTS
             && !self.is_late()
             && self.context.budget.take()
     }
 
+    /// Pause before the next try of a request that may have run.
+    fn refused_delay(&self) -> Duration {
+        let doublings = self.refusals.saturating_sub(1).min(16);
+        let pause = REFUSED_DELAY * 2_u32.pow(doublings);
+        let left = self.job.deadline.since(BootInstant::now());
+        pause.min(MAX_REFUSED_DELAY).min(left)
+    }
+
     fn is_late(&self) -> bool {
         BootInstant::now() >= self.job.deadline
     }
--- a/standin/tests/faults.rs
+++ b/standin/tests/faults.rs
@@ -18,6 +18,7 @@
     outage_of_the_object_api,
     overload_keeps_its_goodput,
     engines_work_through_an_outage_with_restarts,
+    a_request_outlives_refusals_after_a_crash,
 );
 
 fn plain(caller: u64, n: u64) -> Ask {
@@ -91,6 +92,37 @@
         assert_eq!(checks::evictions_in_flight(&log), []);
     }
 
+    /// A repeatable request is run again after a crash, although every engine refuses it for a while.
+    pub(super) async fn a_request_outlives_refusals_after_a_crash() {
+        let d = Deployment::start(Layout {
+            engines: 4,
+            open_engines: 0,
+            services: 0,
+            ..Layout::default()
+        })
+        .await;
+        let warm = d.ask(0, &plain(0, 1)).await;
+        assert_eq!(warm.told, Told::Complete, "{warm:?}");
+        let long = Ask {
+            model: String::from("adapter-1@1"),
+            tokens: 200,
+            ..Ask::default()
+        };
+        let refuse = EngineFaults {
+            refuse: 2,
+            ..EngineFaults::default()
+        };
+        let crash = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            for n in 0..4 {
+                d.post(d.engine(n), "/fault", &refuse).await;
+                d.post(d.engine(n), "/restart", &()).await;
+            }
+        };
+        let (reply, ()) = tokio::join!(d.ask(0, &long), crash);
+        assert_eq!(reply.told, Told::Complete, "{reply:?}");
+    }
+
     pub(super) async fn outage_of_the_object_api() {
         let layout = Layout {
             slots: 2,
