fix: unanswered orders pass to the next holder of an engine

Change: an entry's record, written with each renewal, names its unanswered orders; whoever holds the engine next keeps those places. Test: unanswered_orders_pass_to_the_next_holder.

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -21,7 +21,7 @@
 const PLACES_FOR_SPARE: usize = 8;
 
 /// Time for which an order without an answer may still be carried out; the platform tells of 12 s at most.
-const LATE_ORDER: Duration = Duration::from_secs(15);
+pub const LATE_ORDER: Duration = Duration::from_secs(15);
 
 /// Time that an adapter is kept after its load, so that those who waited for it find it: entries tell each other
 /// of their requests within 200 ms.
@@ -306,6 +306,11 @@
         }
     }
 
+    /// Adapters with orders that may still be carried out.
+    pub fn late(&self) -> impl Iterator<Item = &AdapterKey> {
+        self.late.keys()
+    }
+
     /// Adapters that requests may use now, and their versions.
     pub fn residents(&self) -> impl Iterator<Item = (&AdapterKey, u32)> {
         let resident = self.places.iter();
--- a/src/decide/succession.rs
+++ b/src/decide/succession.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     clock::BootInstant,
+    edge::registration::AdapterKey,
     ident::{Generation, UpstreamId, rendezvous},
 };
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,18 @@
     pub link: std::net::SocketAddr,
     /// Whether it gives no orders any more.
     pub stopped: bool,
+    /// Its orders that may still be carried out, for whoever holds those engines next.
+    #[serde(default)]
+    pub late: Vec<LateOrder>,
+}
+
+/// An order for an adapter that got no answer and may be carried out later.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct LateOrder {
+    /// Engine.
+    pub upstream: UpstreamId,
+    /// Adapter.
+    pub key: AdapterKey,
 }
 
 /// An upstream's record in the store.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,14 +5,17 @@
     configs::entry::EntryConfig,
     decide::{
         budget::RepeatBudget, choice::Candidate, order_lease::OrderLease, outliers::Outliers,
-        prefill::PrefillSchedule, registry::Registry, routes::RouteTable,
+        prefill::PrefillSchedule, registry::Registry, routes::RouteTable, succession::LateOrder,
     },
     edge::{
         call::{Codec, Work},
         deployment::{Deployment, Service},
         registration::{AdapterKey, Registration},
     },
-    entry::{controller::ControllerHandle, messages::PeerInfo, peers::Peers, usage::Usage},
+    entry::{
+        controller::ControllerHandle, late_orders::LateOrders, messages::PeerInfo, peers::Peers,
+        usage::Usage,
+    },
     holding::lock,
     ident::{Revision, UpstreamId},
     link::Link,
@@ -21,7 +24,7 @@
 use arc_swap::ArcSwap;
 use log::info;
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -58,6 +61,8 @@
     pub usage: Usage,
     /// Other entries.
     pub peers: Mutex<Peers>,
+    /// Unanswered orders of earlier holders.
+    pub late_orders: Mutex<LateOrders>,
     /// Connections to upstreams.
     pub pool: Arc<Pool>,
     /// Engines that this entry gives orders to.
@@ -91,6 +96,7 @@
             prefill: Mutex::default(),
             usage: Usage::default(),
             peers: Mutex::default(),
+            late_orders: Mutex::default(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             order_lease: Mutex::default(),
@@ -202,6 +208,17 @@
         self.usage.uses(upstream, key) || lock(&self.peers).uses(upstream, key)
     }
 
+    /// Orders that may still be carried out, of this entry and of earlier holders of its engines.
+    pub fn late_orders(&self) -> Vec<LateOrder> {
+        let controllers = lock(&self.controllers);
+        let own = controllers.values().flat_map(ControllerHandle::late);
+        let mut all: HashSet<LateOrder> = own.collect();
+        drop(controllers);
+        let inherited = lock(&self.late_orders);
+        all.extend(inherited.pending(BootInstant::now()).cloned());
+        all.into_iter().collect()
+    }
+
     /// Number of entries, this one included.
     pub fn entries(&self) -> usize {
         lock(&self.peers).live(BootInstant::now()).count() + 1
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     clock::BootInstant,
-    decide::residency::{PlaceState, Plan, Residency},
+    decide::{
+        residency::{PlaceState, Plan, Residency},
+        succession::LateOrder,
+    },
     edge::{
         deployment::EngineSpec,
         orders::{Order, Orders},
@@ -60,6 +63,7 @@
     pub generation: Generation,
     asks: mpsc::Sender<Command>,
     engine: Arc<Mutex<HeldEngine>>,
+    late: Arc<Mutex<Vec<AdapterKey>>>,
 }
 
 impl ControllerHandle {
@@ -74,6 +78,16 @@
         (engine.adapters.get(key).copied(), engine.active)
     }
 
+    /// Orders that may still be carried out.
+    pub fn late(&self) -> Vec<LateOrder> {
+        let keys = lock(&self.late).clone();
+        let orders = keys.into_iter().map(|key| LateOrder {
+            upstream: Arc::clone(&self.upstream.id),
+            key,
+        });
+        orders.collect()
+    }
+
     /// Tells the controller something; dropped if the controller is behind.
     pub fn tell(&self, ask: Command) {
         if self.asks.try_send(ask).is_err() {
@@ -114,6 +128,7 @@
     residency: Residency,
     waiting: HashMap<AdapterKey, Vec<Waiter>>,
     engine: Arc<Mutex<HeldEngine>>,
+    late: Arc<Mutex<Vec<AdapterKey>>>,
 }
 
 /// Takes over an engine: starts its controller, which ends when its handle is dropped.
@@ -130,6 +145,7 @@
         generation,
         ..HeldEngine::default()
     }));
+    let late = Arc::default();
     let controller = Controller {
         entry: Arc::clone(entry),
         orders: orders.clone(),
@@ -139,6 +155,7 @@
         residency: Residency::new(spec.adapter_slots as usize),
         waiting: HashMap::new(),
         engine: Arc::clone(&engine),
+        late: Arc::clone(&late),
     };
     let models = spec.models.iter().map(|m| Arc::clone(&m.name)).collect();
     tokio::spawn(controller.run(incoming, models));
@@ -147,6 +164,7 @@
         generation,
         asks,
         engine,
+        late,
     }
 }
 
@@ -193,6 +211,9 @@
                 for key in report.coming {
                     self.residency.found(key, 0, PlaceState::Resident, now);
                 }
+                for key in lock(&self.entry.late_orders).at(&self.upstream.id, now) {
+                    self.residency.order_uncertain(&key, now);
+                }
                 let adapters = self.residency.residents().count();
                 info!(upstream = &*self.upstream.id, generation = self.generation, models = report.models.len(), adapters = adapters; "placement: engine taken");
                 return match models.first() {
@@ -352,6 +373,7 @@
                 .map(|(key, version)| (key.clone(), version))
                 .collect(),
         };
+        *lock(&self.late) = self.residency.late().cloned().collect();
         let mut engine = lock(&self.engine);
         if *engine != held {
             *engine = held;
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -261,6 +261,7 @@
                 let from =
                     succession::first_order(&self.entry.config.id, earlier, BootInstant::now());
                 info!(upstream = &*engine.id, generation = generation, earlier = earlier.map_or("", |r| &*r.holder); "placement: engine taken over");
+                self.inherit(earlier);
                 self.taken
                     .insert(Arc::clone(&engine.id), (record.clone(), from));
                 self.open(engine, &record);
@@ -279,6 +280,13 @@
         }
     }
 
+    /// Takes over what the earlier holder left unanswered, as its record tells.
+    fn inherit(&self, earlier: Option<&HolderRecord>) {
+        if let Some(member) = earlier.and_then(|r| self.members.get(&r.holder)) {
+            lock(&self.entry.late_orders).inherit(&member.late, BootInstant::now());
+        }
+    }
+
     /// Opens a controller for an engine that is ours, if there is none.
     fn open(&self, engine: &Arc<Registration>, record: &HolderRecord) {
         if lock(&self.entry.controllers).contains_key(&engine.id) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod ensure;
 pub mod follow;
 pub mod holder;
+pub mod late_orders;
 pub mod messages;
 pub mod order_run;
 pub mod peer_link;
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -9,6 +9,7 @@
     supervisor::ChildError,
 };
 use log::{info, warn};
+use serde::Deserialize;
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
 use tokio_util::sync::CancellationToken;
@@ -41,6 +42,7 @@
             counter: 0,
             link: entry.config.link,
             stopped: false,
+            late: Vec::new(),
         },
         entry,
         store,
@@ -62,6 +64,7 @@
 impl<S: Store> Renewer<S> {
     async fn renew(&mut self) {
         self.record.counter += 1;
+        self.record.late = self.entry.late_orders();
         let sent = BootInstant::now();
         let written = self.write().await;
         match &written {
@@ -74,25 +77,40 @@
         self.log(&written);
     }
 
-    async fn write(&self) -> Result<Object, StoreError> {
-        let name = &self.entry.config.id;
-        let content = json!(self.record);
+    async fn write(&mut self) -> Result<Object, StoreError> {
+        let name = &self.entry.config.id.clone();
         let revision = match self.revision {
             Some(revision) => revision,
             None => match self.store.get(Kind::Members, name).await {
-                Ok(object) => object.revision,
+                Ok(object) => {
+                    self.inherit(&object);
+                    object.revision
+                }
                 Err(StoreError::Missing) => {
+                    let content = json!(self.record);
                     return self.store.create(Kind::Members, name, &content).await;
                 }
                 Err(e) => return Err(e),
             },
         };
-        let revision = Some(revision);
+        let (revision, content) = (Some(revision), json!(self.record));
         self.store
             .replace(Kind::Members, name, revision, &content)
             .await
     }
 
+    /// Takes over what an earlier process of this VM left unanswered.
+    fn inherit(&mut self, object: &Object) {
+        let Ok(earlier) = MemberRecord::deserialize(&object.content) else {
+            warn!("the record of an earlier process can't be read");
+            return;
+        };
+        if earlier.incarnation != self.entry.incarnation {
+            lock(&self.entry.late_orders).inherit(&earlier.late, BootInstant::now());
+            self.record.late = self.entry.late_orders();
+        }
+    }
+
     fn log(&mut self, written: &Result<Object, StoreError>) {
         let fresh = lock(&self.entry.order_lease).is_fresh(BootInstant::now());
         if let Err(e) = written {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -7,13 +7,15 @@
         choice::{self, Candidate, Choice},
         outliers::Outliers,
         registry::{Registry, RegistryChange},
+        residency::{PlaceState, Plan, Residency},
         routes::{self, RouteTable},
-        succession::{self, HolderRecord, HolderState, Own, Step},
+        succession::{self, HolderRecord, HolderState, LateOrder, MemberRecord, Own, Step},
     },
     edge::{
         deployment::{Deployment, Route, RouteKind, Target},
-        registration::{Phase, Registration},
+        registration::{AdapterKey, Phase, Registration},
     },
+    entry::late_orders::LateOrders,
     ident::UpstreamId,
     sse::EventCutter,
 };
@@ -40,6 +42,7 @@
     entries_that_lapsed_in_an_outage_count_for_a_moment,
     an_engine_is_taken_by_one_successor,
     a_takeover_waits_for_the_earlier_holder,
+    unanswered_orders_pass_to_the_next_holder,
     a_cut_stream_goes_on_after_its_last_whole_event,
 }
 
@@ -104,9 +107,11 @@
 
 mod case {
     use super::{
-        Arc, BudgetLimits, Choice, Deployment, Duration, EventCutter, HashSet, HolderRecord,
-        HolderState, Outliers, Own, Phase, Registry, RegistryChange, RepeatBudget, RouteTable,
-        Step, UpstreamId, at, candidates, choice, ids, registration, route, routes, succession,
+        AdapterKey, Arc, BudgetLimits, Choice, Deployment, Duration, EventCutter, HashSet,
+        HolderRecord, HolderState, LateOrder, LateOrders, MemberRecord, Outliers, Own, Phase,
+        PlaceState, Plan, Registry, RegistryChange, RepeatBudget, Residency, RouteTable,
+        SocketAddr, Step, UpstreamId, at, candidates, choice, ids, registration, route, routes,
+        succession,
     };
 
     pub(super) fn the_longest_prefix_wins() {
@@ -328,6 +333,44 @@
         assert!(wait("entry-1", Some(&record)) < Duration::from_secs(1));
     }
 
+    /// Day deploy/days/late-orders.toml: a killed holder's loads came after its next process had evicted their adapters.
+    pub(super) fn unanswered_orders_pass_to_the_next_holder() {
+        let order = LateOrder {
+            upstream: UpstreamId::from("engine-1"),
+            key: AdapterKey::new("base", "a1"),
+        };
+        let record = MemberRecord {
+            incarnation: 1,
+            counter: 4,
+            link: SocketAddr::from(([10, 0, 0, 1], 80)),
+            stopped: false,
+            late: vec![order.clone()],
+        };
+        let written = serde_json::to_string(&record).expect("a record");
+        let read: MemberRecord = serde_json::from_str(&written).expect("the record");
+        let mut orders = LateOrders::default();
+        orders.inherit(&read.late, at(0));
+        let pending = orders.at("engine-1", at(12_000));
+        assert_eq!(pending, std::slice::from_ref(&order.key));
+        assert!(orders.at("engine-2", at(0)).is_empty());
+        assert!(orders.at("engine-1", at(16_000)).is_empty());
+        // The next holder finds the adapter there, and does not count on its place.
+        let mut next = Residency::new(2);
+        next.found(order.key.clone(), 1, PlaceState::Resident, at(0));
+        next.found(
+            AdapterKey::new("base", "a2"),
+            1,
+            PlaceState::Resident,
+            at(0),
+        );
+        for key in orders.at("engine-1", at(0)) {
+            next.order_uncertain(&key, at(0));
+        }
+        let cold = AdapterKey::new("base", "a9");
+        let plan = next.plan(&cold, 1, at(5_000), |_| false);
+        assert_eq!(plan, Plan::Evict(AdapterKey::new("base", "a2")));
+    }
+
     pub(super) fn a_cut_stream_goes_on_after_its_last_whole_event() {
         let mut cutter = EventCutter::new(None);
         let first = cutter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("small");
