--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -157,7 +157,7 @@
         in_use: impl Fn(&AdapterKey) -> bool,
     ) -> Plan {
         let taken = self.taken();
-        let reserved = self.late.contains_key(key);
+        let reserved = self.late.contains_key(key) && !self.places.contains_key(key);
         match self.places.get(key) {
             Some(p) if p.state == PlaceState::Resident && p.version >= version => Plan::Ready,
             Some(p) if p.state != PlaceState::Resident => Plan::Wait,
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -24,6 +24,7 @@
     a_late_load_keeps_its_place_until_it_is_evicted_again,
     what_a_late_order_may_bring_back_makes_no_room,
     a_reserved_adapter_may_be_loaded_again,
+    a_reserved_adapter_that_is_there_has_no_second_place,
     an_unknown_adapter_of_the_engines_list_takes_a_place,
     an_old_list_brings_no_evicted_adapter_back,
     places_are_never_exceeded,
@@ -157,6 +158,14 @@
         assert_eq!(r.plan(&key(7), 1, at(2_000), in_use), Plan::Load);
     }
 
+    /// Its newer version needs a place of its own while the older one is there.
+    pub(super) fn a_reserved_adapter_that_is_there_has_no_second_place() {
+        let mut r = engine(2, 2);
+        r.order_uncertain(&key(0), at(0));
+        let other_in_use = |k: &AdapterKey| *k == key(1);
+        assert_ne!(r.plan(&key(0), 2, at(5_000), other_in_use), Plan::Load);
+    }
+
     pub(super) fn an_unknown_adapter_of_the_engines_list_takes_a_place() {
         let mut r = engine(3, 1);
         let (known, unknown) = (key(0), key(5));
