--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -299,10 +299,11 @@
     }
 
     /// The engine does not have `key`, whatever is noted here.
-    pub fn missing(&mut self, key: &AdapterKey) {
+    pub fn missing(&mut self, key: &AdapterKey, now: BootInstant) {
         let is_resident = |p: &Place| p.state == PlaceState::Resident;
         if self.places.get(key).is_some_and(is_resident) {
             self.places.remove(key);
+            self.evicted.insert(key.clone(), now);
         }
     }
 
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -251,7 +251,7 @@
             }
             Command::Missing(key) => {
                 warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine lacks an adapter that was noted as loaded");
-                self.residency.missing(&key);
+                self.residency.missing(&key, now);
                 self.publish();
             }
         }
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -27,6 +27,7 @@
     a_reserved_adapter_that_is_there_has_no_second_place,
     an_unknown_adapter_of_the_engines_list_takes_a_place,
     an_old_list_brings_no_evicted_adapter_back,
+    an_old_list_brings_no_missing_adapter_back,
     places_are_never_exceeded,
 }
 
@@ -184,6 +185,15 @@
         assert_eq!(r.taken(), 1);
     }
 
+    /// An engine's list from before it lost an adapter made requests go there once more.
+    pub(super) fn an_old_list_brings_no_missing_adapter_back() {
+        let mut r = engine(2, 1);
+        let lost = key(0);
+        r.missing(&lost, at(5_000));
+        assert!(r.listed([(&lost, 1)].into_iter(), at(5_400)).is_empty());
+        assert_eq!(r.listed([(&lost, 1)].into_iter(), at(10_000)), [key(0)]);
+    }
+
     /// Whatever orders come late, an engine that carries them out never holds more than its places.
     pub(super) fn places_are_never_exceeded() {
         for seed in 0..200 {
