fix: an older version that is missing frees no place

Change: the message names the version, and a holder that has another one leaves it; requests ask for the version that the engine is known to hold, if newer. Test: an_older_version_that_is_missing_frees_no_place (failed before).

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -295,10 +295,11 @@
         }
     }
 
-    /// The engine does not have `key`, whatever is noted here.
-    pub fn missing(&mut self, key: &AdapterKey, now: BootInstant) {
-        let is_resident = |p: &Place| p.state == PlaceState::Resident;
-        if self.places.get(key).is_some_and(is_resident) {
+    /// The engine does not have `key` at `version`, whatever is noted here. Of another version this says nothing: an
+    /// entry that has not heard of a newer one is told the same of the older.
+    pub fn missing(&mut self, key: &AdapterKey, version: u32, now: BootInstant) {
+        let is_meant = |p: &Place| p.state == PlaceState::Resident && p.version == version;
+        if self.places.get(key).is_some_and(is_meant) {
             self.places.remove(key);
             self.evicted.insert(key.clone(), now);
         }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -280,6 +280,14 @@
         }
     }
 
+    /// The version of `key` that `upstream` is known to hold, or else the newest one.
+    pub fn usable_version(&self, upstream: &Registration, key: &AdapterKey) -> u32 {
+        let wanted = self.version(key);
+        let peers = lock(&self.peers);
+        let (held, _) = self.held_version(upstream, key, &peers, BootInstant::now());
+        held.map_or(wanted, |v| v.max(wanted))
+    }
+
     /// The version of `key` at `upstream`, and whether its holder may give orders; from the holder's word, or
     /// from the registration where there is no holder.
     fn held_version(
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -50,8 +50,8 @@
     Asked(AdapterKey, u32),
     /// The engine's entry lists these adapters, with their versions.
     Listed(Vec<(AdapterKey, u32)>),
-    /// The engine said that it lacks an adapter.
-    Missing(AdapterKey),
+    /// The engine said that it lacks an adapter at this version.
+    Missing(AdapterKey, u32),
 }
 
 /// Reaches a controller.
@@ -249,9 +249,9 @@
                     warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine holds an adapter that nobody here ordered");
                 }
             }
-            Command::Missing(key) => {
-                warn!(upstream = &*self.upstream.id, adapter:% = key; "the engine lacks an adapter that was noted as loaded");
-                self.residency.missing(&key, now);
+            Command::Missing(key, version) => {
+                warn!(upstream = &*self.upstream.id, adapter:% = key, version = version; "the engine lacks an adapter that was noted as loaded");
+                self.residency.missing(&key, version, now);
                 self.publish();
             }
         }
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -105,7 +105,7 @@
     pub upstream: UpstreamId,
     /// Adapter.
     pub key: AdapterKey,
-    /// Least version that will do.
+    /// Least version that will do, or the one that is lacking.
     pub version: u32,
 }
 
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -389,7 +389,7 @@
     mut receiver: Receiver,
 ) -> Result<(), LinkError> {
     if let Some(ask) = receiver.next::<EnsureAsk>().await? {
-        entry.tell_controller(&ask.upstream, Command::Missing(ask.key));
+        entry.tell_controller(&ask.upstream, Command::Missing(ask.key, ask.version));
     }
     sender.finish();
     Ok(())
@@ -423,9 +423,9 @@
     }
 }
 
-/// Tells the holder of an engine that it lacks an adapter that was noted as loaded.
-pub fn tell_missing(entry: &Arc<Entry>, upstream: &UpstreamId, key: &AdapterKey) {
-    if entry.tell_controller(upstream, Command::Missing(key.clone())) {
+/// Tells the holder of an engine that it lacks an adapter that was noted as loaded at `version`.
+pub fn tell_missing(entry: &Arc<Entry>, upstream: &UpstreamId, key: &AdapterKey, version: u32) {
+    if entry.tell_controller(upstream, Command::Missing(key.clone(), version)) {
         return;
     }
     let holder = lock(&entry.peers).held(upstream).map(|(p, _)| p.info.link);
@@ -436,7 +436,7 @@
     let told = EnsureAsk {
         upstream: Arc::clone(upstream),
         key: key.clone(),
-        version: 0,
+        version,
     };
     tokio::spawn(async move {
         if let Err(e) = link.open(MISSING_PATH, &told).await {
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -174,7 +174,7 @@
                 "routing: not run by the upstream"
             );
             if misdirected {
-                self.misdirected(upstream);
+                self.misdirected(placement);
             }
             return Attempt::NotRun;
         }
@@ -198,10 +198,13 @@
     }
 
     /// The upstream lacks the adapter, or another process has its address.
-    fn misdirected(&self, upstream: &Arc<Registration>) {
-        match self.adapter() {
-            Some(key) => peer_link::tell_missing(&self.entry, &upstream.id, key),
-            None => self.failed(upstream, "another process has the address"),
+    fn misdirected(&self, placement: &Placement) {
+        let upstream = &placement.upstream;
+        match (self.adapter(), placement.version) {
+            (Some(key), Some(version)) => {
+                peer_link::tell_missing(&self.entry, &upstream.id, key, version);
+            }
+            _ => self.failed(upstream, "another process has the address"),
         }
     }
 
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -134,7 +134,9 @@
 
     fn placement(&self, upstreams: &[Arc<Registration>], i: usize) -> Result<Placement, Reason> {
         let upstream = upstreams.get(i).ok_or(Reason::NoUpstream)?;
-        let version = self.adapter().map(|key| self.entry.version(key));
+        let version = self
+            .adapter()
+            .map(|key| self.entry.usable_version(upstream, key));
         Ok(Placement {
             upstream: Arc::clone(upstream),
             version,
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -28,6 +28,7 @@
     an_unknown_adapter_of_the_engines_list_takes_a_place,
     an_old_list_brings_no_evicted_adapter_back,
     an_old_list_brings_no_missing_adapter_back,
+    an_older_version_that_is_missing_frees_no_place,
     places_are_never_exceeded,
 }
 
@@ -189,11 +190,23 @@
     pub(super) fn an_old_list_brings_no_missing_adapter_back() {
         let mut r = engine(2, 1);
         let lost = key(0);
-        r.missing(&lost, at(5_000));
+        r.missing(&lost, 1, at(5_000));
         assert!(r.listed([(&lost, 1)].into_iter(), at(5_400)).is_empty());
         assert_eq!(r.listed([(&lost, 1)].into_iter(), at(10_000)), [key(0)]);
     }
 
+    /// An entry that had not heard of version 2 was refused for version 1; the holder took the adapter's place for
+    /// free, and ordered one load too many.
+    pub(super) fn an_older_version_that_is_missing_frees_no_place() {
+        let mut r = engine(2, 1);
+        assert_eq!(r.plan(&key(0), 2, at(5_000), idle), Plan::Load);
+        r.loaded(&key(0), 2, at(5_300));
+        r.missing(&key(0), 1, at(5_400));
+        assert_eq!(r.taken(), 1);
+        r.missing(&key(0), 2, at(5_500));
+        assert_eq!(r.taken(), 0);
+    }
+
     /// Whatever orders come late, an engine that carries them out never holds more than its places.
     pub(super) fn places_are_never_exceeded() {
         for seed in 0..200 {
