feat: entries tell each other the registered upstreams while the store is away

Change: an entry that the store does not tell asks another one each second; one that still hears of every change also proves what is gone. The store's own word goes first. Found on the way: a stopping entry kept its link listener open while streams of updates, which never end, ran on; both end now.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -44,9 +44,21 @@
     members: HashMap<UpstreamId, Member>,
     /// When the store was last known to have come back.
     returned: Option<BootInstant>,
+    /// Whether the store tells every change.
+    follows: bool,
 }
 
 impl Registry {
+    /// Whether the store tells every change; otherwise other entries may know more.
+    pub fn follows(&self) -> bool {
+        self.follows
+    }
+
+    /// Takes in that the store does not answer.
+    pub fn store_left(&mut self) {
+        self.follows = false;
+    }
+
     /// Takes in that the store answers again after it was away.
     pub fn store_returned(&mut self, now: BootInstant) {
         self.returned = Some(now);
@@ -97,6 +109,40 @@
 
     /// Takes in a whole listing: what it lacks was removed.
     pub fn listed(&mut self, present: &HashSet<&str>, now: BootInstant) -> Vec<UpstreamId> {
+        self.follows = true;
+        self.remove_missing(present, now)
+    }
+
+    /// Takes in what another entry knows, unless the store tells this one itself. A teller that hears of every
+    /// change also proves that what it lacks is gone.
+    pub fn told(
+        &mut self,
+        registrations: Vec<Registration>,
+        teller_follows: bool,
+        now: BootInstant,
+    ) -> Vec<UpstreamId> {
+        if self.follows {
+            return Vec::new();
+        }
+        let ids: Vec<UpstreamId> = registrations.iter().map(|r| Arc::clone(&r.id)).collect();
+        for registration in registrations {
+            self.told_one(registration, teller_follows);
+        }
+        if !teller_follows {
+            return Vec::new();
+        }
+        let present = ids.iter().map(|id| &**id).collect();
+        self.remove_missing(&present, now)
+    }
+
+    /// A teller that the store has left as well knows no better than this entry what it has known itself.
+    fn told_one(&mut self, registration: Registration, teller_follows: bool) {
+        if teller_follows || !self.members.contains_key(&registration.id) {
+            self.registered(registration);
+        }
+    }
+
+    fn remove_missing(&mut self, present: &HashSet<&str>, now: BootInstant) -> Vec<UpstreamId> {
         let missing: Vec<UpstreamId> = self
             .members
             .keys()
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -30,7 +30,7 @@
 }
 
 /// An adapter that an upstream lists, and its version.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeldAdapter {
     /// The adapter.
     pub key: AdapterKey,
@@ -39,7 +39,7 @@
 }
 
 /// A base model that an upstream lists.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeldModel {
     /// Name.
     pub name: Arc<str>,
@@ -48,7 +48,7 @@
 }
 
 /// Whether an upstream takes new requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Phase {
     /// It does.
     Serving,
@@ -60,7 +60,7 @@
 }
 
 /// One upstream as it describes itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Registration {
     /// Name, also of the process that answers.
     pub id: UpstreamId,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -188,6 +188,7 @@
             ready: self.is_ready(),
             leaving: self.is_leaving(),
             revision: self.revision(),
+            follows: lock(&self.registry).follows(),
         }
     }
 
@@ -232,6 +233,16 @@
         controller.is_some()
     }
 
+    /// Drops what is remembered of an upstream that is gone.
+    pub fn forget_upstream(&self, id: &str, reason: &str) {
+        info!(upstream = id, reason = reason; "upstream gone");
+        lock(&self.outliers).forget(id);
+        self.usage.forget(id);
+        lock(&self.prefill).forget(id);
+        self.pool.forget(id);
+        self.registry_changed.notify_one();
+    }
+
     /// Number of entries, this one included.
     pub fn entries(&self) -> usize {
         lock(&self.peers).live(BootInstant::now()).count() + 1
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -107,6 +107,9 @@
             warn!(kind:? = self.kind, error:% = error; "dependency lost: the store does not answer");
         }
         self.away = true;
+        if self.kind == Kind::Upstreams {
+            lock(&self.entry.registry).store_left();
+        }
         tokio::time::sleep(jittered(self.backoff)).await;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
@@ -127,7 +130,7 @@
             let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
             let gone = lock(&self.entry.registry).listed(&present, BootInstant::now());
             for id in gone {
-                self.upstream_gone(&id, "missing from the list");
+                self.entry.forget_upstream(&id, "missing from the list");
             }
         }
         for object in &listing.objects {
@@ -142,7 +145,7 @@
         } else if self.kind == Kind::Upstreams {
             let id = &change.object.name;
             match lock(&self.entry.registry).removed(id, BootInstant::now()) {
-                RegistryChange::Gone => self.upstream_gone(id, "entry removed"),
+                RegistryChange::Gone => self.entry.forget_upstream(id, "entry removed"),
                 RegistryChange::Lapsed => {
                     info!(upstream = id; "an entry lapsed while the store was away");
                 }
@@ -196,25 +199,17 @@
     fn unusable(&self, id: &str) {
         let gone = lock(&self.entry.registry).discard(id);
         if gone {
-            self.upstream_gone(id, "entry can't be read");
+            self.entry.forget_upstream(id, "entry can't be read");
         }
     }
 
     fn settle(&self) {
         let gone = lock(&self.entry.registry).expire(BootInstant::now());
         for id in gone {
-            self.upstream_gone(&id, "missed since the store's return");
+            self.entry
+                .forget_upstream(&id, "missed since the store's return");
         }
     }
-
-    fn upstream_gone(&self, id: &str, reason: &str) {
-        info!(upstream = id, reason = reason; "upstream gone");
-        lock(&self.entry.outliers).forget(id);
-        self.entry.usage.forget(id);
-        lock(&self.entry.prefill).forget(id);
-        self.entry.pool.forget(id);
-        self.entry.registry_changed.notify_one();
-    }
 }
 
 /// Spreads the retries of many entries.
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -19,6 +19,9 @@
 /// Path that asks for the configuration in force.
 pub const DEPLOYMENT_PATH: &str = "/deployment";
 
+/// Path that asks for the registered upstreams, where the store can't be asked.
+pub const REGISTRATIONS_PATH: &str = "/registrations";
+
 /// What an entry says of itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerInfo {
@@ -38,6 +41,8 @@
     pub leaving: bool,
     /// Revision of the configuration in force.
     pub revision: Revision,
+    /// Whether it hears of every change of the registered upstreams from the store.
+    pub follows: bool,
 }
 
 /// State and changes of one entry, sent several times a second.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod order_run;
 pub mod peer_link;
 pub mod peers;
+pub mod registrations;
 pub mod reload;
 pub mod renew;
 pub mod run;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -8,9 +8,10 @@
         controller::Command,
         messages::{
             AdapterUse, DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, EnsureResult, HeldChange,
-            MISSING_PATH, PEER_PATH, PeerAck, PeerUpdate,
+            MISSING_PATH, PEER_PATH, PeerAck, PeerUpdate, REGISTRATIONS_PATH,
         },
         peers::HeldEngine,
+        registrations,
     },
     holding::lock,
     ident::{Revision, UpstreamId},
@@ -288,7 +289,9 @@
 pub async fn answer(entry: Arc<Entry>, incoming: Incoming) {
     let path = incoming.path.clone();
     let accepted = match path.as_str() {
-        PEER_PATH | ENSURE_PATH | MISSING_PATH | DEPLOYMENT_PATH => incoming.accept(),
+        PEER_PATH | ENSURE_PATH | MISSING_PATH | DEPLOYMENT_PATH | REGISTRATIONS_PATH => {
+            incoming.accept()
+        }
         _ => return incoming.refuse(),
     };
     let Ok((sender, receiver)) = accepted else {
@@ -298,6 +301,7 @@
         PEER_PATH => receive_updates(&entry, sender, receiver).await,
         ENSURE_PATH => answer_ensure(&entry, sender, receiver).await,
         MISSING_PATH => take_missing(&entry, sender, receiver).await,
+        REGISTRATIONS_PATH => registrations::answer(&entry, sender, receiver).await,
         _ => answer_deployment(&entry, sender, receiver).await,
     };
     if let Err(e) = ended {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -8,7 +8,7 @@
         orders::Orders,
         store::{Kind, Store},
     },
-    entry::{context::Entry, directory, follow, holder, peer_link, reload, renew},
+    entry::{context::Entry, directory, follow, holder, peer_link, registrations, reload, renew},
     http_server::{self, ServeOptions},
     link,
     operators::{self, Probe},
@@ -91,7 +91,16 @@
     tokio::spawn(http_server::serve(operators, pages, stop.clone()));
     let key = Arc::from(entry.config.key.as_str());
     let peers = Arc::clone(&entry);
-    let answer = move |incoming| peer_link::answer(Arc::clone(&peers), incoming);
+    let open = stop.clone();
+    let answer = move |incoming| {
+        let (peers, open) = (Arc::clone(&peers), open.clone());
+        async move {
+            // Streams of updates have no end of their own.
+            let _stopped = open
+                .run_until_cancelled(peer_link::answer(peers, incoming))
+                .await;
+        }
+    };
     tokio::spawn(link::serve(links, key, stop.clone(), answer));
     info!(
         id = entry.config.id, data_centre = entry.config.data_centre, callers:% = entry.config.callers,
@@ -156,6 +165,10 @@
         Box::pin(peer_link::connect_peers(Arc::clone(&e), stop))
     });
     let e = Arc::clone(entry);
+    supervise(tree, "registrations", stop.clone(), move |stop| {
+        Box::pin(registrations::follow_peers(Arc::clone(&e), stop))
+    });
+    let e = Arc::clone(entry);
     supervise(tree, "settings", stop.clone(), move |stop| {
         Box::pin(reload::follow(Arc::clone(&e), stop))
     });
--- a/src/link.rs
+++ b/src/link.rs
@@ -349,6 +349,8 @@
             }
         }
     }
+    // A connection that nobody accepts any more is refused rather than left waiting.
+    drop(listener);
     tracker.close();
     tracker.wait().await;
     Ok(())
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -38,6 +38,8 @@
     repeats_stay_within_the_window,
     failures_in_a_row_lengthen_the_pause,
     a_restart_under_one_name_is_seen,
+    another_entry_tells_upstreams_while_the_store_is_away,
+    the_store_goes_before_other_entries,
     older_heartbeats_change_nothing,
     entries_that_lapsed_in_an_outage_count_for_a_moment,
     an_engine_is_taken_by_one_successor,
@@ -266,6 +268,33 @@
         );
     }
 
+    pub(super) fn another_entry_tells_upstreams_while_the_store_is_away() {
+        let mut registry = Registry::default();
+        // A teller that the store has left as well names what is not known here, and changes nothing else.
+        let gone = registry.told(vec![registration("e", 5, 9)], false, at(0));
+        assert_eq!((gone.len(), registry.serving("engines").count()), (0, 1));
+        let mut leaving = registration("e", 5, 12);
+        leaving.phase = Phase::Leaving { remaining: None };
+        registry.told(vec![leaving.clone()], false, at(0));
+        assert_eq!(registry.serving("engines").count(), 1);
+        // One that hears of every change is right about leaving and about what is gone.
+        registry.told(vec![leaving, registration("f", 1, 1)], true, at(0));
+        assert_eq!(registry.serving("engines").count(), 1);
+        let gone = registry.told(vec![registration("f", 1, 2)], true, at(0));
+        assert_eq!(gone, [UpstreamId::from("e")]);
+    }
+
+    pub(super) fn the_store_goes_before_other_entries() {
+        let mut registry = Registry::default();
+        registry.registered(registration("e", 5, 9));
+        registry.listed(&HashSet::from(["e"]), at(0));
+        assert!(registry.follows());
+        let gone = registry.told(vec![registration("f", 5, 9)], true, at(10));
+        assert_eq!((gone.len(), registry.all().count()), (0, 1));
+        registry.store_left();
+        assert!(!registry.follows());
+    }
+
     pub(super) fn older_heartbeats_change_nothing() {
         let mut registry = Registry::default();
         let mut leaving = registration("e", 5, 10);
