feat: orders name the count of accepted ones, so an unanswered order ends with the next

Change: each order carries the engine's count of accepted orders, which the engine checks when it carries the order out (PROTOCOL, Placement); the next accepted one ends it. An accepted order is watched by the engine's report while another is unanswered.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod choice;
 pub mod order_lease;
+pub mod order_sequence;
 pub mod outliers;
 pub mod prefill;
 pub mod registry;
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -279,6 +279,14 @@
         self.late.insert(key.clone(), now + LATE_ORDER);
     }
 
+    /// The unanswered orders for `key` can't be carried out any more; one may have been, so it is evicted once more
+    /// unless it has a place.
+    pub fn settled(&mut self, key: &AdapterKey, now: BootInstant) {
+        if let Some(until) = self.late.get_mut(key) {
+            *until = now;
+        }
+    }
+
     /// The eviction of `key` ended; `uncertain` if it may be carried out only later.
     pub fn evicted(&mut self, key: &AdapterKey, uncertain: bool, now: BootInstant) {
         self.places.remove(key);
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -35,6 +35,8 @@
     pub holder: &'a str,
     /// Fencing number.
     pub generation: Generation,
+    /// Orders that the engine must have accepted before this one, where that matters.
+    pub expected: Option<u64>,
 }
 
 /// How an engine answered an order.
@@ -44,7 +46,7 @@
     Accepted,
     /// What was ordered already holds.
     Holds,
-    /// Another order is in the way.
+    /// Another order is in the way, or more or fewer were accepted than expected.
     Busy,
     /// A higher fencing number is known.
     Fenced,
@@ -81,6 +83,24 @@
     pub models: Vec<HeldModel>,
     /// Adapters on their way to it.
     pub coming: Vec<AdapterKey>,
+    /// Orders that this process accepted.
+    pub accepted: u64,
+}
+
+impl Report {
+    /// Whether what `order` asks for holds.
+    pub fn shows(&self, order: &Order) -> bool {
+        let held = || self.models.iter().flat_map(|m| &m.adapters);
+        match order {
+            Order::LoadModel(model) => self.models.iter().any(|m| m.name == *model),
+            Order::LoadAdapter(key, version) => {
+                held().any(|a| a.key == *key && version.is_none_or(|v| a.version >= v))
+            }
+            Order::EvictAdapter(key) => {
+                !held().any(|a| a.key == *key) && !self.coming.contains(key)
+            }
+        }
+    }
 }
 
 /// Gives orders to engines.
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::BootInstant,
     decide::{
+        order_sequence::OrderSequence,
         residency::{PlaceState, Plan, Residency},
         succession::LateOrder,
     },
@@ -14,7 +15,7 @@
     entry::{
         context::Entry,
         messages::EnsureResult,
-        order_run::{Ended, OrderRun},
+        order_run::{Ended, Late, OrderRun, Outcome},
         peers::HeldEngine,
     },
     holding::lock,
@@ -23,7 +24,7 @@
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use log::{info, warn};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -129,6 +130,9 @@
     waiting: HashMap<AdapterKey, Vec<Waiter>>,
     engine: Arc<Mutex<HeldEngine>>,
     late: Arc<Mutex<Vec<AdapterKey>>>,
+    sequence: Arc<tokio::sync::Mutex<OrderSequence>>,
+    /// Adapters with unanswered orders that the next accepted one ends.
+    open: HashSet<AdapterKey>,
 }
 
 /// Takes over an engine: starts its controller, which ends when its handle is dropped.
@@ -156,6 +160,8 @@
         waiting: HashMap::new(),
         engine: Arc::clone(&engine),
         late: Arc::clone(&late),
+        sequence: Arc::default(),
+        open: HashSet::new(),
     };
     let models = spec.models.iter().map(|m| Arc::clone(&m.name)).collect();
     tokio::spawn(controller.run(incoming, models));
@@ -228,7 +234,7 @@
     async fn load_model(&self, model: &Arc<str>) -> bool {
         let order = Order::LoadModel(Arc::clone(model));
         let ended = self.carry_out(order).await;
-        ended.done
+        ended.outcome == Outcome::Done
     }
 
     fn take(&mut self, ask: Command) {
@@ -323,31 +329,61 @@
         for key in due {
             self.answer(&key, EnsureResult::Full);
         }
+        self.settle(now);
         self.publish();
     }
 
     fn ended(&mut self, ended: &Ended) {
         let now = BootInstant::now();
-        match &ended.order {
-            Order::LoadAdapter(key, version) if ended.done => {
+        let is_late = ended.late != Late::Never;
+        match (&ended.order, ended.outcome) {
+            (Order::LoadAdapter(key, version), Outcome::Done) => {
                 self.residency.loaded(key, version.unwrap_or_default(), now);
-                if ended.uncertain {
+                if is_late {
                     self.residency.order_uncertain(key, now);
                 }
                 self.answer(key, EnsureResult::Ready);
             }
-            Order::LoadAdapter(key, _) => {
-                self.residency.load_failed(key, ended.uncertain, now);
+            (Order::LoadAdapter(key, _), _) => {
+                self.residency.load_failed(key, is_late, now);
                 self.answer(key, EnsureResult::Failed);
             }
-            Order::EvictAdapter(key) if ended.kept => self.residency.keep(key),
+            (Order::EvictAdapter(key), Outcome::Kept) => self.residency.keep(key),
             // An eviction without an answer may still come: the adapter counts as gone, its place as taken.
-            Order::EvictAdapter(key) => self.residency.evicted(key, !ended.done, now),
-            Order::LoadModel(_) => {}
+            (Order::EvictAdapter(key), outcome) => {
+                let is_done = outcome == Outcome::Done;
+                self.residency.evicted(key, !is_done, now);
+            }
+            (Order::LoadModel(_), _) => {}
         }
+        self.note_late(ended);
+        self.settle(now);
         self.publish();
     }
 
+    /// Remembers an order that the next accepted one will end.
+    fn note_late(&mut self, ended: &Ended) {
+        let key = match &ended.order {
+            Order::LoadAdapter(key, _) | Order::EvictAdapter(key) => key,
+            Order::LoadModel(_) => return,
+        };
+        if ended.late == Late::UntilNext {
+            self.open.insert(key.clone());
+        }
+    }
+
+    /// Frees the places of unanswered orders once the engine has accepted a later one.
+    fn settle(&mut self, now: BootInstant) {
+        let has_open = |sequence: &OrderSequence| sequence.has_open();
+        // A running order has the lock; the next order that ends, or the next tick, looks again.
+        if self.open.is_empty() || !self.sequence.try_lock().is_ok_and(|s| !has_open(&s)) {
+            return;
+        }
+        for key in self.open.drain() {
+            self.residency.settled(&key, now);
+        }
+    }
+
     /// Gives an order and repeats it until it holds; it is idempotent.
     fn carry_out(&self, order: Order) -> BoxFuture<'static, Ended> {
         let run = OrderRun {
@@ -355,6 +391,7 @@
             orders: self.orders.clone(),
             upstream: Arc::clone(&self.upstream),
             generation: self.generation,
+            sequence: Arc::clone(&self.sequence),
         };
         Box::pin(async move { run.drive(order).await })
     }
--- a/src/entry/order_run.rs
+++ b/src/entry/order_run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::order_sequence::OrderSequence,
     edge::{
         orders::{Issuer, Order, OrderAnswer, Orders},
         registration::Registration,
@@ -12,6 +13,7 @@
 };
 use log::info;
 use std::{sync::Arc, time::Duration};
+use tokio::sync::Mutex;
 
 /// Waits between repeats of a load order; a warm load takes about 25 ms, one from the store 250 ms.
 const LOAD_POLLS_MS: [u64; 10] = [30, 30, 60, 70, 70, 20, 20, 20, 30, 40];
@@ -19,7 +21,7 @@
 /// Wait between further repeats.
 const LATE_POLL: Duration = Duration::from_millis(60);
 
-/// Wait after an order that another one is in the way of, or that got no answer.
+/// Wait after an order that another one is in the way of.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Longest time for an adapter's load or eviction; many loads at once slow each other down.
@@ -35,16 +37,36 @@
 const EVICT_NOTICE: Duration = Duration::from_millis(30);
 
 /// How an order ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It holds now.
+    Done,
+    /// It was not begun because its adapter came into use.
+    Kept,
+    /// It was given up.
+    Failed,
+}
+
+/// Whether an ended order may still be carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Late {
+    /// It can't.
+    Never,
+    /// Until the engine has accepted another one.
+    UntilNext,
+    /// For some seconds: it was accepted and not seen to end.
+    UnderWay,
+}
+
+/// An order that ended.
 #[derive(Debug)]
 pub struct Ended {
     /// The order.
     pub order: Order,
-    /// Whether it holds now.
-    pub done: bool,
-    /// Whether some try of it got no answer.
-    pub uncertain: bool,
-    /// Whether it was not begun because its adapter came into use.
-    pub kept: bool,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether it may still be carried out.
+    pub late: Late,
 }
 
 /// Gives one order and repeats it until it holds; orders are idempotent.
@@ -58,6 +80,8 @@
     pub upstream: Arc<Registration>,
     /// Fencing number.
     pub generation: Generation,
+    /// Numbers the orders to this process; held while one is given.
+    pub sequence: Arc<Mutex<OrderSequence>>,
 }
 
 impl<O: Orders> OrderRun<O> {
@@ -68,47 +92,107 @@
             Order::LoadModel(_) => MODEL_LIMIT,
             Order::LoadAdapter(..) | Order::EvictAdapter(_) => ORDER_LIMIT,
         };
-        let mut ended = Ended {
+        let ended = |order, outcome, late| Ended {
             order,
-            done: false,
-            uncertain: false,
-            kept: false,
+            outcome,
+            late,
         };
-        if let Order::EvictAdapter(key) = &ended.order {
+        if let Order::EvictAdapter(key) = &order {
             tokio::time::sleep(EVICT_NOTICE).await;
             if self.entry.in_use(&self.upstream.id, key) {
-                ended.kept = true;
-                return ended;
+                return ended(order, Outcome::Kept, Late::Never);
             }
         }
         let mut tries = 0;
+        let mut accepted = false;
+        let mut unanswered = None;
         let mut last = OrderAnswer::NotSent;
         while BootInstant::now().since(begun) < limit && self.entry.may_order() {
-            last = self.give(&ended.order).await;
-            ended.uncertain |= last == OrderAnswer::Unknown;
+            let number;
+            (number, last) = if accepted {
+                self.look(&order).await
+            } else {
+                self.give(&order).await
+            };
             match last {
-                OrderAnswer::Holds => {
-                    ended.done = true;
-                    break;
-                }
-                OrderAnswer::Accepted => tokio::time::sleep(poll_delay(&ended.order, tries)).await,
-                OrderAnswer::Busy | OrderAnswer::Unknown | OrderAnswer::NotSent => {
-                    tokio::time::sleep(RETRY_DELAY).await;
+                OrderAnswer::Accepted => {
+                    accepted = true;
+                    tokio::time::sleep(poll_delay(&order, tries)).await;
                 }
-                OrderAnswer::Fenced | OrderAnswer::OtherProcess | OrderAnswer::Invalid => break,
+                OrderAnswer::Busy | OrderAnswer::NotSent => tokio::time::sleep(RETRY_DELAY).await,
+                OrderAnswer::Unknown => unanswered = unanswered.max(number),
+                OrderAnswer::Holds
+                | OrderAnswer::Fenced
+                | OrderAnswer::OtherProcess
+                | OrderAnswer::Invalid => break,
             }
             tries += 1;
         }
-        // What was accepted and not seen to end may end later.
-        ended.uncertain |= !ended.done && tries > 0;
+        let outcome = if last == OrderAnswer::Holds {
+            Outcome::Done
+        } else {
+            Outcome::Failed
+        };
+        let late = match unanswered {
+            _ if accepted && outcome == Outcome::Failed => Late::UnderWay,
+            Some(number) if self.sequence.lock().await.is_open(number) => Late::UntilNext,
+            _ => Late::Never,
+        };
+        let ended = ended(order, outcome, late);
         self.log(&ended, last, begun);
         ended
     }
 
-    async fn give(&self, order: &Order) -> OrderAnswer {
+    /// Gives an order that was not accepted yet, as the only one at a time; its number and the answer.
+    async fn give(&self, order: &Order) -> (Option<u64>, OrderAnswer) {
+        let mut sequence = self.sequence.lock().await;
+        if sequence.expected().is_none()
+            && let Some(report) = self.orders.report(&self.upstream).await
+        {
+            sequence.reported(report.accepted);
+        }
+        let Some(number) = sequence.expected() else {
+            return (None, OrderAnswer::NotSent);
+        };
+        let answer = self.send(order, number).await;
+        sequence.answered(order, number, answer);
+        (Some(number), answer)
+    }
+
+    /// Looks whether an accepted order holds by now. A repeat of the order tells it at once; where orders get no
+    /// answers, the report tells it some hundred milliseconds later.
+    async fn look(&self, order: &Order) -> (Option<u64>, OrderAnswer) {
+        let sequence = *self.sequence.lock().await;
+        let number = sequence.expected().filter(|_| !sequence.has_open());
+        let Some(number) = number else {
+            return (None, self.look_at_report(order).await);
+        };
+        let answer = self.send(order, number).await;
+        match answer {
+            OrderAnswer::Unknown => self.sequence.lock().await.unanswered(number),
+            // It is under way no more, and others were accepted since: the report tells whether it holds.
+            OrderAnswer::Busy => return (None, self.look_at_report(order).await),
+            _ => {}
+        }
+        (Some(number), answer)
+    }
+
+    async fn look_at_report(&self, order: &Order) -> OrderAnswer {
+        let Some(report) = self.orders.report(&self.upstream).await else {
+            return OrderAnswer::NotSent;
+        };
+        if report.shows(order) {
+            OrderAnswer::Holds
+        } else {
+            OrderAnswer::Accepted
+        }
+    }
+
+    async fn send(&self, order: &Order, number: u64) -> OrderAnswer {
         let issuer = Issuer {
             holder: &self.entry.config.id,
             generation: self.generation,
+            expected: Some(number),
         };
         let answer = self.orders.give(&self.upstream, issuer, order).await;
         metrics::order(order.as_str(), answer.as_str());
@@ -123,7 +207,7 @@
         let took_ms = BootInstant::now().since(begun).as_millis() as u64;
         info!(
             upstream = &*self.upstream.id, order = ended.order.as_str(), model = adapter, generation = self.generation,
-            done = ended.done, answer = last.as_str(), uncertain = ended.uncertain, took_ms = took_ms;
+            outcome:? = ended.outcome, answer = last.as_str(), late:? = ended.late, took_ms = took_ms;
             "placement: order ended"
         );
     }
--- a/standin/src/engine_state.rs
+++ b/standin/src/engine_state.rs
@@ -213,6 +213,11 @@
         lock(&self.inner).adapters.iter().cloned().collect()
     }
 
+    /// Whether an adapter is on its way.
+    pub fn is_loading(&self, model: &str) -> bool {
+        lock(&self.inner).loading.contains(model)
+    }
+
     /// Takes a slot for an adapter.
     pub fn begin_load(&self, model: &str, slots: usize) -> OrderOutcome {
         let mut inner = lock(&self.inner);
--- /dev/null
+++ b/tests/order_sequence.rs
@@ -0,0 +1,68 @@
+//! Numbers of the orders to one engine.
+
+use carobfield::{
+    decide::order_sequence::OrderSequence,
+    edge::{
+        orders::{Order, OrderAnswer},
+        registration::AdapterKey,
+    },
+};
+
+macro_rules! cases {
+    ($($name:ident),* $(,)?) => {
+        $(#[test] fn $name() { case::$name(); })*
+    };
+}
+
+cases! {
+    an_unanswered_order_ends_with_the_next_accepted_one,
+    a_lost_answer_moves_the_count_by_one,
+    a_count_that_stays_wrong_is_read_again,
+}
+
+fn load() -> Order {
+    Order::LoadAdapter(AdapterKey::new("base", "a"), Some(1))
+}
+
+mod case {
+    use super::{AdapterKey, Order, OrderAnswer, OrderSequence, load};
+
+    pub(super) fn an_unanswered_order_ends_with_the_next_accepted_one() {
+        let mut sequence = OrderSequence::default();
+        assert_eq!(sequence.expected(), None);
+        sequence.reported(7);
+        sequence.answered(&load(), 7, OrderAnswer::Unknown);
+        assert!(sequence.is_open(7));
+        // An eviction of what was absent may not have counted, so it proves nothing.
+        let evict = Order::EvictAdapter(AdapterKey::new("base", "b"));
+        sequence.answered(&evict, 7, OrderAnswer::Holds);
+        assert!(sequence.is_open(7));
+        sequence.answered(&load(), 8, OrderAnswer::Accepted);
+        assert!(!sequence.has_open());
+        assert_eq!(sequence.expected(), Some(9));
+    }
+
+    pub(super) fn a_lost_answer_moves_the_count_by_one() {
+        let mut sequence = OrderSequence::default();
+        sequence.reported(7);
+        sequence.answered(&load(), 7, OrderAnswer::Unknown);
+        sequence.answered(&load(), 7, OrderAnswer::Busy);
+        assert_eq!(sequence.expected(), Some(8));
+        // Under a number above the count it may come when the count has reached that number.
+        sequence.answered(&load(), 8, OrderAnswer::Unknown);
+        sequence.answered(&load(), 7, OrderAnswer::Accepted);
+        assert!(sequence.is_open(8));
+        sequence.answered(&load(), 8, OrderAnswer::Accepted);
+        assert!(!sequence.has_open());
+    }
+
+    pub(super) fn a_count_that_stays_wrong_is_read_again() {
+        let mut sequence = OrderSequence::default();
+        sequence.reported(7);
+        for expected in [7, 8, 9] {
+            assert_eq!(sequence.expected(), Some(expected));
+            sequence.answered(&load(), expected, OrderAnswer::Busy);
+        }
+        assert_eq!(sequence.expected(), None);
+    }
+}
