fix: a request whose upstream left while it waited goes elsewhere

Change: a wait for a load ends when the engine begins to leave, and after the waits for the adapter and for the prompt's turn the upstream must still serve, in the same process; otherwise another is chosen. Test: a_request_goes_elsewhere_when_its_engine_leaves (one request ran at the leaving engine before, none after).

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -263,6 +263,13 @@
         all
     }
 
+    /// Whether the process that `upstream` describes still takes new work.
+    pub fn still_serves(&self, upstream: &Registration) -> bool {
+        let registry = lock(&self.registry);
+        let now = registry.get(&upstream.id);
+        now.is_some_and(|r| r.is_serving() && r.is_same_process(upstream))
+    }
+
     /// Describes `upstream` for a request with `work` for an engine.
     pub fn candidate<'a>(&self, upstream: &'a Registration, work: Option<&Work>) -> Candidate<'a> {
         let key = work.and_then(|w| w.adapter.as_ref());
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -157,15 +157,14 @@
     let mut tries = 0;
     let mut uncertain = false;
     let reason = loop {
-        let placement = match job.place(&excluded).await {
-            Ok(placement) => placement,
+        let (placement, read) = match job.place_ready(&excluded).await {
+            Ok(ready) => ready,
             Err(reason) => break reason,
         };
         if tries > 0 && !job.take_repeat() {
             break Reason::Refused;
         }
         tries += 1;
-        let read = job.reserve_prefill(&placement.upstream.id).await;
         match job.attempt(&placement, job.call.last_event, read).await {
             Attempt::Answered(answered) => {
                 let failed = answered.response.status().is_server_error();
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -21,6 +21,10 @@
 /// Engines at which an adapter is asked for before a request is given up.
 const MAX_LOADS: usize = 3;
 
+/// Interval between looks whether an upstream that is waited for begins to leave; a small part of the two seconds in
+/// which it still takes requests.
+const LEAVE_POLL: Duration = Duration::from_millis(100);
+
 /// Candidates shown in a decision's log line.
 const LOGGED_CANDIDATES: usize = 4;
 
@@ -85,7 +89,7 @@
     ///
     /// # Errors
     /// Why there is none.
-    pub async fn place(&self, excluded: &[UpstreamId]) -> Result<Placement, Reason> {
+    async fn place(&self, excluded: &[UpstreamId]) -> Result<Placement, Reason> {
         let mut excluded = excluded.to_vec();
         let mut loads = 0;
         loop {
@@ -119,6 +123,28 @@
         }
     }
 
+    /// Chooses an upstream as [`Job::place`] does, and waits until it is ready for the prompt; also the time in which
+    /// its first part is expected after the request is sent.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub async fn place_ready(
+        &self,
+        excluded: &[UpstreamId],
+    ) -> Result<(Placement, Duration), Reason> {
+        let mut excluded = excluded.to_vec();
+        loop {
+            let placement = self.place(&excluded).await?;
+            let read = self.reserve_prefill(&placement.upstream.id).await;
+            // It may have begun to leave while its adapter was loaded or its prompts were read.
+            if self.entry.still_serves(&placement.upstream) {
+                return Ok((placement, read));
+            }
+            info!(request = &*self.call.id, upstream = &*placement.upstream.id; "routing: the chosen upstream left meanwhile");
+            excluded.push(Arc::clone(&placement.upstream.id));
+        }
+    }
+
     fn choose(&self, upstreams: &[Arc<Registration>]) -> Choice {
         let work = self.call.work.as_ref();
         let key = self.adapter();
@@ -146,7 +172,7 @@
     /// Reserves the reading of the prompt, and holds the request back until the engine is ready for it.
     ///
     /// Returns the time in which its first part is expected after it is sent.
-    pub async fn reserve_prefill(&self, upstream: &UpstreamId) -> Duration {
+    async fn reserve_prefill(&self, upstream: &UpstreamId) -> Duration {
         let Some(work) = &self.call.work else {
             return Duration::ZERO;
         };
@@ -168,8 +194,11 @@
         let begun = BootInstant::now();
         let version = self.entry.version(key);
         let brought = ensure::ensure(&self.entry, &upstream.id, key, version);
-        let brought = tokio::time::timeout(self.left(), brought).await;
-        let result = brought.unwrap_or(EnsureResult::Failed);
+        let result = tokio::select! {
+            result = brought => result,
+            () = tokio::time::sleep(self.left()) => EnsureResult::Failed,
+            () = self.leaving_of(upstream) => EnsureResult::Failed,
+        };
         let stall = BootInstant::now().since(begun);
         crate::metrics::load_stall(self.route.kind.as_str(), stall.as_secs_f64());
         info!(
@@ -180,6 +209,13 @@
         result
     }
 
+    /// Resolves when `upstream` takes new work no more.
+    async fn leaving_of(&self, upstream: &Registration) {
+        while self.entry.still_serves(upstream) {
+            tokio::time::sleep(LEAVE_POLL).await;
+        }
+    }
+
     /// Has the adapter brought to `upstream` for later requests.
     fn copy_to(&self, upstream: &Registration) {
         let Some(key) = self.adapter().cloned() else {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -231,14 +231,13 @@
                 warn!(request = &*self.job.call.id; "routing: no repeat left to take a stream up");
                 return false;
             }
-            let Ok(placement) = self.job.place(&[]).await else {
+            let Ok((placement, read)) = self.job.place_ready(&[]).await else {
                 return false;
             };
             self.tries += 1;
             self.resumes += 1;
             let last = self.cutter.last_event();
             info!(request = &*self.job.call.id, upstream = &*placement.upstream.id, last_event = last.unwrap_or(0); "routing: stream taken up");
-            let read = self.job.reserve_prefill(&placement.upstream.id).await;
             if let Attempt::Answered(answered) = self.job.attempt(&placement, last, read).await
                 && answered.response.status().is_success()
             {
