feat: an entry that starts takes up at once what its earlier process held

Change: the first look, as soon as the lease is good, is about records that name this VM; nobody else may take those yet, so meeting the other entries first is of no use. All other engines wait for the second as before. Test: an_entry_takes_up_first_what_it_held (records of both kinds were written mixed before).

--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -38,6 +38,18 @@
 /// Least time between two looks.
 const MIN_LOOK: Duration = Duration::from_millis(200);
 
+/// Interval between looks whether a starting entry has its lease; a renewal is one round trip to the store.
+const LEASE_POLL: Duration = Duration::from_millis(25);
+
+/// Engines that a look is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Scope {
+    /// Those that an earlier process of this VM held.
+    Own,
+    /// All.
+    All,
+}
+
 /// Takes and drops engines.
 struct Holder<S, O> {
     entry: Arc<Entry>,
@@ -80,9 +92,11 @@
 
 impl<S: Store, O: Orders> Holder<S, O> {
     async fn run(&mut self) {
-        tokio::time::sleep(FIRST_LOOK).await;
+        let begun = BootInstant::now();
+        self.take_own_again().await;
+        tokio::time::sleep(FIRST_LOOK.saturating_sub(BootInstant::now().since(begun))).await;
         loop {
-            if let Err(e) = self.look().await {
+            if let Err(e) = self.look(Scope::All).await {
                 debug!("reading who holds what: {e}");
             }
             metrics::upstreams_held(lock(&self.entry.controllers).len());
@@ -90,6 +104,18 @@
         }
     }
 
+    /// Takes what an earlier process of this VM held, which nobody else may take yet, as soon as its lease is
+    /// good and the engines are known.
+    async fn take_own_again(&mut self) {
+        let has_lease = || lock(&self.entry.order_lease).is_fresh(BootInstant::now());
+        while !has_lease() || self.engines().is_empty() {
+            tokio::time::sleep(LEASE_POLL).await;
+        }
+        if let Err(e) = self.look(Scope::Own).await {
+            debug!("reading what an earlier process held: {e}");
+        }
+    }
+
     /// Waits until another look is due.
     async fn wait(&self) {
         let begun = BootInstant::now();
@@ -125,7 +151,7 @@
         })
     }
 
-    async fn look(&mut self) -> Result<(), StoreError> {
+    async fn look(&mut self, scope: Scope) -> Result<(), StoreError> {
         let sent = BootInstant::now();
         let members = self.store.list(Kind::Members).await?;
         self.observe(&members, sent);
@@ -141,7 +167,10 @@
         lock(&self.entry.order_lease).confirmed(asked);
         if self.entry.may_order() {
             for engine in self.engines() {
-                self.step(&engine, records.get(&engine.id)).await;
+                let record = records.get(&engine.id);
+                if scope == Scope::All || self.is_own(record) {
+                    self.step(&engine, record).await;
+                }
             }
         }
         Ok(())
@@ -197,6 +226,10 @@
         });
     }
 
+    fn is_own(&self, held: Option<&Held>) -> bool {
+        held.is_some_and(|(record, _)| *record.holder == *self.entry.config.id)
+    }
+
     async fn step(&mut self, engine: &Arc<Registration>, held: Option<&Held>) {
         let record = held.map(|(record, _)| record);
         let state = record.map_or(HolderState::Live, |r| self.state(r));
