--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -374,9 +374,12 @@
 
     /// Frees the places of unanswered orders once the engine has accepted a later one.
     fn settle(&mut self, now: BootInstant) {
-        let has_open = |sequence: &OrderSequence| sequence.has_open();
-        // A running order has the lock; the next order that ends, or the next tick, looks again.
-        if self.open.is_empty() || !self.sequence.try_lock().is_ok_and(|s| !has_open(&s)) {
+        if self.open.is_empty() {
+            return;
+        }
+        // Where a running order has the lock, the next order that ends or the next tick looks again.
+        let sequence = self.sequence.try_lock();
+        if sequence.map_or(true, |s| s.has_open()) {
             return;
         }
         for key in self.open.drain() {
--- a/src/entry/order_run.rs
+++ b/src/entry/order_run.rs
@@ -21,7 +21,7 @@
 /// Wait between further repeats.
 const LATE_POLL: Duration = Duration::from_millis(60);
 
-/// Wait after an order that another one is in the way of.
+/// Wait after an order that another one is in the way of, or that got no answer.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Longest time for an adapter's load or eviction; many loads at once slow each other down.
@@ -69,6 +69,28 @@
     pub late: Late,
 }
 
+/// What was tried for one order so far.
+#[derive(Clone, Copy, Debug)]
+struct Tries {
+    count: usize,
+    /// Whether the engine accepted it.
+    accepted: bool,
+    /// Highest number under which it got no answer.
+    unanswered: Option<u64>,
+    last: OrderAnswer,
+}
+
+impl Default for Tries {
+    fn default() -> Self {
+        Self {
+            count: 0,
+            accepted: false,
+            unanswered: None,
+            last: OrderAnswer::NotSent,
+        }
+    }
+}
+
 /// Gives one order and repeats it until it holds; orders are idempotent.
 #[derive(Debug)]
 pub struct OrderRun<O> {
@@ -88,59 +110,68 @@
     /// Carries `order` out, or gives it up.
     pub async fn drive(&self, order: Order) -> Ended {
         let begun = BootInstant::now();
-        let limit = match order {
-            Order::LoadModel(_) => MODEL_LIMIT,
-            Order::LoadAdapter(..) | Order::EvictAdapter(_) => ORDER_LIMIT,
-        };
-        let ended = |order, outcome, late| Ended {
-            order,
-            outcome,
-            late,
-        };
         if let Order::EvictAdapter(key) = &order {
             tokio::time::sleep(EVICT_NOTICE).await;
             if self.entry.in_use(&self.upstream.id, key) {
-                return ended(order, Outcome::Kept, Late::Never);
+                return Ended {
+                    order,
+                    outcome: Outcome::Kept,
+                    late: Late::Never,
+                };
             }
         }
-        let mut tries = 0;
-        let mut accepted = false;
-        let mut unanswered = None;
-        let mut last = OrderAnswer::NotSent;
+        let tries = self.try_until_settled(&order, begun).await;
+        let outcome = match tries.last {
+            OrderAnswer::Holds => Outcome::Done,
+            _ => Outcome::Failed,
+        };
+        let late = match tries.unanswered {
+            _ if tries.accepted && outcome == Outcome::Failed => Late::UnderWay,
+            Some(number) if self.sequence.lock().await.is_open(number) => Late::UntilNext,
+            _ => Late::Never,
+        };
+        let ended = Ended {
+            order,
+            outcome,
+            late,
+        };
+        self.log(&ended, tries.last, begun);
+        ended
+    }
+
+    /// Gives `order` until it is accepted, then looks until it holds.
+    async fn try_until_settled(&self, order: &Order, begun: BootInstant) -> Tries {
+        let limit = match order {
+            Order::LoadModel(_) => MODEL_LIMIT,
+            Order::LoadAdapter(..) | Order::EvictAdapter(_) => ORDER_LIMIT,
+        };
+        let mut tries = Tries::default();
         while BootInstant::now().since(begun) < limit && self.entry.may_order() {
-            let number;
-            (number, last) = if accepted {
-                self.look(&order).await
+            let (number, answer) = if tries.accepted {
+                self.look(order).await
             } else {
-                self.give(&order).await
+                self.give(order).await
             };
-            match last {
+            tries.last = answer;
+            let pause = match answer {
                 OrderAnswer::Accepted => {
-                    accepted = true;
-                    tokio::time::sleep(poll_delay(&order, tries)).await;
+                    tries.accepted = true;
+                    poll_delay(order, tries.count)
                 }
-                OrderAnswer::Busy | OrderAnswer::NotSent => tokio::time::sleep(RETRY_DELAY).await,
-                OrderAnswer::Unknown => unanswered = unanswered.max(number),
+                OrderAnswer::Unknown => {
+                    tries.unanswered = tries.unanswered.max(number);
+                    RETRY_DELAY
+                }
+                OrderAnswer::Busy | OrderAnswer::NotSent => RETRY_DELAY,
                 OrderAnswer::Holds
                 | OrderAnswer::Fenced
                 | OrderAnswer::OtherProcess
                 | OrderAnswer::Invalid => break,
-            }
-            tries += 1;
+            };
+            tries.count += 1;
+            tokio::time::sleep(pause).await;
         }
-        let outcome = if last == OrderAnswer::Holds {
-            Outcome::Done
-        } else {
-            Outcome::Failed
-        };
-        let late = match unanswered {
-            _ if accepted && outcome == Outcome::Failed => Late::UnderWay,
-            Some(number) if self.sequence.lock().await.is_open(number) => Late::UntilNext,
-            _ => Late::Never,
-        };
-        let ended = ended(order, outcome, late);
-        self.log(&ended, last, begun);
-        ended
+        tries
     }
 
     /// Gives an order that was not accepted yet, as the only one at a time; its number and the answer.
