feat: a planned restart hands no engine over, and loads go on until its end

Change: a stopping entry orders until its last 200 ms; others take its engines only 2 s after its record says that it stopped, so its next process takes them up again 0.5 s after its start.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -82,6 +82,8 @@
     pub listed_links: Mutex<Vec<SocketAddr>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     leaving: AtomicBool,
+    /// Whether it has given its last order.
+    ordered: AtomicBool,
 }
 
 impl Entry {
@@ -109,6 +111,7 @@
             listed_links: Mutex::default(),
             links: Mutex::default(),
             leaving: AtomicBool::new(false),
+            ordered: AtomicBool::new(false),
             config,
         })
     }
@@ -202,9 +205,15 @@
         Arc::clone(link)
     }
 
-    /// Whether orders may be given now.
+    /// Gives no order from now on.
+    pub fn end_orders(&self) {
+        self.ordered.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether orders may be given now; also while leaving, as nobody else may give them yet.
     pub fn may_order(&self) -> bool {
-        !self.is_leaving() && lock(&self.order_lease).may_order(BootInstant::now())
+        !self.ordered.load(Ordering::SeqCst)
+            && lock(&self.order_lease).may_order(BootInstant::now())
     }
 
     /// Whether requests use `key` at `upstream`, of any entry.
@@ -320,8 +329,8 @@
             return (version, active && self.may_order());
         }
         if let Some((peer, held)) = peers.held(&upstream.id) {
-            let live = peer.is_live(now) && !peer.info.leaving;
-            return (held.adapters.get(key).copied(), held.active && live);
+            let active = held.active && peer.is_live(now);
+            return (held.adapters.get(key).copied(), active);
         }
         let listed = upstream.models.iter().flat_map(|m| &m.adapters);
         let mut same = listed.filter(|a| a.key == *key);
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -41,6 +41,10 @@
 /// Interval between looks whether a starting entry has its lease; a renewal is one round trip to the store.
 const LEASE_POLL: Duration = Duration::from_millis(25);
 
+/// Time in which a VM that was stopped may come back and go on with its engines: the platform starts it again after
+/// half a second. Another VM would have to wait longer before its first order (see `succession`).
+const RETURN_WAIT: Duration = Duration::from_secs(2);
+
 /// Engines that a look is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Scope {
@@ -57,6 +61,8 @@
     orders: O,
     observer: Observer,
     members: HashMap<Arc<str>, MemberRecord>,
+    /// Processes that gave their last order, and when that was first read.
+    stopped: HashMap<(Arc<str>, u64), BootInstant>,
     /// Records that this entry wrote, with the time of its first order.
     taken: HashMap<UpstreamId, (HolderRecord, BootInstant)>,
 }
@@ -80,6 +86,7 @@
         orders,
         observer: Observer::new(TERMS),
         members: HashMap::new(),
+        stopped: HashMap::new(),
         taken: HashMap::new(),
     };
     tokio::select! {
@@ -146,7 +153,7 @@
         let peers = lock(&self.entry.peers);
         engines.iter().any(|engine| {
             let held = peers.held(&engine.id);
-            let live = held.is_some_and(|(p, _)| p.is_live(now) && !p.info.leaving);
+            let live = held.is_some_and(|(p, _)| p.is_live(now));
             !live && !controllers.contains_key(&engine.id)
         })
     }
@@ -165,7 +172,7 @@
         }
         self.drop_lost(&records);
         lock(&self.entry.order_lease).confirmed(asked);
-        if self.entry.may_order() {
+        if self.entry.may_order() && !self.entry.is_leaving() {
             for engine in self.engines() {
                 let record = records.get(&engine.id);
                 if scope == Scope::All || self.is_own(record) {
@@ -189,7 +196,17 @@
             };
             (name, renewal)
         });
-        self.observer.observe(sent, BootInstant::now(), renewals);
+        let now = BootInstant::now();
+        self.observer.observe(sent, now, renewals);
+        let stopped = self.members.iter().filter(|(_, record)| record.stopped);
+        let stopped = stopped.map(|(name, record)| (Arc::clone(name), record.incarnation));
+        let earlier = std::mem::take(&mut self.stopped);
+        self.stopped = stopped
+            .map(|process| {
+                let since = earlier.get(&process).copied().unwrap_or(now);
+                (process, since)
+            })
+            .collect();
         let mut known: Vec<_> = self.members.values().map(|r| r.link).collect();
         known.sort_unstable();
         *lock(&self.entry.listed_links) = known;
@@ -250,8 +267,10 @@
     }
 
     fn state(&self, record: &HolderRecord) -> HolderState {
-        let member = self.members.get(&record.holder);
-        let stopped = member.is_some_and(|m| m.incarnation == record.incarnation && m.stopped);
+        let process = (Arc::clone(&record.holder), record.incarnation);
+        let since = self.stopped.get(&process);
+        let now = BootInstant::now();
+        let stopped = since.is_some_and(|since| now.since(*since) >= RETURN_WAIT);
         let lapsed = self.observer.is_lapsed(&record.holder, record.incarnation);
         if stopped || lapsed {
             HolderState::Ended
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -29,6 +29,9 @@
 /// Part of the grace that is left for the end of the process itself.
 const LAST_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time to write that no orders follow; a call to the store takes some ten milliseconds.
+const LAST_RECORD: Duration = Duration::from_millis(200);
+
 /// Time for which an idle caller's connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -112,7 +115,6 @@
     let asked = BootInstant::now();
     info!(id = entry.config.id; "entry leaving");
     entry.leave();
-    ordering.cancel();
     tokio::time::sleep(ADVERTISED).await;
     serving.cancel();
     let limit = entry.config.grace.saturating_sub(LAST_MARGIN);
@@ -120,6 +122,9 @@
     if tokio::time::timeout(left, front).await.is_err() {
         warn!(id = entry.config.id; "requests were still open at the end of the grace");
     }
+    entry.end_orders();
+    ordering.cancel();
+    tokio::time::sleep(LAST_RECORD).await;
     stop.cancel();
     info!(id = entry.config.id; "entry stopped");
     Ok(())
