refactor: one loop over the sections of a settings file, one readiness answer

Cause: the entry had added a third copy of the loop over settings sections and a second readiness page. Change: read_sections and http_server::readiness serve all of them; findings and answers are the same. Conclusion: kept, no behaviour changes.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -70,10 +70,5 @@
 
 fn show_readiness(state: State) -> (State, Response<Body>) {
     let ready = EntryState::borrow_from(&state).0.is_ready();
-    let (status, text) = if ready {
-        (StatusCode::OK, "ready\n")
-    } else {
-        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
-    };
-    (state, http_server::answer(status, "text/plain", text))
+    (state, http_server::readiness(ready))
 }
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -143,6 +143,15 @@
         .boxed_unsync()
 }
 
+/// Answer of a readiness page.
+pub fn readiness(ready: bool) -> Response<Body> {
+    if ready {
+        answer(StatusCode::OK, "text/plain", "ready\n")
+    } else {
+        answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+    }
+}
+
 /// An answer with a content type.
 pub fn answer(status: StatusCode, content: &'static str, data: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(full_body(data));
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -60,12 +60,7 @@
 
 fn show_readiness(state: State) -> (State, Response<Body>) {
     let ready = (ProbeState::borrow_from(&state).0.ready)();
-    let (status, text) = if ready {
-        (StatusCode::OK, "ready\n")
-    } else {
-        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
-    };
-    (state, http_server::answer(status, "text/plain", text))
+    (state, http_server::readiness(ready))
 }
 
 fn show_status(state: State) -> (State, Response<Body>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -76,22 +76,15 @@
 /// # Errors
 /// All findings, sorted by place.
 pub fn read_gateway(path: &Path) -> Result<GatewayConfig, Findings> {
-    let mut findings = Findings::default();
     let mut out = GatewayConfig::default();
-    let mut seen = false;
-    for mut section in read_file(path, &mut findings) {
+    let findings = read_sections(path, "gateway", |section, findings| {
         match section.name.as_str() {
-            "gateway" => {
-                seen = true;
-                out.read_process(&mut section, &mut findings);
-            }
-            "limits" => out.read_limits(&mut section, &mut findings),
-            "log" => read_log(&mut out.log, &mut section, &mut findings),
+            "gateway" => out.read_process(section, findings),
+            "limits" => out.read_limits(section, findings),
+            "log" => read_log(&mut out.log, section, findings),
             _ => findings.push(section.finding("", "expected gateway, limits or log")),
         }
-        section.finish(&mut findings);
-    }
-    require_section(path, "gateway", seen, &mut findings);
+    });
     findings.or_ok(out)
 }
 
@@ -100,21 +93,14 @@
 /// # Errors
 /// All findings, sorted by place.
 pub fn read_dispatcher(path: &Path) -> Result<DispatcherConfig, Findings> {
-    let mut findings = Findings::default();
     let mut out = DispatcherConfig::default();
-    let mut seen = false;
-    for mut section in read_file(path, &mut findings) {
+    let findings = read_sections(path, "dispatcher", |section, findings| {
         match section.name.as_str() {
-            "dispatcher" => {
-                seen = true;
-                out.read_process(&mut section, &mut findings);
-            }
-            "log" => read_log(&mut out.log, &mut section, &mut findings),
+            "dispatcher" => out.read_process(section, findings),
+            "log" => read_log(&mut out.log, section, findings),
             _ => findings.push(section.finding("", "expected dispatcher or log")),
         }
-        section.finish(&mut findings);
-    }
-    require_section(path, "dispatcher", seen, &mut findings);
+    });
     findings.or_ok(out)
 }
 
@@ -123,33 +109,45 @@
 /// # Errors
 /// All findings, sorted by place.
 pub fn read_entry(path: &Path) -> Result<EntryConfig, Findings> {
-    let mut findings = Findings::default();
     let mut out = EntryConfig {
         source: path.to_owned(),
         ..EntryConfig::default()
     };
-    let mut seen = false;
-    for mut section in read_file(path, &mut findings) {
+    let findings = read_sections(path, "entry", |section, findings| {
         match section.name.as_str() {
-            "entry" => {
-                seen = true;
-                out.read_process(&mut section, &mut findings);
-            }
-            "limits" => out.read_limits(&mut section, &mut findings),
-            "log" => read_log(&mut out.log, &mut section, &mut findings),
+            "entry" => out.read_process(section, findings),
+            "limits" => out.read_limits(section, findings),
+            "log" => read_log(&mut out.log, section, findings),
             _ => findings.push(section.finding("", "expected entry, limits or log")),
         }
-        section.finish(&mut findings);
-    }
-    require_section(path, "entry", seen, &mut findings);
+    });
     findings.or_ok(out)
 }
 
-fn require_section(path: &Path, name: &str, seen: bool, findings: &mut Findings) {
+/// Has `take` read every section of a file; also what is found where the section `required` is missing.
+fn read_sections(
+    path: &Path,
+    required: &str,
+    mut take: impl FnMut(&mut Section, &mut Findings),
+) -> Findings {
+    let mut findings = Findings::default();
+    let mut seen = false;
+    for mut section in read_file(path, &mut findings) {
+        seen |= section.name == required;
+        take(&mut section, &mut findings);
+        section.finish(&mut findings);
+    }
     if !seen {
         let file = path.display().to_string();
-        findings.push(ini_doc::place(&file, 0, name, "", "the section is missing"));
+        findings.push(ini_doc::place(
+            &file,
+            0,
+            required,
+            "",
+            "the section is missing",
+        ));
     }
+    findings
 }
 
 fn read_log(log: &mut LogConfig, section: &mut Section, findings: &mut Findings) {
