refactor: one way to put a question to another entry

Cause: registrations were asked for by a copy of the configuration's question, timeout and match included. Change: peer_link::question serves both; only debug lines differ. The question for an adapter stays apart: it tells a lost answer from a link that could not be used.

--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::BootInstant,
-    edge::{deployment::Deployment, registration::AdapterKey},
+    edge::registration::AdapterKey,
     entry::{
         context::Entry,
         controller::Command,
@@ -20,6 +20,7 @@
     supervisor::ChildError,
 };
 use log::{debug, info, warn};
+use serde::{Serialize, de::DeserializeOwned};
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -341,17 +342,40 @@
 
 async fn fetch_deployment(entry: Arc<Entry>, address: SocketAddr) {
     let known = entry.revision();
-    let fetched = timeout(DEPLOYMENT_TIMEOUT, async {
+    let deployment = question(&entry, address, DEPLOYMENT_PATH, &known, DEPLOYMENT_TIMEOUT).await;
+    if let Some(deployment) = deployment {
+        entry.adopt(deployment, "peer");
+    }
+}
+
+/// Puts a question to the entry at `address`; `None` where no answer came within `limit`.
+pub async fn question<Q: Serialize + Sync, A: DeserializeOwned>(
+    entry: &Entry,
+    address: SocketAddr,
+    path: &str,
+    question: &Q,
+    limit: Duration,
+) -> Option<A> {
+    let asked = timeout(limit, async {
         let link = entry.link(address);
-        let mut receiver = link.open(DEPLOYMENT_PATH, &known).await?;
-        receiver.next::<Deployment>().await
+        let mut receiver = link.open(path, question).await?;
+        receiver.next::<A>().await
     });
-    match fetched.await {
-        Ok(Ok(Some(deployment))) => {
-            entry.adopt(deployment, "peer");
+    match asked.await {
+        Ok(Ok(answer)) => {
+            if answer.is_none() {
+                debug!("no answer to {path} from {address}");
+            }
+            answer
+        }
+        Ok(Err(e)) => {
+            debug!("question {path} to {address}: {e}");
+            None
+        }
+        Err(elapsed) => {
+            debug!("question {path} to {address}: {elapsed}");
+            None
         }
-        Ok(Ok(None)) | Err(_) => debug!("no configuration from {address}"),
-        Ok(Err(e)) => debug!("configuration from {address}: {e}"),
     }
 }
 
--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -3,15 +3,14 @@
 use crate::{
     clock::BootInstant,
     edge::registration::Registration,
-    entry::{context::Entry, messages::REGISTRATIONS_PATH},
+    entry::{context::Entry, messages::REGISTRATIONS_PATH, peer_link},
     holding::lock,
     link::{LinkError, Receiver, Sender},
     supervisor::ChildError,
 };
-use log::{debug, info};
+use log::info;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// Interval between looks, and so between questions while the store is away: registrations are heartbeats of
@@ -39,8 +38,13 @@
             () = stop.cancelled() => return Ok(()),
             () = tokio::time::sleep(INTERVAL) => {}
         }
-        if let Some(address) = teller(&entry) {
-            ask(&entry, address).await;
+        let Some(address) = teller(&entry) else {
+            continue;
+        };
+        let known =
+            peer_link::question(&entry, address, REGISTRATIONS_PATH, &(), ANSWER_TIMEOUT).await;
+        if let Some(known) = known {
+            take(&entry, address, known);
         }
     }
     Ok(())
@@ -62,19 +66,6 @@
     following.or(any).map(|p| p.link)
 }
 
-async fn ask(entry: &Entry, address: SocketAddr) {
-    let asked = timeout(ANSWER_TIMEOUT, async {
-        let link = entry.link(address);
-        let mut receiver = link.open(REGISTRATIONS_PATH, &()).await?;
-        receiver.next::<Known>().await
-    });
-    match asked.await {
-        Ok(Ok(Some(known))) => take(entry, address, known),
-        Ok(Ok(None)) | Err(_) => debug!("no registrations from {address}"),
-        Ok(Err(e)) => debug!("registrations from {address}: {e}"),
-    }
-}
-
 fn take(entry: &Entry, address: SocketAddr, known: Known) {
     let (before, after, gone) = {
         let mut registry = lock(&entry.registry);
