--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -15,6 +15,7 @@
     path::front::Front,
     supervisor::{ChildError, supervise},
 };
+use futures_util::future::BoxFuture;
 use log::{info, warn};
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
@@ -38,6 +39,9 @@
 /// Largest request head that is read, in bytes; the configuration's own limit is checked after it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// A part of an entry that needs nothing of the platform.
+type Loop = fn(Arc<Entry>, CancellationToken) -> BoxFuture<'static, Result<(), ChildError>>;
+
 /// What an entry meets.
 pub trait Platform: Send + 'static {
     /// The object store.
@@ -165,18 +169,21 @@
             stop,
         ))
     });
-    let e = Arc::clone(entry);
-    supervise(tree, "peers", stop.clone(), move |stop| {
-        Box::pin(peer_link::connect_peers(Arc::clone(&e), stop))
-    });
-    let e = Arc::clone(entry);
-    supervise(tree, "registrations", stop.clone(), move |stop| {
-        Box::pin(registrations::follow_peers(Arc::clone(&e), stop))
-    });
-    let e = Arc::clone(entry);
-    supervise(tree, "settings", stop.clone(), move |stop| {
-        Box::pin(reload::follow(Arc::clone(&e), stop))
-    });
+    let others: [(&'static str, Loop); 3] = [
+        ("peers", |e, stop| {
+            Box::pin(peer_link::connect_peers(e, stop))
+        }),
+        ("registrations", |e, stop| {
+            Box::pin(registrations::follow_peers(e, stop))
+        }),
+        ("settings", |e, stop| Box::pin(reload::follow(e, stop))),
+    ];
+    for (name, run) in others {
+        let e = Arc::clone(entry);
+        supervise(tree, name, stop.clone(), move |stop| {
+            run(Arc::clone(&e), stop)
+        });
+    }
 }
 
 fn probe(entry: &Arc<Entry>) -> Probe {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -112,7 +112,7 @@
             let Some(body) = self.body.as_mut() else {
                 return self.ended();
             };
-            let left = self.job.deadline.since(BootInstant::now());
+            let left = self.job.left();
             let frame = match tokio::time::timeout(left, body.frame()).await {
                 Ok(frame) => frame,
                 Err(_elapsed) => return self.broken("timeout"),
