fix: dispatchers tell each other's next processes of claims that were not read yet

Cause: a dispatcher that restarts in an outage of the object API goes on with what its peers last read of the fleet, which is up to a second old. A claim made within that second was known to nobody else, so its next process took nothing up and the engine served nothing until the outage ended. This is the race behind the known red engines_work_through_an_outage_with_restarts: its outage begins right after the first claims, and beside a busy machine the claims come late. The logs of the one red run are gone, so that run itself is not traced. Change: claims that peers tell of by updates are kept until the fleet is read with them, and are merged, by generation, into what a restarted dispatcher is told. It asks all peers and merges their answers.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -107,7 +107,52 @@
     /// The object API's version when it was read; 0 before the first read.
     pub version: Version,
     /// What a peer said, while this process has read nothing itself.
-    pub heard: Option<FleetGive>,
+    pub heard: Option<Records>,
+    /// Claims that peers told of and that were not read yet.
+    told: BTreeMap<UpstreamId, UpstreamRecord>,
+}
+
+/// Records of upstreams and the object API's version when they were read.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// Version; 0 before the first read.
+    pub version: Version,
+    /// Records.
+    pub upstreams: Vec<UpstreamRecord>,
+}
+
+impl From<&Records> for FleetGive {
+    fn from(records: &Records) -> Self {
+        let text = serde_json::to_string(&records.upstreams);
+        Self {
+            version: records.version,
+            upstreams: text.unwrap_or_else(|e| {
+                warn!("records of upstreams have no JSON form: {e}");
+                String::from("[]")
+            }),
+        }
+    }
+}
+
+impl Records {
+    /// Takes in what another dispatcher knows: the later holder of each upstream; of the same holder, what was read
+    /// last, which may be a release.
+    pub fn merge(&mut self, other: Self) {
+        let is_later = other.version > self.version;
+        for record in other.upstreams {
+            let known = self.upstreams.iter_mut().find(|r| r.id == record.id);
+            match known {
+                None => self.upstreams.push(record),
+                Some(known) => {
+                    let same = known.generation == record.generation;
+                    if known.generation < record.generation || same && is_later {
+                        *known = record;
+                    }
+                }
+            }
+        }
+        self.version = self.version.max(other.version);
+    }
 }
 
 impl Fleet {
@@ -147,20 +192,38 @@
         });
         self.observer.observe(sent, done, renewals);
         self.dispatchers = dispatchers;
+        self.told.retain(|id, told| {
+            let read = upstreams.get(id).map(|u| u.record.generation);
+            read < Some(told.generation)
+        });
         self.upstreams = upstreams;
         self.version = listing.version;
     }
 
-    /// The upstreams' records for a peer that can't read them.
-    pub fn give(&self) -> FleetGive {
-        if let Some(heard) = self.heard.as_ref().filter(|h| h.version > self.version) {
-            return heard.clone();
+    /// Takes in that `record.holder` told of its claim itself; its record in the object API is read later.
+    pub fn told(&mut self, record: UpstreamRecord) {
+        let read = self.upstreams.get(&record.id).map(|u| &u.record);
+        let known = read.into_iter().chain(self.told.get(&record.id));
+        if known.map(|r| r.generation).max() < Some(record.generation) {
+            self.told.insert(Arc::clone(&record.id), record);
         }
-        let records: Vec<&UpstreamRecord> = self.upstreams.values().map(|u| &u.record).collect();
-        FleetGive {
+    }
+
+    /// The upstreams' records for a peer that can't read them.
+    pub fn records(&self) -> Records {
+        let read = self.upstreams.values().map(|u| u.record.clone());
+        let mut records = Records {
             version: self.version,
-            upstreams: serde_json::to_string(&records).unwrap_or_default(),
+            upstreams: read.collect(),
+        };
+        if let Some(heard) = &self.heard {
+            records.merge(heard.clone());
         }
+        records.merge(Records {
+            version: 0,
+            upstreams: self.told.values().cloned().collect(),
+        });
+        records
     }
 
     /// Dispatchers whose lease has not lapsed.
--- a/src/outage.rs
+++ b/src/outage.rs
@@ -7,14 +7,14 @@
     authority::Origin,
     catalogue::{Fencing, PoolKind},
     dispatcher::Context,
-    fleet::{Holder, UpstreamRecord},
+    fleet::{Holder, Records, UpstreamRecord},
     holding::{Spec, lock},
     ident::Generation,
     link::{Incoming, Link, LinkError},
-    wire::{FleetAsk, FleetGive},
+    wire::{FleetAsk, FleetGive, SyncUpdate},
 };
-use log::{debug, info};
-use std::sync::Arc;
+use log::{debug, info, warn};
+use std::{net::SocketAddr, sync::Arc};
 
 /// Path of the streams by which dispatchers give each other the fleet as last read.
 pub const FLEET_PATH: &str = "/fleet";
@@ -40,7 +40,7 @@
     let Ok(Some(FleetAsk)) = receiver.next::<FleetAsk>().await else {
         return;
     };
-    let give = lock(&context.fleet).give();
+    let give = FleetGive::from(&lock(&context.fleet).records());
     if sender.send(&give).await.is_ok() {
         sender.finish();
     }
@@ -85,28 +85,57 @@
         && holder.incarnation < own.incarnation
 }
 
-/// The records of the peer that read the fleet last.
+/// The records as peers know them; none until one of them has read any.
 async fn latest_records(context: &Context) -> Option<Vec<UpstreamRecord>> {
-    let mut latest: Option<FleetGive> = None;
+    let mut latest = Records::default();
     for address in &context.config.peers.0 {
         let Some(link) = context.peer_link(*address) else {
             continue;
         };
         match ask(&link).await {
-            Ok(give) if latest.as_ref().is_none_or(|l| give.version > l.version) => {
-                latest = Some(give);
-            }
-            Ok(_older) => {}
+            Ok(records) => latest.merge(records),
             Err(e) => debug!("fleet from {address}: {e}"),
         }
     }
-    let latest = latest.filter(|l| l.version > 0)?;
-    let records = serde_json::from_str(&latest.upstreams).ok();
-    lock(&context.fleet).heard = Some(latest);
-    records
+    if latest.version == 0 {
+        return None;
+    }
+    lock(&context.fleet).heard = Some(latest.clone());
+    Some(latest.upstreams)
 }
 
-async fn ask(link: &Link) -> Result<FleetGive, LinkError> {
+async fn ask(link: &Link) -> Result<Records, LinkError> {
     let mut answer = link.open(FLEET_PATH, &FleetAsk).await?;
-    answer.next().await?.ok_or(LinkError::Broken)
+    let give: FleetGive = answer.next().await?.ok_or(LinkError::Broken)?;
+    let upstreams = serde_json::from_str(&give.upstreams).map_err(|e| {
+        warn!("the records of a peer can't be read: {e}");
+        LinkError::Broken
+    })?;
+    Ok(Records {
+        version: give.version,
+        upstreams,
+    })
+}
+
+/// Notes the claims that another dispatcher tells of: if the object API goes away before they are read there, this
+/// process can still tell the claimer's next process of them.
+pub fn note_claims(context: &Context, address: SocketAddr, update: &SyncUpdate) {
+    let specs = context.specs();
+    for status in &update.changed {
+        let Some(spec) = specs.iter().find(|s| s.id == status.id) else {
+            continue;
+        };
+        lock(&context.fleet).told(UpstreamRecord {
+            id: Arc::clone(&status.id),
+            holder: Some(Holder {
+                id: Arc::clone(&update.from),
+                incarnation: update.incarnation,
+                link: address,
+            }),
+            generation: status.generation,
+            fencing: spec.fencing,
+            stable: Vec::new(),
+            write: 0,
+        });
+    }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -4,6 +4,7 @@
     assignment,
     dispatcher::Context,
     holding::lock,
+    outage,
     supervisor::ChildError,
     sync_client::{Subscriptions, SyncEvent},
     wire::{SyncHello, SyncUpdate},
@@ -81,6 +82,7 @@
     for (upstream, generation) in &update.released {
         take_release(context, &update, upstream, *generation).await;
     }
+    outage::note_claims(context, address, &update);
     for status in &update.changed {
         let own = context.holding(&status.id);
         if let Some(own) = own.filter(|h| h.generation < status.generation) {
--- a/standin/tests/faults.rs
+++ b/standin/tests/faults.rs
@@ -18,6 +18,7 @@
     outage_of_the_object_api,
     overload_keeps_its_goodput,
     engines_work_through_an_outage_with_restarts,
+    a_claim_just_before_an_outage_outlives_a_restart,
     a_request_outlives_refusals_after_a_crash,
     a_restarting_engine_uses_up_no_retries,
 );
@@ -245,6 +246,36 @@
         );
     }
 
+    /// Other dispatchers know of a claim before they next read the fleet, and tell the claimer's next process.
+    pub(super) async fn a_claim_just_before_an_outage_outlives_a_restart() {
+        let layout = Layout {
+            engines: 1,
+            open_engines: 0,
+            services: 0,
+            ..Layout::default()
+        };
+        let mut d = Deployment::start(layout).await;
+        let first = d.holder("engine-0").await.expect("a holder");
+        d.kill(Role::Dispatcher, first);
+        let claimer = loop {
+            match d.holder("engine-0").await {
+                Some(n) => break n,
+                None => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        };
+        let down = ObjectFaults {
+            outage: true,
+            ..ObjectFaults::default()
+        };
+        d.post(d.objects(), "/fault", &down).await;
+        d.kill(Role::Dispatcher, claimer);
+        d.start_role(Role::Dispatcher, claimer);
+        d.wait_for("the claimer to go on", || async {
+            d.held(claimer).await == ["engine-0"]
+        })
+        .await;
+    }
+
     /// Answers a second of `callers` callers within `window`.
     async fn goodput(d: &Deployment, callers: u64, window: Duration) -> (f64, f64) {
         let hurried = |caller: u64, n: u64| Ask {
