perf: a control set of entries follows the store, holds engines and speaks for the others

Change: a set of at most nine entries, or one in sixteen, does these (decide/control_set); large VMs first, small ones only where there are fewer than four. Others hear upstreams by a question that is answered when something changed, and tell and hear everything through one member that they choose.

--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -1,7 +1,10 @@
 //! Settings of an entry.
 
 use crate::{
-    configs::log::LogConfig, decide::budget::BudgetLimits, findings::Findings, ini_doc::Section,
+    configs::log::LogConfig,
+    decide::{budget::BudgetLimits, control_set},
+    findings::Findings,
+    ini_doc::Section,
     settings::Addresses,
 };
 use std::{
@@ -17,6 +20,8 @@
     pub budget: BudgetLimits,
     /// Address that callers connect to.
     pub callers: SocketAddr,
+    /// Least number of entries that follow the store and hold engines.
+    pub control_entries: usize,
     /// Data centre of the VM.
     pub data_centre: String,
     /// Address at which callers ask for entries.
@@ -35,6 +40,8 @@
     pub operators: SocketAddr,
     /// Link addresses of entries that may be up.
     pub peers: Addresses,
+    /// Share of a processor that the VM has.
+    pub processor: f64,
     /// Address at which the platform asks for readiness.
     pub ready: SocketAddr,
     /// File that the settings were read from.
@@ -49,6 +56,7 @@
         Self {
             budget: BudgetLimits::default(),
             callers: local(8080),
+            control_entries: control_set::MIN_MEMBERS,
             data_centre: String::from("local"),
             directory: local(8082),
             grace: Duration::from_secs(8),
@@ -58,6 +66,7 @@
             log: LogConfig::default(),
             operators: local(8091),
             peers: Addresses::default(),
+            processor: 1.0,
             ready: local(8083),
             source: PathBuf::new(),
             store: local(7000),
@@ -78,6 +87,8 @@
         section.require("store", &mut self.store, findings);
         section.read("key", &mut self.key, findings);
         section.read("peers", &mut self.peers, findings);
+        section.read("control-entries", &mut self.control_entries, findings);
+        section.read("processor", &mut self.processor, findings);
         if self.link == self.callers {
             findings.push(section.finding("link", "the same address as `callers`"));
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod choice;
+pub mod control_set;
 pub mod order_lease;
 pub mod order_sequence;
 pub mod outliers;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -46,6 +46,8 @@
     returned: Option<BootInstant>,
     /// Whether the store tells every change.
     follows: bool,
+    /// Changes so far that matter for routing.
+    changes: u64,
 }
 
 impl Registry {
@@ -54,6 +56,11 @@
         self.follows
     }
 
+    /// Counts the changes that matter for routing.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Takes in that the store does not answer.
     pub fn store_left(&mut self) {
         self.follows = false;
@@ -85,6 +92,7 @@
             lapses: None,
         };
         self.members.insert(id, member);
+        self.changes += u64::from(change != RegistryChange::Same);
         change
     }
 
@@ -99,12 +107,15 @@
             return RegistryChange::Lapsed;
         }
         self.members.remove(id);
+        self.changes += 1;
         RegistryChange::Gone
     }
 
     /// Drops an upstream whose entry can't be read; whether there was one.
     pub fn discard(&mut self, id: &str) -> bool {
-        self.members.remove(id).is_some()
+        let was_known = self.members.remove(id).is_some();
+        self.changes += u64::from(was_known);
+        was_known
     }
 
     /// Takes in a whole listing: what it lacks was removed.
@@ -167,6 +178,7 @@
         for id in &gone {
             self.members.remove(id);
         }
+        self.changes += gone.len() as u64;
         gone
     }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -13,10 +13,12 @@
         registration::{AdapterKey, Registration},
     },
     entry::{
+        control::ControlView,
         controller::{Command, ControllerHandle},
         late_orders::LateOrders,
         messages::PeerInfo,
         peers::Peers,
+        prompt_log::PromptLog,
         usage::Usage,
     },
     holding::lock,
@@ -64,6 +66,10 @@
     pub usage: Usage,
     /// Other entries.
     pub peers: Mutex<Peers>,
+    /// The control set as this entry sees it.
+    pub control: ArcSwap<ControlView>,
+    /// Prompts that entries reserved lately.
+    pub prompts: Mutex<PromptLog>,
     /// Unanswered orders of earlier holders.
     pub late_orders: Mutex<LateOrders>,
     /// Connections to upstreams.
@@ -82,6 +88,8 @@
     pub listed_links: Mutex<Vec<SocketAddr>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     leaving: AtomicBool,
+    /// Whether a configuration is being fetched from another entry.
+    fetching: AtomicBool,
     /// Whether it has given its last order.
     ordered: AtomicBool,
 }
@@ -101,6 +109,12 @@
             prefill: Mutex::default(),
             usage: Usage::default(),
             peers: Mutex::default(),
+            // Until others are heard of, each entry must serve alone.
+            control: ArcSwap::from_pointee(ControlView {
+                is_member: true,
+                ..ControlView::default()
+            }),
+            prompts: Mutex::default(),
             late_orders: Mutex::default(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
@@ -111,6 +125,7 @@
             listed_links: Mutex::default(),
             links: Mutex::default(),
             leaving: AtomicBool::new(false),
+            fetching: AtomicBool::new(false),
             ordered: AtomicBool::new(false),
             config,
         })
@@ -155,6 +170,16 @@
         true
     }
 
+    /// Begins to fetch a configuration from another entry; false if a fetch is under way.
+    pub fn begin_fetch(&self) -> bool {
+        !self.fetching.swap(true, Ordering::SeqCst)
+    }
+
+    /// The fetch has ended.
+    pub fn end_fetch(&self) {
+        self.fetching.store(false, Ordering::SeqCst);
+    }
+
     /// The service called `name`.
     pub fn service(&self, name: &str) -> Option<Service> {
         self.routes.load().deployment.service(name).cloned()
@@ -190,6 +215,7 @@
             data_centre: Arc::from(self.config.data_centre.as_str()),
             ready: self.is_ready(),
             leaving: self.is_leaving(),
+            processor: (self.config.processor * 1_000.0) as u32,
             revision: self.revision(),
             follows: lock(&self.registry).follows(),
         }
@@ -254,7 +280,33 @@
 
     /// Number of entries, this one included.
     pub fn entries(&self) -> usize {
-        lock(&self.peers).live(BootInstant::now()).count() + 1
+        lock(&self.peers).live(BootInstant::now()).len() + 1
+    }
+
+    /// Whether this entry follows the store and may hold engines; also while it still holds some.
+    pub fn is_in_control(&self) -> bool {
+        self.control.load().is_member
+    }
+
+    /// Link address of the other entry that holds `upstream`.
+    pub fn holder_link(&self, upstream: &str) -> Option<SocketAddr> {
+        let peers = lock(&self.peers);
+        let held = peers.held(upstream, BootInstant::now())?;
+        held.holder.map(|info| info.link)
+    }
+
+    /// Link addresses of the control set, this entry's included if it is a member.
+    pub fn control_links(&self) -> Vec<SocketAddr> {
+        let view = self.control.load();
+        let own = view.is_member.then_some(self.config.link);
+        view.links.iter().copied().chain(own).collect()
+    }
+
+    /// Whether another entry that is heard of learns every change from the store.
+    pub fn hears_from_store(&self) -> bool {
+        let peers = lock(&self.peers);
+        let live = peers.live(BootInstant::now());
+        live.iter().any(|info| info.follows)
     }
 
     /// Upstreams of `service` that may take new work, without those in `excluded`.
@@ -328,9 +380,9 @@
             let (version, active) = controller.lookup(key);
             return (version, active && self.may_order());
         }
-        if let Some((peer, held)) = peers.held(&upstream.id) {
-            let active = held.active && peer.is_live(now);
-            return (held.adapters.get(key).copied(), active);
+        if let Some(held) = peers.held(&upstream.id, now) {
+            let active = held.engine.active && held.is_live;
+            return (held.engine.adapters.get(key).copied(), active);
         }
         let listed = upstream.models.iter().flat_map(|m| &m.adapters);
         let mut same = listed.filter(|a| a.key == *key);
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -63,14 +63,14 @@
     /// Fencing number.
     pub generation: Generation,
     asks: mpsc::Sender<Command>,
-    engine: Arc<Mutex<HeldEngine>>,
+    engine: Arc<Mutex<Arc<HeldEngine>>>,
     late: Arc<Mutex<Vec<AdapterKey>>>,
 }
 
 impl ControllerHandle {
-    /// What is known of the engine.
-    pub fn engine(&self) -> HeldEngine {
-        lock(&self.engine).clone()
+    /// What is known of the engine; replaced with each change.
+    pub fn engine(&self) -> Arc<HeldEngine> {
+        Arc::clone(&lock(&self.engine))
     }
 
     /// Version of `key` that requests may use, and whether orders may be given.
@@ -128,7 +128,7 @@
     from: BootInstant,
     residency: Residency,
     waiting: HashMap<AdapterKey, Vec<Waiter>>,
-    engine: Arc<Mutex<HeldEngine>>,
+    engine: Arc<Mutex<Arc<HeldEngine>>>,
     late: Arc<Mutex<Vec<AdapterKey>>>,
     sequence: Arc<tokio::sync::Mutex<OrderSequence>>,
     /// Adapters with unanswered orders that the next accepted one ends.
@@ -145,10 +145,11 @@
     from: BootInstant,
 ) -> ControllerHandle {
     let (asks, incoming) = mpsc::channel(QUEUE);
-    let engine = Arc::new(Mutex::new(HeldEngine {
+    let engine = HeldEngine {
         generation,
         ..HeldEngine::default()
-    }));
+    };
+    let engine = Arc::new(Mutex::new(Arc::new(engine)));
     let late = Arc::default();
     let controller = Controller {
         entry: Arc::clone(entry),
@@ -412,8 +413,8 @@
         };
         *lock(&self.late) = self.residency.late().cloned().collect();
         let mut engine = lock(&self.engine);
-        if *engine != held {
-            *engine = held;
+        if **engine != held {
+            *engine = Arc::new(held);
             drop(engine);
             self.entry.notify_peers();
         }
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -55,9 +55,10 @@
 /// Entries that are heard of and ready, those of the caller's data centre first.
 fn addresses(entry: &Entry, data_centre: &str, now: BootInstant) -> Vec<SocketAddr> {
     let peers = lock(&entry.peers);
-    let ready = peers.live(now).filter(|p| p.info.ready && !p.info.leaving);
+    let live = peers.live(now).into_iter();
+    let ready = live.filter(|info| info.ready && !info.leaving);
     let mut named: Vec<(bool, SocketAddr)> = ready
-        .map(|p| (*p.info.data_centre != *data_centre, p.info.callers))
+        .map(|info| (*info.data_centre != *data_centre, info.callers))
         .collect();
     if entry.is_ready() {
         let remote = entry.config.data_centre != data_centre;
--- a/src/entry/ensure.rs
+++ b/src/entry/ensure.rs
@@ -19,9 +19,7 @@
     if let Some(controller) = controller {
         return controller.ensure(key.clone(), version).await;
     }
-    let holder = lock(&entry.peers)
-        .held(upstream)
-        .map(|(peer, _)| peer.info.link);
+    let holder = entry.holder_link(upstream);
     match holder {
         Some(address) => peer_link::ask(entry, address, upstream, key, version).await,
         None => EnsureResult::NotHolder,
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -27,6 +27,13 @@
 /// Longest pause after failed calls.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Interval between looks whether this entry is to follow the store; short against the bounds of the configuration.
+const TURN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time without an entry that follows the store after which any other asks the store itself: longer than the
+/// silence after which the entries that should follow it are replaced.
+const ALONE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Follows one kind of objects.
 struct Follower<S> {
     entry: Arc<Entry>,
@@ -34,6 +41,8 @@
     kind: Kind,
     /// Whether the last call failed.
     away: bool,
+    /// Whether it was ever listed.
+    listed: bool,
     backoff: Duration,
 }
 
@@ -52,6 +61,7 @@
         store,
         kind,
         away: false,
+        listed: false,
         backoff: FIRST_BACKOFF,
     };
     tokio::select! {
@@ -63,11 +73,13 @@
 impl<S: Store> Follower<S> {
     async fn run(&mut self) {
         loop {
+            self.wait_for_turn().await;
             match self.store.list(self.kind).await {
                 Ok(listing) => {
                     self.answered();
                     let revision = listing.revision;
-                    self.listed(&listing);
+                    self.take(&listing);
+                    self.listed = true;
                     self.watch(revision).await;
                 }
                 Err(e) => self.failed(&e).await,
@@ -75,9 +87,31 @@
         }
     }
 
-    /// Watches until the history is gone or the store fails.
+    /// Waits while other entries follow the store for this one. A first listing is read in any case, as others may
+    /// be unheard of yet.
+    async fn wait_for_turn(&mut self) {
+        if !self.listed {
+            return;
+        }
+        let mut alone = BootInstant::now();
+        while !self.entry.is_in_control() {
+            if self.kind == Kind::Upstreams {
+                lock(&self.entry.registry).store_left();
+            }
+            let now = BootInstant::now();
+            if self.entry.hears_from_store() {
+                alone = now;
+            }
+            if now.since(alone) > ALONE_LIMIT {
+                return;
+            }
+            tokio::time::sleep(TURN_INTERVAL).await;
+        }
+    }
+
+    /// Watches until the history is gone, the store fails, or other entries follow it for this one.
     async fn watch(&mut self, mut revision: u64) {
-        loop {
+        while self.entry.is_in_control() {
             match self.store.watch(self.kind, revision, WATCH_WAIT).await {
                 Ok(changes) => {
                     self.answered();
@@ -125,7 +159,7 @@
         }
     }
 
-    fn listed(&self, listing: &Listing) {
+    fn take(&self, listing: &Listing) {
         if self.kind == Kind::Upstreams {
             let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
             let gone = lock(&self.entry.registry).listed(&present, BootInstant::now());
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -103,7 +103,9 @@
         self.take_own_again().await;
         tokio::time::sleep(FIRST_LOOK.saturating_sub(BootInstant::now().since(begun))).await;
         loop {
-            if let Err(e) = self.look(Scope::All).await {
+            if self.entry.is_in_control()
+                && let Err(e) = self.look(Scope::All).await
+            {
                 debug!("reading who holds what: {e}");
             }
             metrics::upstreams_held(lock(&self.entry.controllers).len());
@@ -149,11 +151,11 @@
     fn is_amiss(&self) -> bool {
         let now = BootInstant::now();
         let engines = self.engines();
-        let controllers = lock(&self.entry.controllers);
         let peers = lock(&self.entry.peers);
+        let controllers = lock(&self.entry.controllers);
         engines.iter().any(|engine| {
-            let held = peers.held(&engine.id);
-            let live = held.is_some_and(|(p, _)| p.is_live(now));
+            let held = peers.held(&engine.id, now);
+            let live = held.is_some_and(|h| h.is_live);
             !live && !controllers.contains_key(&engine.id)
         })
     }
@@ -254,7 +256,13 @@
             name: &self.entry.config.id,
             incarnation: self.entry.incarnation,
         };
-        match succession::step(own, &engine.id, record, state, &self.live()) {
+        match succession::step(
+            own,
+            &engine.id,
+            record,
+            state,
+            &self.entry.control.load().members,
+        ) {
             Step::Leave => {}
             Step::Held => {
                 if let Some(record) = record {
@@ -279,18 +287,6 @@
         }
     }
 
-    /// VMs that could hold an engine.
-    fn live(&self) -> Vec<Arc<str>> {
-        let peers = lock(&self.entry.peers);
-        let live = peers.live(BootInstant::now());
-        let mut names: Vec<Arc<str>> = live
-            .filter(|p| !p.info.leaving)
-            .map(|p| Arc::clone(&p.info.name))
-            .collect();
-        names.push(Arc::from(self.entry.config.id.as_str()));
-        names
-    }
-
     async fn take(&mut self, engine: &Arc<Registration>, generation: u64, held: Option<&Held>) {
         let record = HolderRecord {
             holder: Arc::from(self.entry.config.id.as_str()),
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -39,6 +39,8 @@
     pub ready: bool,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Share of a processor that its VM has, in thousandths.
+    pub processor: u32,
     /// Revision of the configuration in force.
     pub revision: Revision,
     /// Whether it hears of every change of the registered upstreams from the store.
@@ -52,20 +54,33 @@
     pub sequence: u64,
     /// The entry.
     pub info: PeerInfo,
-    /// Link addresses that it knows.
+    /// Whether the receiver is to speak for it towards all others, and they speak to it through the receiver.
+    pub homed: bool,
+    /// Link addresses that the receiver was not told of yet.
     pub known: Vec<SocketAddr>,
-    /// Requests that it has at each upstream; others have none.
+    /// Changes of the entries that the sender speaks for.
+    pub others: Vec<OtherEntry>,
+    /// Changed numbers of requests at upstreams, of the sender and those that it speaks for.
     pub loads: Vec<(UpstreamId, u32)>,
-    /// Prompt tokens that it reserved since the last update.
+    /// Prompt tokens that they reserved since the last update.
     pub prompts: Vec<(UpstreamId, u32)>,
-    /// Its use of adapters at engines that the receiver holds.
+    /// Their use of adapters at engines that the receiver holds, or of all engines if it is to speak for the sender.
     pub uses: Vec<AdapterUse>,
-    /// Changes of the engines that it holds.
+    /// Changes of the engines that they hold.
     pub held: Vec<HeldChange>,
     /// Newest versions of adapters that the receiver was not told of yet.
     pub versions: Vec<(AdapterKey, u32)>,
 }
 
+/// An entry that another one speaks for.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OtherEntry {
+    /// What it last said of itself.
+    pub info: PeerInfo,
+    /// Whether it is not heard of any more.
+    pub gone: bool,
+}
+
 /// Use of one adapter at one engine.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AdapterUse {
@@ -80,10 +95,12 @@
 }
 
 /// Change of an engine that an entry holds.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HeldChange {
     /// Engine.
     pub upstream: UpstreamId,
+    /// Entry that holds it.
+    pub holder: Arc<str>,
     /// Fencing number of the holder.
     pub generation: Generation,
     /// Whether the holder may give orders now.
@@ -97,10 +114,12 @@
 }
 
 /// Receipt of an update.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerAck {
     /// Number of the update.
     pub sequence: u64,
+    /// Link addresses of the control set, with the first receipt of a stream.
+    pub control: Vec<SocketAddr>,
 }
 
 /// Asks for an adapter at an engine, or tells that the engine lacks it.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry process: callers' listener, directory, readiness, peers, and the orders to the engines it holds.
 
 pub mod context;
+pub mod control;
 pub mod controller;
 pub mod directory;
 pub mod ensure;
@@ -11,8 +12,10 @@
 pub mod order_run;
 pub mod peer_link;
 pub mod peers;
+pub mod prompt_log;
 pub mod registrations;
 pub mod reload;
 pub mod renew;
 pub mod run;
+pub mod update;
 pub mod usage;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -5,13 +5,15 @@
     edge::registration::AdapterKey,
     entry::{
         context::Entry,
+        control,
         controller::Command,
         messages::{
-            AdapterUse, DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, EnsureResult, HeldChange,
-            MISSING_PATH, PEER_PATH, PeerAck, PeerUpdate, REGISTRATIONS_PATH,
+            DEPLOYMENT_PATH, ENSURE_PATH, EnsureAsk, EnsureResult, MISSING_PATH, PEER_PATH,
+            PeerAck, PeerUpdate, REGISTRATIONS_PATH,
         },
-        peers::HeldEngine,
+        prompt_log::Prompt,
         registrations,
+        update::UpdateWriter,
     },
     holding::lock,
     ident::{Revision, UpstreamId},
@@ -21,13 +23,8 @@
 };
 use log::{debug, info, warn};
 use serde::{Serialize, de::DeserializeOwned};
-use std::{
-    collections::{HashMap, HashSet},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
-use tokio::{sync::watch, time::timeout};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{sync::watch, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 /// Interval between updates when nothing presses.
@@ -36,6 +33,9 @@
 /// Least time between two updates, so that changes at once go together.
 const MIN_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Least time between two updates of an entry that speaks for others: what it passes on comes all the time.
+const RELAY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Wait for the receipt of an update; beyond it the connection counts as lost.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -54,16 +54,20 @@
 /// Longest wait for a configuration.
 const DEPLOYMENT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Talks to every entry that becomes known, until `stop`.
+/// Talks to the entries that are to be told of this one, until `stop`.
 ///
 /// # Errors
 /// None.
 pub async fn connect_peers(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
-    let mut spoken: HashSet<SocketAddr> = HashSet::from([entry.config.link]);
+    let mut spoken: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     while !stop.is_cancelled() {
+        control::refresh(&entry);
+        spoken.retain(|_, task| !task.is_finished());
         for address in known(&entry) {
-            if spoken.insert(address) {
-                tokio::spawn(send_updates(Arc::clone(&entry), address, stop.clone()));
+            let is_other = address != entry.config.link && !spoken.contains_key(&address);
+            if is_other && tells(&entry, address) {
+                let task = send_updates(Arc::clone(&entry), address, stop.clone());
+                spoken.insert(address, tokio::spawn(task));
             }
         }
         tokio::select! {
@@ -82,16 +86,19 @@
     all
 }
 
-/// Tells the entry at `address` about this one, until `stop`.
+/// Tells the entry at `address` about this one, until `stop` or until it need not be told any more.
 async fn send_updates(entry: Arc<Entry>, address: SocketAddr, stop: CancellationToken) {
     let mut pause = FIRST_RECONNECT;
     let mut connected = false;
-    while !stop.is_cancelled() {
+    while !stop.is_cancelled() && tells(&entry, address) {
         let told = tokio::select! {
             () = stop.cancelled() => return,
             told = UpdateSender::new(&entry, address).run() => told,
         };
         let (updates, error) = told;
+        let Some(error) = error else {
+            continue;
+        };
         if updates > 0 {
             pause = FIRST_RECONNECT;
             info!(peer:% = address, error:% = error, updates = updates; "dependency lost: entry");
@@ -108,12 +115,7 @@
 struct UpdateSender<'a> {
     entry: &'a Arc<Entry>,
     address: SocketAddr,
-    sequence: u64,
-    /// Engines as the other side knows them.
-    held: HashMap<UpstreamId, HeldEngine>,
-    versions: HashMap<AdapterKey, u32>,
-    asked: HashMap<(UpstreamId, AdapterKey), u64>,
-    reserved: HashMap<UpstreamId, u64>,
+    writer: UpdateWriter,
     changes: watch::Receiver<u64>,
 }
 
@@ -122,168 +124,74 @@
         Self {
             entry,
             address,
-            sequence: 0,
-            held: HashMap::new(),
-            versions: HashMap::new(),
-            asked: HashMap::new(),
-            reserved: HashMap::new(),
+            writer: UpdateWriter::new(entry, address),
             changes: entry.changed.subscribe(),
         }
     }
 
-    /// Sends until the stream breaks; the updates that were received, and why it broke.
-    async fn run(mut self) -> (u64, LinkError) {
+    /// Sends until the stream breaks or the other entry need not be told any more; the updates that were received,
+    /// and why the stream broke.
+    async fn run(mut self) -> (u64, Option<LinkError>) {
         let link = self.entry.link(self.address);
-        let first = self.update();
+        let first = self.writer.update();
         let (mut sender, mut receiver) = match link.open_duplex(PEER_PATH, &first).await {
             Ok(stream) => stream,
-            Err(e) => return (0, e),
+            Err(e) => return (0, Some(e)),
         };
         let mut received = 0;
         loop {
             if let Err(e) = self.receipt(&mut receiver).await {
                 link.reset().await;
-                return (received, e);
+                return (received, Some(e));
             }
             received += 1;
             self.pause().await;
-            let update = self.update();
+            if !tells(self.entry, self.address) {
+                sender.finish();
+                return (received, None);
+            }
+            self.changes.mark_unchanged();
+            let update = self.writer.update();
             match sender.send(&update).await {
                 Ok(bytes) => metrics::control_bytes("peer", bytes),
-                Err(e) => return (received, e),
+                Err(e) => return (received, Some(e)),
             }
         }
     }
 
     async fn receipt(&self, receiver: &mut Receiver) -> Result<(), LinkError> {
         match timeout(ACK_TIMEOUT, receiver.next::<PeerAck>()).await {
-            Ok(Ok(Some(_ack))) => Ok(()),
+            Ok(Ok(Some(ack))) => {
+                if !ack.control.is_empty() {
+                    lock(&self.entry.peers).hint(&ack.control);
+                }
+                Ok(())
+            }
             Ok(Ok(None)) | Err(_) => Err(LinkError::Broken),
             Ok(Err(e)) => Err(e),
         }
     }
 
     async fn pause(&mut self) {
-        tokio::time::sleep(MIN_INTERVAL).await;
-        let rest = UPDATE_INTERVAL.saturating_sub(MIN_INTERVAL);
-        let _elapsed = timeout(rest, self.changes.changed()).await;
-    }
-
-    /// The next update.
-    fn update(&mut self) -> PeerUpdate {
-        let sequence = self.sequence;
-        self.sequence += 1;
-        self.changes.mark_unchanged();
-        let known = lock(&self.entry.peers).live_links(BootInstant::now());
-        PeerUpdate {
-            sequence,
-            info: self.entry.info(),
-            known,
-            loads: self.entry.usage.loads(),
-            prompts: self.prompts(),
-            uses: self.uses(),
-            held: self.held_changes(),
-            versions: self.new_versions(),
-        }
-    }
-
-    /// Prompt tokens reserved since the last update.
-    fn prompts(&mut self) -> Vec<(UpstreamId, u32)> {
-        let mut prompts = Vec::new();
-        for (upstream, tokens) in self.entry.usage.reserved() {
-            let before = self.reserved.insert(Arc::clone(&upstream), tokens);
-            let fresh = tokens.saturating_sub(before.unwrap_or(0)) as u32;
-            if fresh > 0 && self.sequence > 1 {
-                prompts.push((upstream, fresh));
-            }
-        }
-        prompts
-    }
-
-    /// Use of adapters at the engines that the other side holds.
-    fn uses(&mut self) -> Vec<AdapterUse> {
-        let engines = {
-            let peers = lock(&self.entry.peers);
-            peers.held_by(self.address)
+        let least = if lock(&self.entry.peers).homed().next().is_some() {
+            RELAY_INTERVAL
+        } else {
+            MIN_INTERVAL
         };
-        let mut uses = Vec::new();
-        for upstream in engines {
-            for (key, count) in self.entry.usage.adapters(&upstream) {
-                let name = (Arc::clone(&upstream), key.clone());
-                let before = self.asked.insert(name, count.asked).unwrap_or(0);
-                let asked = count.asked.saturating_sub(before) as u32;
-                if count.running > 0 || asked > 0 {
-                    uses.push(AdapterUse {
-                        upstream: Arc::clone(&upstream),
-                        key,
-                        running: count.running,
-                        asked,
-                    });
-                }
-            }
-        }
-        uses
-    }
-
-    fn held_changes(&mut self) -> Vec<HeldChange> {
-        let controllers = lock(&self.entry.controllers).clone();
-        let may_order = self.entry.may_order();
-        let mut changes = Vec::new();
-        for (upstream, controller) in &controllers {
-            let mut engine = controller.engine();
-            engine.active &= may_order;
-            let known = self.held.get(upstream);
-            if known != Some(&engine) {
-                changes.push(difference(upstream, known, &engine));
-                self.held.insert(Arc::clone(upstream), engine);
-            }
-        }
-        let released: Vec<UpstreamId> = self
-            .held
-            .keys()
-            .filter(|id| !controllers.contains_key(*id))
-            .cloned()
-            .collect();
-        for upstream in released {
-            self.held.remove(&upstream);
-            changes.push(HeldChange {
-                upstream,
-                released: true,
-                ..HeldChange::default()
-            });
-        }
-        changes
-    }
-
-    fn new_versions(&mut self) -> Vec<(AdapterKey, u32)> {
-        let versions = lock(&self.entry.versions);
-        let news = versions
-            .iter()
-            .filter(|(key, version)| self.versions.get(*key) != Some(*version));
-        let news: Vec<(AdapterKey, u32)> = news.map(|(k, v)| (k.clone(), *v)).collect();
-        self.versions.extend(news.iter().cloned());
-        news
+        tokio::time::sleep(least).await;
+        let rest = UPDATE_INTERVAL.saturating_sub(least);
+        let _elapsed = timeout(rest, self.changes.changed()).await;
     }
 }
 
-/// What changed from `before`, where the other side knows it, to `after`.
-fn difference(
-    upstream: &UpstreamId,
-    before: Option<&HeldEngine>,
-    after: &HeldEngine,
-) -> HeldChange {
-    let known = |key: &AdapterKey| before.and_then(|b| b.adapters.get(key));
-    let came = after.adapters.iter().filter(|(k, v)| known(k) != Some(*v));
-    let went = before.into_iter().flat_map(|b| b.adapters.keys());
-    let went = went.filter(|k| !after.adapters.contains_key(*k));
-    HeldChange {
-        upstream: Arc::clone(upstream),
-        generation: after.generation,
-        active: after.active,
-        released: false,
-        came: came.map(|(k, v)| (k.clone(), *v)).collect(),
-        went: went.cloned().collect(),
-    }
+/// Whether this entry is to tell the one at `address` of itself.
+fn tells(entry: &Entry, address: SocketAddr) -> bool {
+    let peers = lock(&entry.peers);
+    let now = BootInstant::now();
+    let live = peers.live(now);
+    let info = live.iter().find(|info| info.link == address);
+    let speaks = peers.at(address).is_some_and(|p| p.is_live(now));
+    entry.control.load().tells(address, info.copied(), speaks)
 }
 
 /// Answers one stream of another entry.
@@ -317,35 +225,64 @@
     mut receiver: Receiver,
 ) -> Result<(), LinkError> {
     while let Some(update) = receiver.next::<PeerUpdate>().await? {
-        let is_new = lock(&entry.peers).update(&update, BootInstant::now());
-        if is_new {
-            info!(peer = &*update.info.name, incarnation = update.info.incarnation, address:% = update.info.link; "dependency regained: entry");
-        }
-        let now = BootInstant::now();
-        for (upstream, tokens) in &update.prompts {
-            lock(&entry.prefill).reserve(upstream, *tokens, now);
-        }
-        for (key, version) in &update.versions {
-            entry.announce(key, *version);
-        }
-        for used in update.uses.iter().filter(|u| u.asked > 0) {
-            entry.tell_controller(&used.upstream, Command::Asked(used.key.clone(), used.asked));
-        }
-        if update.info.revision > entry.revision() {
-            tokio::spawn(fetch_deployment(Arc::clone(entry), update.info.link));
-        }
+        take_update(entry, &update);
+        let control = match update.sequence {
+            0 => entry.control_links(),
+            _ => Vec::new(),
+        };
         let sequence = update.sequence;
-        sender.send(&PeerAck { sequence }).await?;
+        sender.send(&PeerAck { sequence, control }).await?;
     }
     Ok(())
 }
 
+fn take_update(entry: &Arc<Entry>, update: &PeerUpdate) {
+    let now = BootInstant::now();
+    let info = &update.info;
+    let (is_new, passes_on) = {
+        let mut peers = lock(&entry.peers);
+        let is_new = peers.update(update, now);
+        (is_new, peers.homed().next().is_some())
+    };
+    if is_new {
+        info!(peer = &*info.name, incarnation = info.incarnation, address:% = info.link; "dependency regained: entry");
+    }
+    for (upstream, tokens) in &update.prompts {
+        lock(&entry.prefill).reserve(upstream, *tokens, now);
+        lock(&entry.prompts).add(Prompt {
+            source: Some(Arc::clone(&info.name)),
+            upstream: Arc::clone(upstream),
+            tokens: *tokens,
+        });
+    }
+    for (key, version) in &update.versions {
+        entry.announce(key, *version);
+    }
+    for used in update.uses.iter().filter(|u| u.asked > 0) {
+        let asked = Command::Asked(used.key.clone(), used.asked);
+        if !entry.tell_controller(&used.upstream, asked) && update.homed {
+            entry
+                .usage
+                .relay_asked(&used.upstream, &used.key, used.asked);
+        }
+    }
+    if info.revision > entry.revision() && entry.begin_fetch() {
+        tokio::spawn(fetch_deployment(Arc::clone(entry), info.link));
+    }
+    let has_news =
+        !update.prompts.is_empty() || !update.held.is_empty() || !update.others.is_empty();
+    if passes_on && has_news {
+        entry.notify_peers();
+    }
+}
+
 async fn fetch_deployment(entry: Arc<Entry>, address: SocketAddr) {
     let known = entry.revision();
     let deployment = question(&entry, address, DEPLOYMENT_PATH, &known, DEPLOYMENT_TIMEOUT).await;
     if let Some(deployment) = deployment {
         entry.adopt(deployment, "peer");
     }
+    entry.end_fetch();
 }
 
 /// Puts a question to the entry at `address`; `None` where no answer came within `limit`.
@@ -456,8 +393,7 @@
     if entry.tell_controller(upstream, Command::Missing(key.clone(), version)) {
         return;
     }
-    let holder = lock(&entry.peers).held(upstream).map(|(p, _)| p.info.link);
-    let Some(address) = holder else {
+    let Some(address) = entry.holder_link(upstream) else {
         return;
     };
     let link = entry.link(address);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -6,12 +6,18 @@
     entry::messages::{HeldChange, PeerInfo, PeerUpdate},
     ident::{Generation, UpstreamId},
 };
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 /// Silence after which an entry is not named to callers any more; several updates are missing then.
 pub const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// Silence after which an entry's requests are taken to have ended, or to be counted by others.
+/// Silence after which an entry's requests are taken to have ended, or to be counted by others, and what it said of
+/// the entries that it spoke for is dropped: they find somebody else to speak for them meanwhile.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
 
 /// An engine as its holder describes it.
@@ -37,30 +43,123 @@
     }
 }
 
-/// Another entry.
+/// An engine and the name of the entry that holds it.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Holder.
+    pub holder: Arc<str>,
+    /// Engine; replaced with each change.
+    pub engine: Arc<HeldEngine>,
+}
+
+/// An engine as the requests of this entry may use it.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldView<'a> {
+    /// Engine.
+    pub engine: &'a HeldEngine,
+    /// Its holder, where it is known.
+    pub holder: Option<&'a PeerInfo>,
+    /// Whether the holder was heard of lately.
+    pub is_live: bool,
+}
+
+/// Another entry that speaks to this one.
 #[derive(Clone, Debug)]
 pub struct Peer {
     /// What it last said of itself.
     pub info: PeerInfo,
     /// When it was last heard of.
     pub heard: BootInstant,
-    known: Vec<SocketAddr>,
-    loads: HashMap<UpstreamId, u32>,
-    uses: HashMap<(UpstreamId, AdapterKey), u32>,
-    held: HashMap<UpstreamId, HeldEngine>,
+    /// Whether this entry speaks for it.
+    pub homed: bool,
+    /// Requests of it and those that it speaks for, at each upstream.
+    pub loads: HashMap<UpstreamId, u32>,
+    /// Their use of adapters.
+    pub uses: HashMap<(UpstreamId, AdapterKey), u32>,
+    /// Engines that they hold.
+    pub held: HashMap<UpstreamId, Held>,
+    /// Entries that it speaks for.
+    pub others: HashMap<Arc<str>, PeerInfo>,
+    known: HashSet<SocketAddr>,
 }
 
 impl Peer {
+    fn new(info: PeerInfo, heard: BootInstant) -> Self {
+        Self {
+            info,
+            heard,
+            homed: false,
+            loads: HashMap::new(),
+            uses: HashMap::new(),
+            held: HashMap::new(),
+            others: HashMap::new(),
+            known: HashSet::new(),
+        }
+    }
+
     /// Whether it was heard of lately.
     pub fn is_live(&self, now: BootInstant) -> bool {
         now.since(self.heard) < SILENCE
     }
+
+    fn is_remembered(&self, now: BootInstant) -> bool {
+        now.since(self.heard) < FORGET_AFTER
+    }
+
+    /// Forgets what an earlier stream of updates told.
+    fn restart(&mut self) {
+        *self = Self::new(self.info.clone(), self.heard);
+    }
+
+    fn take(&mut self, update: &PeerUpdate) {
+        self.info = update.info.clone();
+        self.homed = update.homed;
+        self.known.extend(&update.known);
+        for other in &update.others {
+            let name = Arc::clone(&other.info.name);
+            if other.gone {
+                self.others.remove(&name);
+            } else {
+                self.others.insert(name, other.info.clone());
+            }
+        }
+        for (upstream, running) in &update.loads {
+            if *running == 0 {
+                self.loads.remove(upstream);
+            } else {
+                self.loads.insert(Arc::clone(upstream), *running);
+            }
+        }
+        let uses = update.uses.iter();
+        self.uses = uses
+            .map(|u| ((Arc::clone(&u.upstream), u.key.clone()), u.running))
+            .collect();
+        for change in &update.held {
+            self.take_held(change);
+        }
+    }
+
+    fn take_held(&mut self, change: &HeldChange) {
+        if change.released {
+            self.held.remove(&change.upstream);
+            return;
+        }
+        let entry = self.held.entry(Arc::clone(&change.upstream));
+        let held = entry.or_insert_with(|| Held {
+            holder: Arc::clone(&change.holder),
+            engine: Arc::default(),
+        });
+        held.holder = Arc::clone(&change.holder);
+        Arc::make_mut(&mut held.engine).apply(change);
+    }
 }
 
 /// The other entries.
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: HashMap<Arc<str>, Peer>,
+    /// Link addresses of the control set, as others know it.
+    hints: HashSet<SocketAddr>,
 }
 
 impl Peers {
@@ -72,65 +171,76 @@
             return false;
         }
         let is_new = known != Some(update.info.incarnation);
-        let peer = self.peers.entry(name).or_insert_with(|| Peer {
-            info: update.info.clone(),
-            heard: now,
-            known: Vec::new(),
-            loads: HashMap::new(),
-            uses: HashMap::new(),
-            held: HashMap::new(),
-        });
+        let entry = self.peers.entry(name);
+        let peer = entry.or_insert_with(|| Peer::new(update.info.clone(), now));
         if is_new || update.sequence == 0 {
-            peer.held.clear();
+            peer.restart();
         }
-        peer.info = update.info.clone();
         peer.heard = now;
-        peer.known.clone_from(&update.known);
-        peer.loads = update.loads.iter().cloned().collect();
-        let uses = update.uses.iter();
-        peer.uses = uses
-            .map(|u| ((Arc::clone(&u.upstream), u.key.clone()), u.running))
-            .collect();
-        for change in &update.held {
-            if change.released {
-                peer.held.remove(&change.upstream);
-            } else {
-                let held = peer.held.entry(Arc::clone(&change.upstream)).or_default();
-                held.apply(change);
-            }
-        }
+        peer.take(update);
         is_new
     }
 
-    /// Entries heard of lately.
-    pub fn live(&self, now: BootInstant) -> impl Iterator<Item = &Peer> {
+    /// Takes in addresses at which members of the control set may be reached.
+    pub fn hint(&mut self, addresses: &[SocketAddr]) {
+        self.hints.extend(addresses);
+    }
+
+    /// Entries that speak to this one and were heard of lately.
+    pub fn speaking(&self, now: BootInstant) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |p| p.is_live(now))
     }
 
+    /// Entries that speak to this one, or did so a moment ago.
+    pub fn remembered(&self, now: BootInstant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |p| p.is_remembered(now))
+    }
+
+    /// All entries that are up as far as is known.
+    pub fn live(&self, now: BootInstant) -> Vec<&PeerInfo> {
+        let mut all: HashMap<&str, &PeerInfo> = HashMap::new();
+        let told = self.remembered(now).flat_map(|p| p.others.values());
+        let speaking = self.speaking(now).map(|p| &p.info);
+        for info in speaking.chain(told) {
+            let known = all.entry(&info.name).or_insert(info);
+            if known.incarnation < info.incarnation {
+                *known = info;
+            }
+        }
+        all.into_values().collect()
+    }
+
     /// Link addresses of all entries that ever spoke, and of those that they know.
     pub fn links(&self) -> impl Iterator<Item = SocketAddr> {
         let known = self.peers.values().flat_map(|p| p.known.iter().copied());
-        self.peers.values().map(|p| p.info.link).chain(known)
+        let own = self.peers.values().map(|p| p.info.link);
+        own.chain(known).chain(self.hints.iter().copied())
     }
 
-    /// Link addresses of entries heard of lately.
-    pub fn live_links(&self, now: BootInstant) -> Vec<SocketAddr> {
-        self.live(now).map(|p| p.info.link).collect()
+    /// The entry whose link address is `link`, if it speaks to this one.
+    pub fn at(&self, link: SocketAddr) -> Option<&Peer> {
+        let mut peers = self.peers.values().filter(|p| p.info.link == link);
+        peers.next()
     }
 
-    /// Engines held by the entry whose link address is `link`.
-    pub fn held_by(&self, link: SocketAddr) -> Vec<UpstreamId> {
-        let mut peers = self.peers.values().filter(|p| p.info.link == link);
-        let held = peers.next().map(|p| p.held.keys().cloned());
-        held.into_iter().flatten().collect()
+    /// The entry called `name`, if it speaks to this one.
+    pub fn named(&self, name: &str) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// All entries that ever spoke to this one.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Entries for which this one speaks.
+    pub fn homed(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|p| p.homed)
     }
 
     /// Requests that other entries have at `upstream`.
     pub fn load(&self, upstream: &str, now: BootInstant) -> u32 {
-        let counted = self
-            .peers
-            .values()
-            .filter(|p| now.since(p.heard) < FORGET_AFTER);
+        let counted = self.remembered(now);
         counted.filter_map(|p| p.loads.get(upstream)).sum()
     }
 
@@ -141,12 +251,30 @@
         counts.sum::<u32>() > 0
     }
 
-    /// The engine `upstream` as its latest holder describes it, and that holder.
-    pub fn held(&self, upstream: &str) -> Option<(&Peer, &HeldEngine)> {
-        let holders = self
-            .peers
-            .values()
-            .filter_map(|p| p.held.get(upstream).map(|h| (p, h)));
-        holders.max_by_key(|(_, h)| h.generation)
+    /// Engines of other entries, each as its latest holder describes it.
+    pub fn all_held(&self) -> HashMap<&UpstreamId, &Held> {
+        let mut latest: HashMap<&UpstreamId, &Held> = HashMap::new();
+        for (upstream, held) in self.peers.values().flat_map(|p| &p.held) {
+            let known = latest.entry(upstream).or_insert(held);
+            if known.engine.generation < held.engine.generation {
+                *known = held;
+            }
+        }
+        latest
+    }
+
+    /// The engine `upstream` as its latest holder describes it.
+    pub fn held(&self, upstream: &str, now: BootInstant) -> Option<HeldView<'_>> {
+        let told = self.peers.values().filter_map(|p| p.held.get(upstream));
+        let held = told.max_by_key(|h| h.engine.generation)?;
+        let speaking = self.peers.get(&held.holder);
+        let mut tellers = self.remembered(now);
+        let told = tellers.find_map(|p| p.others.get(&held.holder));
+        let is_live = speaking.is_some_and(|p| p.is_live(now)) || told.is_some();
+        Some(HeldView {
+            engine: &held.engine,
+            holder: speaking.map(|p| &p.info).or(told),
+            is_live,
+        })
     }
 }
--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -3,7 +3,11 @@
 use crate::{
     clock::BootInstant,
     edge::registration::Registration,
-    entry::{context::Entry, messages::REGISTRATIONS_PATH, peer_link},
+    entry::{
+        context::Entry,
+        messages::{PeerInfo, REGISTRATIONS_PATH},
+        peer_link,
+    },
     holding::lock,
     link::{LinkError, Receiver, Sender},
     supervisor::ChildError,
@@ -13,19 +17,36 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio_util::sync::CancellationToken;
 
-/// Interval between looks, and so between questions while the store is away: registrations are heartbeats of
-/// about a second.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between looks whom to ask.
+const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest wait for an answer; one round trip between data centres and a few kilobytes.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval between looks of the asked entry whether something changed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest time for which an answer is held back while nothing changes.
+const HOLD_LIMIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for an answer: it may be held back, and takes a round trip between data centres and a transfer of
+/// some ten kilobytes.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the asking entry was told last.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Mark {
+    /// Process that told it.
+    incarnation: u64,
+    /// Its count of changes.
+    changes: u64,
+}
 
 /// All registered upstreams, as one entry knows them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct Known {
     /// Whether the teller hears of every change from the store.
     follows: bool,
-    registrations: Vec<Registration>,
+    mark: Mark,
+    /// Nothing where the asking entry has them already.
+    registrations: Option<Vec<Registration>>,
 }
 
 /// Asks another entry for the upstreams as long as the store does not tell them, until `stop`.
@@ -33,17 +54,20 @@
 /// # Errors
 /// None.
 pub async fn follow_peers(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    let mut mark = Mark::default();
     while !stop.is_cancelled() {
         tokio::select! {
             () = stop.cancelled() => return Ok(()),
             () = tokio::time::sleep(INTERVAL) => {}
         }
         let Some(address) = teller(&entry) else {
+            mark = Mark::default();
             continue;
         };
-        let known =
-            peer_link::question(&entry, address, REGISTRATIONS_PATH, &(), ANSWER_TIMEOUT).await;
+        let known: Option<Known> =
+            peer_link::question(&entry, address, REGISTRATIONS_PATH, &mark, ANSWER_TIMEOUT).await;
         if let Some(known) = known {
+            mark = known.mark;
             take(&entry, address, known);
         }
     }
@@ -60,17 +84,22 @@
         registry.all().next().is_none()
     };
     let peers = lock(&entry.peers);
-    let live: Vec<_> = peers.live(BootInstant::now()).map(|p| &p.info).collect();
-    let following = live.iter().find(|p| p.follows);
+    let live = peers.live(BootInstant::now());
+    let is_near = |p: &&&PeerInfo| *p.data_centre == *entry.config.data_centre;
+    let near = live.iter().find(|p| p.follows && is_near(p));
+    let following = near.or_else(|| live.iter().find(|p| p.follows));
     let any = live.iter().find(|_| is_empty);
     following.or(any).map(|p| p.link)
 }
 
 fn take(entry: &Entry, address: SocketAddr, known: Known) {
+    let Some(registrations) = known.registrations else {
+        return;
+    };
     let (before, after, gone) = {
         let mut registry = lock(&entry.registry);
         let before = registry.all().count();
-        let gone = registry.told(known.registrations, known.follows, BootInstant::now());
+        let gone = registry.told(registrations, known.follows, BootInstant::now());
         (before, registry.all().count(), gone)
     };
     if before != after {
@@ -91,15 +120,31 @@
     mut sender: Sender,
     mut receiver: Receiver,
 ) -> Result<(), LinkError> {
-    let _question = receiver.next::<()>().await?;
-    let known = {
-        let registry = lock(&entry.registry);
-        Known {
-            follows: registry.follows(),
-            registrations: registry.all().map(|r| Registration::clone(r)).collect(),
+    let asked = receiver.next::<Mark>().await?.unwrap_or_default();
+    let begun = BootInstant::now();
+    loop {
+        let known = answer_to(entry, asked);
+        let waited = BootInstant::now().since(begun);
+        if known.registrations.is_some() || waited >= HOLD_LIMIT {
+            sender.send(&known).await?;
+            sender.finish();
+            return Ok(());
         }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// What an entry that was told `asked` lacks.
+fn answer_to(entry: &Entry, asked: Mark) -> Known {
+    let registry = lock(&entry.registry);
+    let mark = Mark {
+        incarnation: entry.incarnation,
+        changes: registry.changes(),
     };
-    sender.send(&known).await?;
-    sender.finish();
-    Ok(())
+    let all = || registry.all().map(|r| Registration::clone(r)).collect();
+    Known {
+        follows: registry.follows(),
+        mark,
+        registrations: (mark != asked).then(all),
+    }
 }
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -49,15 +49,22 @@
         revision: None,
         fresh: false,
     };
+    let mut in_control;
     loop {
-        renewer.renew().await;
+        in_control = renewer.entry.is_in_control();
+        // Outside the control set the record only lets others find this entry, and is written once.
+        if in_control || renewer.revision.is_none() {
+            renewer.renew().await;
+        }
         tokio::select! {
             () = stop.cancelled() => break,
             () = tokio::time::sleep(RENEW_INTERVAL) => {}
         }
     }
-    renewer.record.stopped = true;
-    renewer.renew().await;
+    if in_control {
+        renewer.record.stopped = true;
+        renewer.renew().await;
+    }
     Ok(())
 }
 
--- a/src/entry/usage.rs
+++ b/src/entry/usage.rs
@@ -11,7 +11,7 @@
 pub struct AdapterCount {
     /// Requests in flight.
     pub running: u32,
-    /// Requests since the start of the process.
+    /// Requests since the start of the process, those of entries for which this one speaks included.
     pub asked: u64,
 }
 
@@ -19,8 +19,6 @@
 #[derive(Debug, Default)]
 struct Counts {
     running: u32,
-    /// Prompt tokens reserved since the start of the process.
-    tokens: u64,
     adapters: HashMap<AdapterKey, AdapterCount>,
 }
 
@@ -54,18 +52,12 @@
         }
     }
 
-    /// Counts prompt tokens that were reserved at `upstream`.
-    pub fn reserve(&self, upstream: &UpstreamId, tokens: u32) {
+    /// Counts requests of an entry for which this one speaks.
+    pub fn relay_asked(&self, upstream: &UpstreamId, key: &AdapterKey, times: u32) {
         let mut all = lock(&self.0);
         let counts = all.entry(Arc::clone(upstream)).or_default();
-        counts.tokens += u64::from(tokens);
-    }
-
-    /// Prompt tokens reserved at every upstream since the start of the process.
-    pub fn reserved(&self) -> Vec<(UpstreamId, u64)> {
-        let all = lock(&self.0);
-        let all = all.iter().filter(|(_, c)| c.tokens > 0);
-        all.map(|(id, c)| (Arc::clone(id), c.tokens)).collect()
+        let count = counts.adapters.entry(key.clone()).or_default();
+        count.asked += u64::from(times);
     }
 
     /// Requests in flight at `upstream`.
@@ -87,6 +79,11 @@
         busy.map(|(id, c)| (Arc::clone(id), c.running)).collect()
     }
 
+    /// Upstreams that were ever used.
+    pub fn upstreams(&self) -> Vec<UpstreamId> {
+        lock(&self.0).keys().cloned().collect()
+    }
+
     /// Use of adapters at `upstream`.
     pub fn adapters(&self, upstream: &str) -> Vec<(AdapterKey, AdapterCount)> {
         let all = lock(&self.0);
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -8,7 +8,7 @@
         deployment::Route,
         registration::{AdapterKey, Registration},
     },
-    entry::{context::Entry, ensure, messages::EnsureResult},
+    entry::{context::Entry, ensure, messages::EnsureResult, prompt_log::Prompt},
     holding::lock,
     ident::UpstreamId,
     path::refusal::Reason,
@@ -178,7 +178,11 @@
         };
         let now = BootInstant::now();
         let (wait, read) = lock(&self.entry.prefill).reserve(upstream, work.prompt_tokens, now);
-        self.entry.usage.reserve(upstream, work.prompt_tokens);
+        lock(&self.entry.prompts).add(Prompt {
+            source: None,
+            upstream: Arc::clone(upstream),
+            tokens: work.prompt_tokens,
+        });
         self.entry.notify_peers();
         if !wait.is_zero() {
             tokio::time::sleep(wait.min(self.left())).await;
