perf: silent entries are dropped, and whom to tell is looked up

Cause: after a start all entries have spoken to each other, and an entry outside the control set went on looking through all of them for each candidate of each request, and through a new list of all live ones for each address it might tell (`tells`, four times a second for 87 addresses). Besides, a silent entry's old word on an engine could win over the newer one of the entry that now speaks for it, as both name the same generation. Change: entries not heard of for three seconds are dropped where others tell as much of their engines; of one generation the later news counts; live addresses are kept with the control set's view. Tests: tests/peers.rs.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -3,12 +3,12 @@
 use crate::{
     clock::BootInstant,
     decide::control_set::{self, Candidate},
-    entry::{context::Entry, messages::PeerInfo},
+    entry::context::Entry,
     holding::lock,
     ident::pair_hash,
 };
 use log::info;
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc};
 
 /// The control set, as last looked at.
 #[derive(Clone, Debug, Default)]
@@ -21,18 +21,19 @@
     pub is_member: bool,
     /// Link address of the member that speaks for this entry, if it is none itself and one has been heard.
     pub relay: Option<SocketAddr>,
+    /// Link addresses of all entries that are up.
+    pub live: HashSet<SocketAddr>,
 }
 
 impl ControlView {
-    /// Whether this entry tells the entry at `link` of itself; `info` is what is known of that one, and `speaks`
-    /// whether it tells this one of itself.
-    pub fn tells(&self, link: SocketAddr, info: Option<&PeerInfo>, speaks: bool) -> bool {
+    /// Whether this entry tells the entry at `link` of itself; `speaks` says whether that one tells this one of itself.
+    pub fn tells(&self, link: SocketAddr, speaks: impl Fn() -> bool) -> bool {
         if let Some(relay) = self.relay {
             return link == relay;
         }
-        let is_unknown = info.is_none();
+        let is_unknown = !self.live.contains(&link);
         let is_member = self.links.contains(&link);
-        is_unknown || is_member || (self.is_member && speaks)
+        is_unknown || is_member || (self.is_member && speaks())
     }
 }
 
@@ -41,7 +42,8 @@
     let now = BootInstant::now();
     let own = entry.info();
     let holds_engines = !lock(&entry.controllers).is_empty();
-    let peers = lock(&entry.peers);
+    let mut peers = lock(&entry.peers);
+    peers.prune(now);
     let live = peers.live(now);
     let staying = live.iter().copied().chain([&own]).filter(|i| !i.leaving);
     let candidates = staying.map(|info| Candidate {
@@ -52,6 +54,7 @@
     let is_member = members.contains(&own.name) || holds_engines;
     let infos = live.iter().filter(|info| members.contains(&info.name));
     let links = infos.map(|info| info.link).collect();
+    let all = live.iter().map(|info| info.link).collect();
     let speaking = peers.speaking(now).map(|p| &p.info);
     let relays = speaking.filter(|info| members.contains(&info.name));
     let relay = relays.max_by_key(|info| {
@@ -70,5 +73,6 @@
         links,
         is_member,
         relay,
+        live: all,
     }));
 }
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -186,12 +186,12 @@
 
 /// Whether this entry is to tell the one at `address` of itself.
 fn tells(entry: &Entry, address: SocketAddr) -> bool {
-    let peers = lock(&entry.peers);
-    let now = BootInstant::now();
-    let live = peers.live(now);
-    let info = live.iter().find(|info| info.link == address);
-    let speaks = peers.at(address).is_some_and(|p| p.is_live(now));
-    entry.control.load().tells(address, info.copied(), speaks)
+    let speaks = || {
+        let peers = lock(&entry.peers);
+        let peer = peers.at(address);
+        peer.is_some_and(|p| p.is_live(BootInstant::now()))
+    };
+    entry.control.load().tells(address, speaks)
 }
 
 /// Answers one stream of another entry.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -251,22 +251,42 @@
         counts.sum::<u32>() > 0
     }
 
-    /// Engines of other entries, each as its latest holder describes it.
-    pub fn all_held(&self) -> HashMap<&UpstreamId, &Held> {
-        let mut latest: HashMap<&UpstreamId, &Held> = HashMap::new();
-        for (upstream, held) in self.peers.values().flat_map(|p| &p.held) {
-            let known = latest.entry(upstream).or_insert(held);
-            if known.engine.generation < held.engine.generation {
-                *known = held;
+    /// What each entry told of the engine `upstream`, and when that entry was last heard of.
+    fn told(&self, upstream: &str) -> impl Iterator<Item = (&Held, BootInstant)> {
+        let peers = self.peers.values();
+        peers.filter_map(move |p| Some((p.held.get(upstream)?, p.heard)))
+    }
+
+    /// Drops entries that are not heard of any more, where nothing is known from them alone: they are gone, or others
+    /// speak for them.
+    pub fn prune(&mut self, now: BootInstant) {
+        let silent = self.peers.iter().filter(|(_, p)| !p.is_remembered(now));
+        let names: Vec<Arc<str>> = silent.map(|(name, _)| Arc::clone(name)).collect();
+        for name in names {
+            let Some(peer) = self.peers.remove(&name) else {
+                continue;
+            };
+            if self.covers(&peer, now) {
+                self.hints.insert(peer.info.link);
+            } else {
+                self.peers.insert(name, peer);
             }
         }
-        latest
     }
 
-    /// The engine `upstream` as its latest holder describes it.
+    /// Whether entries that are heard of tell as much of the engines of `peer`.
+    fn covers(&self, peer: &Peer, now: BootInstant) -> bool {
+        peer.held.iter().all(|(upstream, held)| {
+            self.remembered(now).any(|other| {
+                let told = other.held.get(upstream);
+                told.is_some_and(|t| t.engine.generation >= held.engine.generation)
+            })
+        })
+    }
+
+    /// The engine `upstream` as its latest holder describes it, from whoever was heard of last.
     pub fn held(&self, upstream: &str, now: BootInstant) -> Option<HeldView<'_>> {
-        let told = self.peers.values().filter_map(|p| p.held.get(upstream));
-        let held = told.max_by_key(|h| h.engine.generation)?;
+        let (held, _) = self.told(upstream).max_by_key(|t| order(*t))?;
         let speaking = self.peers.get(&held.holder);
         let mut tellers = self.remembered(now);
         let told = tellers.find_map(|p| p.others.get(&held.holder));
@@ -278,3 +298,8 @@
         })
     }
 }
+
+/// The later holder goes first, then the later news of it.
+fn order((held, heard): (&Held, BootInstant)) -> (Generation, BootInstant) {
+    (held.engine.generation, heard)
+}
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -190,8 +190,10 @@
         let engines: HashSet<UpstreamId> = if homed {
             self.entry.usage.upstreams().into_iter().collect()
         } else {
-            let all = peers.all_held().into_iter();
-            let theirs = all.filter(|(_, h)| scope.receiver.as_ref() == Some(&h.holder));
+            let receiver = scope.receiver.as_ref();
+            let told = receiver.and_then(|name| peers.named(name));
+            let told = told.into_iter().flat_map(|p| &p.held);
+            let theirs = told.filter(|(_, h)| receiver == Some(&h.holder));
             theirs.map(|(upstream, _)| Arc::clone(upstream)).collect()
         };
         let mut running: HashMap<(UpstreamId, AdapterKey), u32> = HashMap::new();
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,167 @@
+//! What an entry knows of the others.
+
+use carobfield::{
+    clock::BootInstant,
+    edge::registration::AdapterKey,
+    entry::{
+        messages::{HeldChange, OtherEntry, PeerInfo, PeerUpdate},
+        peers::Peers,
+    },
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+macro_rules! cases {
+    ($($name:ident),* $(,)?) => {
+        $(#[test] fn $name() { case::$name(); })*
+    };
+}
+
+cases! {
+    later_news_of_an_engine_go_before_what_a_silent_entry_told,
+    a_silent_entry_is_dropped_once_others_tell_as_much,
+    a_silent_entry_that_alone_told_of_an_engine_stays,
+    entries_that_somebody_speaks_for_outlive_a_short_silence,
+    loads_are_told_by_their_changes,
+}
+
+fn at(ms: u64) -> BootInstant {
+    BootInstant(1_000_000_000_000) + Duration::from_millis(ms)
+}
+
+fn info(n: u16) -> PeerInfo {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port + n));
+    PeerInfo {
+        name: Arc::from(format!("entry-{n}").as_str()),
+        incarnation: 1,
+        link: address(8000),
+        callers: address(9000),
+        data_centre: Arc::from("north"),
+        ready: true,
+        leaving: false,
+        processor: 250,
+        revision: 1,
+        follows: true,
+    }
+}
+
+fn update(n: u16, sequence: u64) -> PeerUpdate {
+    PeerUpdate {
+        sequence,
+        info: info(n),
+        homed: false,
+        known: Vec::new(),
+        others: Vec::new(),
+        loads: Vec::new(),
+        prompts: Vec::new(),
+        uses: Vec::new(),
+        held: Vec::new(),
+        versions: Vec::new(),
+    }
+}
+
+fn key(name: &str) -> AdapterKey {
+    AdapterKey::new("base", name)
+}
+
+/// The engine `e`, held by `entry-1`, with one adapter.
+fn held(adapter: &str) -> HeldChange {
+    HeldChange {
+        upstream: Arc::from("e"),
+        holder: Arc::from("entry-1"),
+        generation: 5,
+        active: true,
+        released: false,
+        came: vec![(key(adapter), 1)],
+        went: Vec::new(),
+    }
+}
+
+/// `entry-1` told of its engine, and some seconds later `entry-n`, which speaks for it, told newer things.
+fn told_twice(n: u16) -> Peers {
+    let mut peers = Peers::default();
+    let mut own = update(1, 0);
+    own.held.push(held("old"));
+    peers.update(&own, at(0));
+    let mut relayed = update(n, 0);
+    relayed.held.push(held("new"));
+    relayed.others.push(OtherEntry {
+        info: info(1),
+        gone: false,
+    });
+    peers.update(&relayed, at(4_000));
+    peers
+}
+
+mod case {
+    use super::{Duration, OtherEntry, PeerUpdate, Peers, at, held, info, key, told_twice, update};
+
+    pub(super) fn later_news_of_an_engine_go_before_what_a_silent_entry_told() {
+        for n in 2..20 {
+            let peers = told_twice(n);
+            let view = peers.held("e", at(4_010)).expect("it is held");
+            assert!(view.engine.adapters.contains_key(&key("new")));
+            assert!(!view.engine.adapters.contains_key(&key("old")));
+            assert!(view.is_live, "another entry speaks for its holder");
+        }
+    }
+
+    pub(super) fn a_silent_entry_is_dropped_once_others_tell_as_much() {
+        let mut peers = told_twice(2);
+        peers.prune(at(4_010));
+        assert_eq!(peers.all().count(), 1);
+        assert!(peers.links().any(|link| link == info(1).link));
+    }
+
+    pub(super) fn a_silent_entry_that_alone_told_of_an_engine_stays() {
+        let mut peers = Peers::default();
+        let mut own = update(1, 0);
+        own.held.push(held("old"));
+        peers.update(&own, at(0));
+        peers.update(&update(2, 0), at(4_000));
+        peers.prune(at(4_010));
+        let view = peers.held("e", at(4_010)).expect("it is held");
+        assert!(!view.is_live);
+        peers.prune(at(60_000));
+        assert_eq!(
+            peers.all().count(),
+            1,
+            "only what is known from it alone stays"
+        );
+    }
+
+    pub(super) fn entries_that_somebody_speaks_for_outlive_a_short_silence() {
+        let mut peers = Peers::default();
+        let mut relayed = update(2, 0);
+        relayed.others.push(OtherEntry {
+            info: info(1),
+            gone: false,
+        });
+        peers.update(&relayed, at(0));
+        let names = |peers: &Peers, ms| peers.live(at(ms)).len();
+        assert_eq!(names(&peers, 100), 2);
+        assert_eq!(
+            names(&peers, 1_500),
+            1,
+            "the silent one is not named itself"
+        );
+        assert_eq!(names(&peers, 3_500), 0);
+    }
+
+    pub(super) fn loads_are_told_by_their_changes() {
+        let mut peers = Peers::default();
+        let loads = |sequence, changes: &[(&str, u32)]| PeerUpdate {
+            loads: changes.iter().map(|(id, n)| ((*id).into(), *n)).collect(),
+            ..update(1, sequence)
+        };
+        peers.update(&loads(0, &[("e", 3), ("f", 1)]), at(0));
+        peers.update(&loads(1, &[("e", 4)]), at(100));
+        assert_eq!((peers.load("e", at(110)), peers.load("f", at(110))), (4, 1));
+        peers.update(&loads(2, &[("f", 0)]), at(200));
+        assert_eq!((peers.load("e", at(210)), peers.load("f", at(210))), (4, 0));
+        // A new stream tells everything again.
+        peers.update(&loads(0, &[("f", 2)]), at(300));
+        assert_eq!((peers.load("e", at(310)), peers.load("f", at(310))), (0, 2));
+        let long = at(300) + Duration::from_secs(4);
+        assert_eq!(peers.load("f", long), 0);
+    }
+}
