test: the restart after a claim waits until another dispatcher knows of the claim

Change: a dispatcher logs a claim that a peer told of, and shows the generations that it knows in /status; the test waits until the other dispatcher knows of the claim, with the object API away since before the kill. The check itself is as strict as before.

--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -414,12 +414,16 @@
 
     fn status(&self) -> serde_json::Value {
         let holdings = self.holdings();
+        let records = lock(&self.fleet).records().upstreams;
+        let generations: HashMap<_, _> =
+            records.into_iter().map(|r| (r.id, r.generation)).collect();
         json!({
             "id": self.config.id,
             "incarnation": self.incarnation,
             "revision": self.catalogue.revision(),
             "leaving": self.is_leaving(),
             "upstreams": holdings.iter().map(|h| h.status()).collect::<Vec<_>>(),
+            "generations": generations,
             "permits_waiting": self.coordinator.waiting(),
         })
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -200,13 +200,16 @@
         self.version = listing.version;
     }
 
-    /// Takes in that `record.holder` told of its claim itself; its record in the object API is read later.
-    pub fn told(&mut self, record: UpstreamRecord) {
+    /// Takes in that `record.holder` told of its claim itself; its record in the object API is read later. Whether it
+    /// was news.
+    pub fn told(&mut self, record: UpstreamRecord) -> bool {
         let read = self.upstreams.get(&record.id).map(|u| &u.record);
         let known = read.into_iter().chain(self.told.get(&record.id));
-        if known.map(|r| r.generation).max() < Some(record.generation) {
+        let is_news = known.map(|r| r.generation).max() < Some(record.generation);
+        if is_news {
             self.told.insert(Arc::clone(&record.id), record);
         }
+        is_news
     }
 
     /// The upstreams' records for a peer that can't read them.
--- a/src/outage.rs
+++ b/src/outage.rs
@@ -125,7 +125,7 @@
         let Some(spec) = specs.iter().find(|s| s.id == status.id) else {
             continue;
         };
-        lock(&context.fleet).told(UpstreamRecord {
+        let is_news = lock(&context.fleet).told(UpstreamRecord {
             id: Arc::clone(&status.id),
             holder: Some(Holder {
                 id: Arc::clone(&update.from),
@@ -137,5 +137,8 @@
             stable: Vec::new(),
             write: 0,
         });
+        if is_news {
+            info!(upstream = &*status.id, holder = &*update.from, generation = status.generation; "placement: a peer told of its claim");
+        }
     }
 }
--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -608,6 +608,14 @@
             .collect()
     }
 
+    /// Generation of an upstream's latest holder, as a dispatcher knows it.
+    pub async fn generation(&self, n: u8, upstream: &str) -> u64 {
+        let at = self.dispatcher_operators(n);
+        let status: Option<serde_json::Value> = get_json(&self.client, at, "/status").await;
+        let known = status.map(|s| s["generations"][upstream].clone());
+        known.and_then(|g| g.as_u64()).unwrap_or(0)
+    }
+
     /// The dispatcher that holds an upstream.
     pub async fn holder(&self, upstream: &str) -> Option<u8> {
         for n in 0..self.layout.entries {
--- a/standin/tests/faults.rs
+++ b/standin/tests/faults.rs
@@ -268,6 +268,13 @@
             ..ObjectFaults::default()
         };
         d.post(d.objects(), "/fault", &down).await;
+        // A claimer that is killed before its word has left is known to the object API alone.
+        let other = (0..3).find(|n| ![first, claimer].contains(n));
+        let other = other.expect("three dispatchers");
+        d.wait_for("the other dispatcher to know of the claim", || async {
+            d.generation(other, "engine-0").await == 2_000
+        })
+        .await;
         d.kill(Role::Dispatcher, claimer);
         d.start_role(Role::Dispatcher, claimer);
         d.wait_for("the claimer to go on", || async {
