feat: log what repeats of a request have in common, and whether their upstream ended

Change: each request has a fingerprint (host, method, path, query, body), by the same function as the gateway's. When a connection breaks under a request, the entry connects to the upstream once and logs the fingerprint and whether it still listens. The dispatcher's check of plain services uses the same probe.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -7,6 +7,7 @@
     gateway::Context,
     ident::RequestId,
     openai::{self, Interface, RequestError, ResponseMetadata},
+    poison,
     routing::Job,
     wire::Work,
 };
@@ -212,11 +213,16 @@
     let pools = catalogue.pools.iter().filter(|(_, p)| serving(p));
     let pools = pools.map(|(name, _)| name.clone()).collect();
     let id = RequestId::random();
-    let fingerprinted = [head.caller.as_str(), &model.to_string(), &request.body].join("\0");
+    let model_name = model.to_string();
+    let fingerprint = poison::fingerprint(&[
+        head.caller.as_bytes(),
+        model_name.as_bytes(),
+        request.body.as_bytes(),
+    ]);
     let metadata = ResponseMetadata {
         interface,
         id: id.to_string(),
-        model: model.to_string(),
+        model: model_name,
         created: crate::clock::unix_ms() / 1_000,
     };
     let job = Job {
@@ -226,7 +232,7 @@
         class: adapter.class,
         deadline: options.deadline,
         repeatable: options.repeatable,
-        fingerprint: rapidhash_v3(fingerprinted.as_bytes()),
+        fingerprint,
         prefix: rapidhash_v3(request.prefix.as_bytes()),
         revision: catalogue.revision,
         stream: request.stream,
@@ -272,12 +278,12 @@
     let content_type = content_type
         .and_then(|v| v.to_str().ok())
         .unwrap_or("application/octet-stream");
-    let fingerprinted = [
+    let fingerprint = poison::fingerprint(&[
         head.caller.as_bytes(),
         head.method.as_str().as_bytes(),
         path.as_bytes(),
         body,
-    ];
+    ]);
     let job = Job {
         id: RequestId::random(),
         pools: vec![service.pool.clone()],
@@ -286,7 +292,7 @@
         class: service.class,
         deadline: options.deadline,
         repeatable: options.repeatable,
-        fingerprint: rapidhash_v3(&fingerprinted.join(&0)),
+        fingerprint,
         prefix: 0,
         revision: catalogue.revision,
         stream: false,
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -8,6 +8,7 @@
 };
 use std::{
     fmt::{Display, Formatter},
+    io,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -75,6 +76,33 @@
     connected.map_err(|_e| CallError::NotSent)
 }
 
+/// Whether something accepts connections at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListenerState {
+    /// A connection was accepted.
+    Open,
+    /// The host refused the connection: no process listens there.
+    Closed,
+    /// No answer: the host or the network may be down.
+    Silent,
+}
+
+/// Connects to `address` for at most `limit`, and closes the connection at once.
+pub async fn probe_listener(address: SocketAddr, limit: Duration) -> ListenerState {
+    match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_connected)) => ListenerState::Open,
+        Ok(Err(e)) if is_refusal(&e) => ListenerState::Closed,
+        Ok(Err(_)) | Err(_) => ListenerState::Silent,
+    }
+}
+
+fn is_refusal(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+    )
+}
+
 /// Error of a call without a complete response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallError {
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -9,6 +9,7 @@
     },
     entry::{controller::Command, peer_link, usage::UsageGuard},
     holding::lock,
+    http_client,
     path::{
         job::{Placement, ProxyRequest},
         pool::{self, Connection, SendError},
@@ -27,6 +28,9 @@
 /// Engine priority that is never exceeded; a higher number is served later.
 const LOWEST_PRIORITY: u8 = 9;
 
+/// Timeout of the check whether an upstream still listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Hop-by-hop headers, which apply to a single connection and must not be forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -126,7 +130,7 @@
                 AttemptOutcome::NotRun
             }
             Err(SendError::Broken) => {
-                self.record_failure(upstream, "connection broke");
+                self.record_broken_connection(upstream, "connection broke");
                 AttemptOutcome::Uncertain
             }
         }
@@ -216,6 +220,23 @@
         }
     }
 
+    /// Records that the connection broke under the request, and checks in the background whether the upstream's
+    /// process has ended.
+    pub fn record_broken_connection(&self, upstream: &Arc<Registration>, problem: &str) {
+        self.record_failure(upstream, problem);
+        let (request, fingerprint) = (Arc::clone(&self.head.id), self.fingerprint);
+        let (method, target) = (self.method.clone(), self.path_and_query.clone());
+        let upstream = Arc::clone(upstream);
+        tokio::spawn(async move {
+            let listener = http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await;
+            info!(
+                request = &*request, fingerprint:% = format!("{fingerprint:016x}"), method:% = method, target = target,
+                upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), listener:? = listener;
+                "routing: connection broke under a request"
+            );
+        });
+    }
+
     /// Records a failure in the upstream's outlier statistics and closes its idle connections.
     pub fn record_failure(&self, upstream: &Registration, problem: &str) {
         let now = BootInstant::now();
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -15,6 +15,7 @@
         refusal::{self, RefusalReason},
         relay,
     },
+    poison,
 };
 use futures_util::FutureExt;
 use gotham::{
@@ -113,6 +114,12 @@
         .await
         .map_err(refused)?;
     let path_and_query = uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+    let fingerprint = poison::fingerprint(&[
+        host.as_bytes(),
+        method.as_str().as_bytes(),
+        path_and_query.as_bytes(),
+        &body,
+    ]);
     Ok(ProxyRequest {
         entry: Arc::clone(entry),
         route: route.clone(),
@@ -123,6 +130,7 @@
         body,
         arrived,
         deadline,
+        fingerprint,
         head,
     })
 }
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -51,6 +51,8 @@
     pub arrived: BootInstant,
     /// Deadline of the response.
     pub deadline: BootInstant,
+    /// Hash of host, method, path, query and body, which are the same when a caller repeats the request.
+    pub fingerprint: u64,
 }
 
 /// Upstream selected for the next attempt.
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -139,7 +139,7 @@
                     self.body = None;
                     if let Some(source) = self.source.take() {
                         self.request
-                            .record_failure(&source.upstream, "answer broke off");
+                            .record_broken_connection(&source.upstream, "answer broke off");
                     }
                     if !self.resume().await {
                         return self.fail("answer broke off");
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -4,6 +4,7 @@
     ident::UpstreamId,
     wire::{Strike, StrikeEvent},
 };
+use rapidhash::v3::rapidhash_v3;
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
@@ -18,6 +19,11 @@
 /// Requests tracked at once.
 const MAX_SUSPECTS: usize = 16_384;
 
+/// Returns the hash of what stays the same when a caller repeats a request, such as its path and body.
+pub fn fingerprint(parts: &[&[u8]]) -> u64 {
+    rapidhash_v3(&parts.join(&0))
+}
+
 /// How a request may be run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
--- a/src/upstream_client.rs
+++ b/src/upstream_client.rs
@@ -1,7 +1,7 @@
 //! Client of model engines and plain services.
 
 use crate::{
-    http_client::{self, CallError, HttpClient},
+    http_client::{self, CallError, HttpClient, ListenerState},
     ident::{Generation, ModelRef},
 };
 use bytes::Bytes;
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
-use tokio::net::TcpStream;
 
 /// Header of orders that carries the fencing number.
 pub const FENCING_HEADER: &str = "fencing-token";
@@ -189,9 +188,7 @@
 
     /// Returns whether the upstream accepts connections.
     pub async fn is_listening(&self) -> bool {
-        let connected = TcpStream::connect(self.address);
-        let connected = tokio::time::timeout(ORDER_TIMEOUT, connected).await;
-        connected.is_ok_and(|c| c.is_ok())
+        http_client::probe_listener(self.address, ORDER_TIMEOUT).await == ListenerState::Open
     }
 
     /// Cancels a request at the engine; returns true once it certainly no longer runs.
