refactor: share the poison requests of gateway and dispatcher as one quarantine

Gateway and dispatcher each kept Suspects with functions of their own for verdicts, strikes and the channel of new ones. Quarantine has them once, with a feed of strikes for each other process, so that the entries can use the same. Tests policy, wire and faults (poison_request) pass.

--- a/src/dispatch_server.rs
+++ b/src/dispatch_server.rs
@@ -10,7 +10,7 @@
     metrics,
     poison::Verdict,
     queue::QueuedRequest,
-    wire::{DispatchRequest, DispatchResponse, Failure, Refusal, Strike, StrikeEvent, Work},
+    wire::{DispatchRequest, DispatchResponse, Failure, Refusal, Work},
 };
 use log::{debug, info};
 use std::{sync::Arc, time::Duration};
@@ -81,7 +81,7 @@
     deadline: BootInstant,
     messages: &mpsc::Sender<DispatchResponse>,
 ) -> Result<(Arc<Holding>, Duration), DispatchResponse> {
-    let verdict = context.verdict(dispatch.fingerprint);
+    let verdict = context.quarantine.verdict(dispatch.fingerprint);
     if verdict == Verdict::Refuse {
         return Err(refused(dispatch, Refusal::Poison, Duration::ZERO, None));
     }
@@ -203,7 +203,7 @@
     info!(request:% = dispatch.id, attempt = dispatch.attempt, upstream = &*dispatch.upstream, end:? = end, stall_ms = stall.as_millis() as u64; "routing: run ended");
     match end {
         RunEnd::Complete => {
-            context.clear_strikes(dispatch.fingerprint);
+            context.quarantine.clear(dispatch.fingerprint);
             None
         }
         RunEnd::Abandoned => None,
@@ -256,13 +256,9 @@
     let upstream = Arc::clone(&holding.spec.id);
     // A plain service does not identify its process, so each of its crashes counts.
     let boot = if boot == 0 { clock::unix_ms() } else { boot };
-    let event = StrikeEvent::Lost { upstream, boot };
-    let at_ms = clock::unix_ms();
-    context.record_strike(Strike {
-        fingerprint: dispatch.fingerprint,
-        event,
-        at_ms,
-    });
+    context
+        .quarantine
+        .record_lost(dispatch.fingerprint, upstream, boot);
     holding.check_restart().await;
 }
 
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -22,7 +22,7 @@
     peers,
     permit_service::{self, Coordinator, PERMIT_PATH},
     permits::Allowance,
-    poison::{Suspects, Verdict},
+    quarantine::Quarantine,
     release_log::ReleaseLog,
     renewal::Renewer,
     supervisor::{ChildError, supervise},
@@ -30,7 +30,7 @@
     sync_server::{self, SYNC_PATH},
     upstream_client::UpstreamClient,
     vm_list::{self, VmList, VmState},
-    wire::{CatalogueRequest, Strike, StrikeEvent},
+    wire::CatalogueRequest,
 };
 use log::{info, warn};
 use serde_json::json;
@@ -43,17 +43,10 @@
     },
     time::Duration,
 };
-use tokio::{
-    net::TcpListener,
-    sync::{Notify, broadcast},
-    task::JoinHandle,
-};
+use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 use tokio_graceful_shutdown::{SubsystemBuilder, SubsystemHandle};
 use tokio_util::sync::CancellationToken;
 
-/// Strikes buffered for subscribers that are behind.
-const STRIKE_BUFFER: usize = 1_024;
-
 /// Interval between updates of the load allowance from the catalogue.
 const ALLOWANCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -95,8 +88,8 @@
     pub renew_now: Notify,
     /// Notified when the fleet should be polled at once.
     pub poll_now: Notify,
-    /// Channel of new strikes.
-    pub strikes: broadcast::Sender<Strike>,
+    /// Requests suspected of crashing upstreams.
+    pub quarantine: Quarantine,
     /// Queue of load permits, in use while this process coordinates them.
     pub coordinator: Arc<Coordinator>,
     /// Subscriptions to the other dispatchers.
@@ -108,7 +101,6 @@
     held: Mutex<BTreeMap<UpstreamId, HeldUpstream>>,
     seen_vms: Mutex<HashSet<String>>,
     releases: Mutex<ReleaseLog>,
-    suspects: Mutex<Suspects>,
     leaving: AtomicBool,
     registered: AtomicBool,
 }
@@ -131,7 +123,7 @@
             changed: Arc::default(),
             renew_now: Notify::new(),
             poll_now: Notify::new(),
-            strikes: broadcast::Sender::new(STRIKE_BUFFER),
+            quarantine: Quarantine::default(),
             coordinator: Arc::new(Coordinator::new(allowance)),
             peers: Mutex::default(),
             client,
@@ -141,7 +133,6 @@
             held: Mutex::default(),
             seen_vms: Mutex::default(),
             releases: Mutex::default(),
-            suspects: Mutex::default(),
             leaving: AtomicBool::new(false),
             registered: AtomicBool::new(false),
         })
@@ -357,37 +348,6 @@
         }
     }
 
-    /// Returns how a request may be run.
-    pub fn verdict(&self, fingerprint: u64) -> Verdict {
-        lock(&self.suspects).verdict(fingerprint, clock::unix_ms())
-    }
-
-    /// Records a strike and sends it to subscribers if it is new.
-    pub fn record_strike(&self, strike: Strike) {
-        let is_new = lock(&self.suspects).record(&strike);
-        if is_new {
-            info!(fingerprint:% = format!("{:016x}", strike.fingerprint), event:? = strike.event; "routing: strike");
-            let _subscribers = self.strikes.send(strike);
-        }
-    }
-
-    /// Clears the strikes of a suspected request that has completed.
-    pub fn clear_strikes(&self, fingerprint: u64) {
-        if self.verdict(fingerprint) != Verdict::Allow {
-            let at_ms = clock::unix_ms();
-            self.record_strike(Strike {
-                fingerprint,
-                event: StrikeEvent::Cleared,
-                at_ms,
-            });
-        }
-    }
-
-    /// Returns the strikes that have not expired.
-    pub fn known_strikes(&self) -> Vec<Strike> {
-        lock(&self.suspects).all()
-    }
-
     fn set_vms(self: &Arc<Self>, list: VmList) {
         lock(&self.seen_vms).extend(list.vms.iter().map(|v| v.id.clone()));
         *lock(&self.vms) = list;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,7 +4,7 @@
     caller_routes,
     catalogue_watch::CatalogueState,
     claims::Claims,
-    clock::{self, BootInstant},
+    clock::BootInstant,
     configs::gateway::GatewayConfig,
     decide::outliers::Outliers,
     fleet::{FLEET_PREFIX, Fleet},
@@ -13,7 +13,7 @@
     link::Link,
     object_api::ObjectApi,
     operator_routes::{self, Probe},
-    poison::{Suspects, Verdict},
+    quarantine::Quarantine,
     retry_budget::RetryBudget,
     supervisor::{ChildError, supervise},
     sync_client::{Subscriptions, SyncEvent},
@@ -69,9 +69,10 @@
     pub outliers: Mutex<Outliers>,
     /// Retry budget.
     pub budget: RetryBudget,
+    /// Requests suspected of crashing upstreams.
+    pub quarantine: Quarantine,
     api: ObjectApi,
     subscriptions: Mutex<Option<Subscriptions>>,
-    suspects: Mutex<Suspects>,
     hello: watch::Sender<SyncHello>,
     leaving: AtomicBool,
     open: AtomicUsize,
@@ -98,7 +99,7 @@
             budget: RetryBudget::default(),
             api,
             subscriptions: Mutex::default(),
-            suspects: Mutex::default(),
+            quarantine: Quarantine::default(),
             hello: watch::Sender::new(hello),
             leaving: AtomicBool::new(false),
             open: AtomicUsize::new(0),
@@ -112,11 +113,6 @@
             .and_then(|s| s.link(address))
     }
 
-    /// Returns how a request may run, given the crashes attributed to its fingerprint.
-    pub fn verdict(&self, fingerprint: u64) -> Verdict {
-        lock(&self.suspects).verdict(fingerprint, clock::unix_ms())
-    }
-
     /// Returns the upstreams of `pools`, without ejected outliers unless no other upstream accepts.
     pub fn upstreams(&self, pools: &[String], now: BootInstant) -> Vec<LocatedUpstream> {
         let mut located = self.view.upstreams(pools, now);
@@ -283,7 +279,7 @@
                 at,
             }) => {
                 for strike in &update.strikes {
-                    lock(&context.suspects).record(strike);
+                    context.quarantine.record(strike);
                 }
                 if update.revision > context.catalogue.revision() {
                     tokio::spawn(fetch_catalogue(Arc::clone(&context), address));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod poison;
 pub mod popularity;
 pub mod process;
+pub mod quarantine;
 pub mod queue;
 pub mod release_log;
 pub mod renewal;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -77,7 +77,7 @@
 
 async fn apply_update(context: &Arc<Context>, address: SocketAddr, update: SyncUpdate) {
     for strike in &update.strikes {
-        context.record_strike(strike.clone());
+        context.quarantine.record(strike);
     }
     for (upstream, generation) in &update.released {
         apply_release(context, &update, upstream, *generation).await;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -164,7 +164,7 @@
 impl Route<'_> {
     async fn run(&mut self) -> Option<ResponseEvent> {
         loop {
-            if self.context.verdict(self.job.fingerprint) == Verdict::Refuse
+            if self.context.quarantine.verdict(self.job.fingerprint) == Verdict::Refuse
                 || self.crashes >= MAX_CRASHES
             {
                 return Some(self.final_refusal(Refusal::Poison, DEFAULT_RETRY_MS));
@@ -297,7 +297,7 @@
             })
             .collect();
         let deployment = self.context.catalogue.current().deployment.clone();
-        let suspect = self.context.verdict(self.job.fingerprint) == Verdict::Probation;
+        let suspect = self.context.quarantine.verdict(self.job.fingerprint) == Verdict::Probation;
         let request = PlacementRequest {
             model: self.job.model.as_ref(),
             prefix: self.job.prefix,
--- a/src/sync_server.rs
+++ b/src/sync_server.rs
@@ -11,7 +11,6 @@
 };
 use log::debug;
 use std::{collections::HashMap, sync::Arc, time::Duration};
-use tokio::sync::broadcast;
 
 /// Path of `/sync` streams.
 pub const SYNC_PATH: &str = "/sync";
@@ -77,29 +76,22 @@
 
 async fn publish(context: &Context, sender: &mut Sender) -> Result<(), LinkError> {
     let mut state = SubscriberState::default();
-    let mut strikes = context.strikes.subscribe();
-    let first = context.known_strikes();
+    let mut strikes = context.quarantine.feed();
+    let first = strikes.take(&context.quarantine);
     send_update(context, sender, &mut state, first).await?;
     loop {
         let changed = context.changed.notified();
-        let mut new_strikes = Vec::new();
         tokio::select! {
             () = changed => {}
             () = tokio::time::sleep(STATUS_INTERVAL) => {}
-            strike = strikes.recv() => new_strikes.extend(strike.ok()),
+            () = strikes.changed() => {}
         }
-        drain(&mut strikes, &mut new_strikes);
+        let new_strikes = strikes.take(&context.quarantine);
         send_update(context, sender, &mut state, new_strikes).await?;
         tokio::time::sleep(MIN_INTERVAL).await;
     }
 }
 
-fn drain(strikes: &mut broadcast::Receiver<Strike>, new_strikes: &mut Vec<Strike>) {
-    while let Ok(strike) = strikes.try_recv() {
-        new_strikes.push(strike);
-    }
-}
-
 /// Sends the changes since the last update, if there are any or the heartbeat is due.
 async fn send_update(
     context: &Context,
