fix: refuse requests under which upstreams ended, at every entry

Cause: the entries' path kept nothing of it across requests. The gateway and the dispatcher keep strikes against such requests and refuse them after two crashed upstreams; the entries were built without.

Change: the entries use the same quarantine. When a connection breaks under a request, the entry connects to the upstream's address; a refused connection is a strike (a lost response, a silent host or a garbled stream is none), a response read to its end clears them. Strikes go to all entries with the updates between them, also through relays, with all known ones at the start of a stream: an entry that restarts has them from its peers, and the store isn't needed. Every send asks: first attempts, attempts after a refusal or a loss, waits for a load or a prefill, and resumed streams. A refused request gets 503, not run, with a Retry-After from the expiry of its strikes; one that has just run gets 502 as before. The check for a crash ends before the next attempt, and never holds an answer back.

The update between entries has a new field: all entries need this build.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -26,6 +26,8 @@
     ident::{Revision, UpstreamId},
     link::Link,
     path::pool::Pool,
+    quarantine::Quarantine,
+    wire::Strike,
 };
 use arc_swap::ArcSwap;
 use log::info;
@@ -59,6 +61,8 @@
     pub outliers: Mutex<Outliers>,
     /// Budget of retries.
     pub retry_budget: Mutex<ServiceRetryBudget>,
+    /// Requests suspected of crashing upstreams.
+    pub quarantine: Quarantine,
     /// Newest announced versions of adapters.
     pub versions: Mutex<HashMap<AdapterKey, u32>>,
     /// Prefill work at the engines, reserved by all entries.
@@ -106,6 +110,7 @@
             registry: Mutex::default(),
             outliers: Mutex::default(),
             retry_budget: Mutex::new(budget),
+            quarantine: Quarantine::default(),
             versions: Mutex::default(),
             prefill: Mutex::default(),
             usage: Usage::default(),
@@ -206,6 +211,28 @@
         true
     }
 
+    /// Records a peer's strike against a request, and passes it on if it is new.
+    pub fn record_strike(&self, strike: &Strike) {
+        if self.quarantine.record(strike) {
+            self.notify_peers();
+        }
+    }
+
+    /// Records that the process of `upstream` ended while it ran a request.
+    pub fn record_crash(&self, fingerprint: u64, upstream: &Registration) {
+        let (id, born) = (Arc::clone(&upstream.id), upstream.born.unwrap_or_default());
+        if self.quarantine.record_lost(fingerprint, id, born) {
+            self.notify_peers();
+        }
+    }
+
+    /// Clears the suspicion against a request that has completed.
+    pub fn clear_strikes(&self, fingerprint: u64) {
+        if self.quarantine.clear(fingerprint) {
+            self.notify_peers();
+        }
+    }
+
     /// Returns this entry's description for its peers.
     pub fn peer_info(&self) -> PeerInfo {
         PeerInfo {
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -3,6 +3,7 @@
 use crate::{
     edge::registration::AdapterKey,
     ident::{Generation, Revision, UpstreamId},
+    wire::Strike,
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
@@ -70,6 +71,8 @@
     pub held: Vec<HeldChange>,
     /// Newest versions of adapters not sent to the receiver before.
     pub versions: Vec<(AdapterKey, u32)>,
+    /// Strikes against requests that crash upstreams, not sent to the receiver before.
+    pub strikes: Vec<Strike>,
 }
 
 /// Change of an entry that the sender of an update passes on.
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -258,6 +258,9 @@
     for (key, version) in &update.versions {
         entry.update_version(key, *version);
     }
+    for strike in &update.strikes {
+        entry.record_strike(strike);
+    }
     for used in update.uses.iter().filter(|u| u.asked > 0) {
         let command = Command::Requested(used.key.clone(), used.asked);
         if !entry.send_to_controller(&used.upstream, command) && update.homed {
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -14,6 +14,7 @@
     },
     holding::lock,
     ident::UpstreamId,
+    quarantine::StrikeFeed,
 };
 use std::{
     collections::{HashMap, HashSet},
@@ -36,6 +37,7 @@
     sent_requests: HashMap<(UpstreamId, AdapterKey), u64>,
     /// Number of the next prefill reservation to send.
     next_prompt: u64,
+    strikes: StrikeFeed,
 }
 
 /// State of an engine as last sent to the peer.
@@ -76,6 +78,7 @@
             versions: HashMap::new(),
             sent_requests: HashMap::new(),
             next_prompt: lock(&entry.prompt_log).next(),
+            strikes: entry.quarantine.feed(),
         }
     }
 
@@ -104,6 +107,7 @@
             uses: self.adapter_uses(&peers, &scope, homed),
             held: self.held_changes(own_engines, &peers, &scope),
             versions: self.new_versions(),
+            strikes: self.strikes.take(&entry.quarantine),
         }
     }
 
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -9,7 +9,7 @@
     },
     entry::{controller::Command, peer_link, usage::UsageGuard},
     holding::lock,
-    http_client,
+    http_client::{self, ListenerState},
     path::{
         job::{Placement, ProxyRequest},
         pool::{self, Connection, SendError},
@@ -19,8 +19,9 @@
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use log::info;
+use log::{info, warn};
 use std::{sync::Arc, time::Duration};
+use tokio::task::JoinHandle;
 
 /// Engine priority of routes with priority 0; each further route priority adds one.
 const HIGHEST_PRIORITY: u8 = 3;
@@ -45,6 +46,9 @@
 /// Hop-by-hop headers that the `http` crate has no constants for.
 const EXTRA_HOP_BY_HOP_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
 
+/// Background check whether an upstream's process has ended; it records a strike against the request if so.
+pub type CrashCheck = JoinHandle<()>;
+
 /// Outcome of one attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -52,8 +56,8 @@
     Response(Box<UpstreamResponse>),
     /// The upstream did not run the request.
     NotRun,
-    /// The upstream may have run the request.
-    Uncertain,
+    /// The upstream may have run the request. If the connection broke, the check whether it crashed is under way.
+    Uncertain(Option<CrashCheck>),
     /// The request's deadline passed.
     Timeout,
 }
@@ -130,8 +134,8 @@
                 AttemptOutcome::NotRun
             }
             Err(SendError::Broken) => {
-                self.record_broken_connection(upstream, "connection broke");
-                AttemptOutcome::Uncertain
+                let check = self.record_broken_connection(upstream, "connection broke");
+                AttemptOutcome::Uncertain(Some(check))
             }
         }
     }
@@ -193,7 +197,7 @@
         if !head.id_matches {
             let reused = connection.is_reused();
             info!(request = &*self.head.id, upstream = &*upstream.id, reused = reused; "routing: response to another request");
-            return AttemptOutcome::Uncertain;
+            return AttemptOutcome::Uncertain(None);
         }
         lock(&self.entry.outliers).record_success(&upstream.id);
         let keep_alive = pool::keep_alive_time(response.headers());
@@ -220,13 +224,16 @@
         }
     }
 
-    /// Records that the connection broke under the request, and checks in the background whether the upstream's
-    /// process has ended.
-    pub fn record_broken_connection(&self, upstream: &Arc<Registration>, problem: &str) {
+    /// Records that the connection broke under the request, and checks in the background whether the upstream crashed.
+    pub fn record_broken_connection(
+        &self,
+        upstream: &Arc<Registration>,
+        problem: &str,
+    ) -> CrashCheck {
         self.record_failure(upstream, problem);
-        let (request, fingerprint) = (Arc::clone(&self.head.id), self.fingerprint);
+        let (entry, request) = (Arc::clone(&self.entry), Arc::clone(&self.head.id));
         let (method, target) = (self.method.clone(), self.path_and_query.clone());
-        let upstream = Arc::clone(upstream);
+        let (upstream, fingerprint) = (Arc::clone(upstream), self.fingerprint);
         tokio::spawn(async move {
             let listener = http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await;
             info!(
@@ -234,7 +241,20 @@
                 upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), listener:? = listener;
                 "routing: connection broke under a request"
             );
-        });
+            // A connection can also break without a crash, and a silent host may only be unreachable.
+            if listener == ListenerState::Closed {
+                entry.record_crash(fingerprint, &upstream);
+            }
+        })
+    }
+
+    /// Waits for a crash check, so that the next attempt is decided with its result.
+    pub async fn finish_check(&self, check: Option<CrashCheck>) {
+        if let Some(check) = check
+            && let Err(e) = check.await
+        {
+            warn!(request = &*self.head.id, error:% = e; "routing: the check for a crash failed");
+        }
     }
 
     /// Records a failure in the upstream's outlier statistics and closes its idle connections.
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -192,11 +192,12 @@
             }
             AttemptOutcome::NotRun if attempts < request.route.attempts + MAX_EXTRA_ATTEMPTS => {}
             AttemptOutcome::NotRun => break RefusalReason::Refused,
-            AttemptOutcome::Uncertain => {
+            AttemptOutcome::Uncertain(check) => {
                 uncertain = true;
                 if !request.route.kind.is_repeatable() || attempts >= request.route.attempts {
                     break RefusalReason::ResponseLost;
                 }
+                request.finish_check(check).await;
             }
             AttemptOutcome::Timeout => {
                 uncertain = true;
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -87,6 +87,15 @@
         lock(&self.entry.retry_budget).has_retry(&self.service, entries, BootInstant::now())
     }
 
+    /// Returns whether the request may be sent, given the upstreams that crashed under it at any entry.
+    ///
+    /// # Errors
+    /// The refusal, with the time for which it holds.
+    pub fn check_quarantine(&self) -> Result<(), RefusalReason> {
+        let left = self.entry.quarantine.refused_for(self.fingerprint);
+        left.map_or(Ok(()), |left| Err(RefusalReason::Poison(left)))
+    }
+
     /// Selects an upstream that is not in `excluded`, and loads the adapter there if needed.
     ///
     /// # Errors
@@ -95,6 +104,7 @@
         let mut excluded = excluded.to_vec();
         let mut loads = 0;
         loop {
+            self.check_quarantine()?;
             if self.time_left().is_zero() {
                 return Err(RefusalReason::DeadlineExpired);
             }
@@ -138,6 +148,7 @@
         loop {
             let placement = self.select_upstream(&excluded).await?;
             let prefill_time = self.reserve_prefill(&placement.upstream.id).await;
+            self.check_quarantine()?;
             // The upstream may have started to leave during the adapter load or the wait for earlier prefills.
             if self.entry.is_still_serving(&placement.upstream) {
                 return Ok((placement, prefill_time));
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -35,6 +35,8 @@
     Full,
     /// The adapter could not be loaded in time.
     NoAdapter,
+    /// The request crashed upstreams; refused for this long.
+    Poison(Duration),
     /// Upstreams refused the request, and no retry is left.
     Refused,
     /// The deadline passed before the request was sent.
@@ -58,6 +60,7 @@
             Self::NoUpstream => "no-upstream",
             Self::Full => "full",
             Self::NoAdapter => "no-adapter",
+            Self::Poison(_) => "poison",
             Self::Refused => "refused",
             Self::DeadlineExpired => "late",
             Self::Timeout => "timeout",
@@ -76,6 +79,7 @@
             | Self::NoUpstream
             | Self::Full
             | Self::NoAdapter
+            | Self::Poison(_)
             | Self::Refused
             | Self::DeadlineExpired => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -88,6 +92,7 @@
             Self::Starting => Some(STARTING_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
             Self::Full | Self::NoAdapter | Self::Refused => Some(FULL_RETRY),
+            Self::Poison(left) => Some(left),
             _ => None,
         }
     }
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -5,7 +5,7 @@
     holding::lock,
     metrics,
     path::{
-        attempt::{AttemptOutcome, ResponseSource, UpstreamResponse},
+        attempt::{AttemptOutcome, CrashCheck, ResponseSource, UpstreamResponse},
         job::ProxyRequest,
     },
     sse::{EventBuffer, EventTooLarge},
@@ -137,11 +137,12 @@
                 }
                 Some(Err(_broken)) => {
                     self.body = None;
-                    if let Some(source) = self.source.take() {
+                    let source = self.source.take();
+                    let check = source.map(|s| {
                         self.request
-                            .record_broken_connection(&source.upstream, "answer broke off");
-                    }
-                    if !self.resume().await {
+                            .record_broken_connection(&s.upstream, "answer broke off")
+                    });
+                    if !self.resume(check).await {
                         return self.fail("answer broke off");
                     }
                 }
@@ -190,6 +191,7 @@
     fn finish_upstream_body(&mut self) {
         self.body = None;
         if let Some(source) = self.source.take() {
+            self.request.entry.clear_strikes(self.request.fingerprint);
             let pool = &self.request.entry.pool;
             pool.release(source.connection, source.keep_alive);
         }
@@ -230,10 +232,15 @@
     }
 
     /// Resumes the stream at another upstream after its last complete event; false if that is not possible.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self, mut check: Option<CrashCheck>) -> bool {
         let max_attempts = self.request.route.attempts.min(MAX_STREAM_ATTEMPTS);
         while self.resumable && self.attempts < max_attempts && !self.request.time_left().is_zero()
         {
+            self.request.finish_check(check.take()).await;
+            if self.request.check_quarantine().is_err() {
+                info!(request = &*self.request.head.id; "routing: upstreams crashed under the stream, not resumed");
+                return false;
+            }
             if !self.request.take_retry() {
                 warn!(request = &*self.request.head.id; "routing: retry budget exhausted, stream not resumed");
                 return false;
@@ -246,14 +253,15 @@
             self.resumes += 1;
             let last = self.events.last_event_id();
             info!(request = &*self.request.head.id, upstream = &*placement.upstream.id, last_event = last.unwrap_or(0); "routing: stream resumed");
-            if let AttemptOutcome::Response(received) =
-                self.request.attempt(&placement, last, prefill_time).await
-                && received.response.status().is_success()
-            {
-                self.events.discard_partial();
-                self.body = Some(received.response.into_body());
-                self.source = Some(received.source);
-                return true;
+            match self.request.attempt(&placement, last, prefill_time).await {
+                AttemptOutcome::Response(received) if received.response.status().is_success() => {
+                    self.events.discard_partial();
+                    self.body = Some(received.response.into_body());
+                    self.source = Some(received.source);
+                    return true;
+                }
+                AttemptOutcome::Uncertain(broken) => check = broken,
+                _ => {}
             }
         }
         false
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -8,6 +8,7 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
+    time::Duration,
 };
 
 /// Upstreams that a request may crash before it is refused.
@@ -95,6 +96,16 @@
         }
     }
 
+    /// Returns for how long a request is still refused; `None` if it may be run.
+    pub fn refused_for(&self, fingerprint: u64, now_ms: u64) -> Option<Duration> {
+        if self.verdict(fingerprint, now_ms) != Verdict::Refuse {
+            return None;
+        }
+        let suspect = self.table.get(&fingerprint)?;
+        let expires_ms = suspect.last_ms + STRIKE_TTL_MS;
+        Some(Duration::from_millis(expires_ms.saturating_sub(now_ms)))
+    }
+
     /// Returns every known strike, for a process that has just connected.
     pub fn all(&self) -> Vec<Strike> {
         let strikes = self.table.iter().flat_map(|(fingerprint, suspect)| {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -8,7 +8,7 @@
     wire::{Strike, StrikeEvent},
 };
 use log::info;
-use std::sync::Mutex;
+use std::{sync::Mutex, time::Duration};
 use tokio::sync::broadcast;
 
 /// Strikes buffered for each feed; one that is further behind starts again with all known strikes.
@@ -36,6 +36,11 @@
         lock(&self.suspects).verdict(fingerprint, clock::unix_ms())
     }
 
+    /// Returns for how long a request is still refused; `None` if it may be run.
+    pub fn refused_for(&self, fingerprint: u64) -> Option<Duration> {
+        lock(&self.suspects).refused_for(fingerprint, clock::unix_ms())
+    }
+
     /// Records a strike and publishes it if it is new; returns whether it is.
     pub fn record(&self, strike: &Strike) -> bool {
         let is_new = lock(&self.suspects).record(strike);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -56,6 +56,7 @@
         uses: Vec::new(),
         held: Vec::new(),
         versions: Vec::new(),
+        strikes: Vec::new(),
     }
 }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -7,11 +7,12 @@
     ident::{ModelRef, RequestId, UpstreamId},
     permits::{Allowance, PendingPermit, PermitQueue},
     poison::{Suspects, Verdict},
+    quarantine::Quarantine,
     queue::{QueuedRequest, RequestQueue},
     retry_budget::RetryBudget,
     wire::{PermitResponse, Strike, StrikeEvent},
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 const ALLOWANCE: Allowance = Allowance {
     rate: 6.0,
@@ -194,3 +195,48 @@
         "a strike older than the clearing is ignored"
     );
 }
+
+#[test]
+fn a_refusal_says_when_the_strikes_expire() {
+    let mut suspects = Suspects::default();
+    suspects.record(&lost("a", 1, 10));
+    assert_eq!(suspects.refused_for(7, 20), None, "one crash is no refusal");
+    suspects.record(&lost("b", 1, 1_000));
+    let left = suspects.refused_for(7, 31_000);
+    assert_eq!(left, Some(Duration::from_secs(570)));
+    assert_eq!(suspects.refused_for(7, 602_000), None);
+    assert_eq!(suspects.refused_for(8, 31_000), None, "another request");
+}
+
+#[test]
+fn a_feed_has_all_strikes_first_and_again_after_a_lag() {
+    let quarantine = Quarantine::default();
+    quarantine.record_lost(1, UpstreamId::from("a"), 1);
+    let mut feed = quarantine.feed();
+    assert_eq!(feed.take(&quarantine).len(), 1);
+    assert!(feed.take(&quarantine).is_empty());
+    assert!(
+        !quarantine.record_lost(1, UpstreamId::from("a"), 1),
+        "known"
+    );
+    assert!(feed.take(&quarantine).is_empty());
+    assert!(quarantine.record_lost(1, UpstreamId::from("b"), 1));
+    assert_eq!(feed.take(&quarantine).len(), 1);
+    for fingerprint in 2..3_000 {
+        quarantine.record_lost(fingerprint, UpstreamId::from("a"), 1);
+    }
+    assert_eq!(feed.take(&quarantine).len(), 3_000);
+}
+
+/// A strike that several processes pass on to each other must not circulate for ever.
+#[test]
+fn a_strike_is_passed_on_once() {
+    let (first, second) = (Quarantine::default(), Quarantine::default());
+    let (mut to_second, mut to_first) = (first.feed(), second.feed());
+    first.record_lost(1, UpstreamId::from("a"), 1);
+    let sent = to_second.take(&first);
+    assert!(sent.iter().all(|s| second.record(s)));
+    let echoed = to_first.take(&second);
+    assert!(!echoed.iter().any(|s| first.record(s)));
+    assert!(to_second.take(&first).is_empty());
+}
