fix: keep the rate limit that an upstream names, over all entries

Cause: nothing read the header, so that entries sent as before (7 to 8 a second before and after it was named). A limit read by each entry for itself would have been kept nine times over.

Change: the codec decodes the limit (server-limit) from each response, and decide::rate_limit keeps one leaky bucket an upstream that counts the requests of all entries. Entries send each other the limits, with the age of what they saw, and their requests to limited upstreams, with the updates there are, also through relays. Every send reserves its place where the upstream is chosen (first attempts, retries, resumed streams; once more after a wait for a load). A limited upstream without room is left out, so that others serve; if none is left, the caller gets 503 at once with the time until the first takes another. A response without the header lifts the limit; without any response it expires after ten seconds. A value that can't be parsed changes nothing and is logged once. Retry-After is rounded up: 0.4 ms was sent as 0.000. The log of prefill reservations became the log of requests that peers are told of. The update between entries has two new fields: all entries need this build.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,7 +2,10 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
-use std::{ops::Add, time::Duration};
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
 
 /// A point on `CLOCK_BOOTTIME`, in nanoseconds.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -29,6 +32,14 @@
     }
 }
 
+impl Sub<Duration> for BootInstant {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs.as_nanos() as u64))
+    }
+}
+
 /// Returns the milliseconds since the Unix epoch, for timestamps that leave the process.
 pub fn unix_ms() -> u64 {
     std::time::SystemTime::now()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 pub mod order_sequence;
 pub mod outliers;
 pub mod prefill;
+pub mod rate_limit;
 pub mod registry;
 pub mod residency;
 pub mod retry_budget;
--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -56,12 +56,25 @@
 }
 
 /// Decoded head of a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Whether it carries the identifier of the request that was sent.
     pub id_matches: bool,
     /// Whether the upstream ran the request.
     pub run: RunState,
+    /// Limit on requests that the upstream names.
+    pub limit: NamedLimit,
+}
+
+/// Limit on requests that an upstream names in a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    None,
+    /// Requests a second that it takes from all entries together.
+    PerSecond(f64),
+    /// The value can't be parsed.
+    Invalid,
 }
 
 /// Whether an upstream ran a request, according to its response head.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,8 +5,8 @@
     configs::entry::EntryConfig,
     decide::{
         load_balancing::Candidate, order_lease::OrderLease, outliers::Outliers,
-        prefill::PrefillSchedule, registry::Registry, retry_budget::ServiceRetryBudget,
-        routes::RouteTable, takeover::LateOrder,
+        prefill::PrefillSchedule, rate_limit::RateLimits, registry::Registry,
+        retry_budget::ServiceRetryBudget, routes::RouteTable, takeover::LateOrder,
     },
     edge::{
         codec::{Codec, InferenceWork},
@@ -19,7 +19,7 @@
         late_orders::LateOrders,
         messages::PeerInfo,
         peers::Peers,
-        prompt_log::PromptLog,
+        send_log::SendLog,
         usage::Usage,
     },
     holding::lock,
@@ -38,12 +38,24 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 use tokio::sync::{Notify, watch};
 
 /// Version of an adapter for which no newer one was announced.
 pub const FIRST_VERSION: u32 = 1;
 
+/// Upstreams of a service, as seen by one request.
+#[derive(Debug)]
+pub struct ServingUpstreams {
+    /// Those that take a request now.
+    pub available: Vec<Arc<Registration>>,
+    /// Number of those that have named a limit which is used up.
+    pub limited: usize,
+    /// Time until the first of these takes another request.
+    pub limited_for: Option<Duration>,
+}
+
 /// Shared state of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -73,8 +85,10 @@
     pub peers: Mutex<Peers>,
     /// This entry's view of the control set.
     pub control: ArcSwap<ControlView>,
-    /// Recent prefill reservations, to be passed on to peers.
-    pub prompt_log: Mutex<PromptLog>,
+    /// Limits that upstreams have named.
+    pub rate_limits: Mutex<RateLimits>,
+    /// Recent requests, to be passed on to peers.
+    pub send_log: Mutex<SendLog>,
     /// Orders of earlier holders that got no response.
     pub late_orders: Mutex<LateOrders>,
     /// Connections to upstreams.
@@ -120,7 +134,8 @@
                 is_member: true,
                 ..ControlView::default()
             }),
-            prompt_log: Mutex::default(),
+            rate_limits: Mutex::default(),
+            send_log: Mutex::default(),
             late_orders: Mutex::default(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
@@ -300,6 +315,7 @@
     pub fn forget_upstream(&self, id: &str, reason: &str) {
         info!(upstream = id, reason = reason; "upstream gone");
         lock(&self.outliers).forget(id);
+        lock(&self.rate_limits).forget(id);
         self.usage.forget(id);
         lock(&self.prefill).forget(id);
         self.pool.close_idle(id);
@@ -338,24 +354,27 @@
         live.iter().any(|info| info.follows)
     }
 
-    /// Returns upstreams of `service` that accept new requests, without `excluded`. Ejected outliers are left out
+    /// Returns upstreams of `service` that take a request now, without `excluded`. Ejected outliers are left out
     /// unless all are ejected.
-    pub fn serving_upstreams(
-        &self,
-        service: &str,
-        excluded: &[UpstreamId],
-    ) -> Vec<Arc<Registration>> {
+    pub fn serving_upstreams(&self, service: &str, excluded: &[UpstreamId]) -> ServingUpstreams {
         let now = BootInstant::now();
         let registry = lock(&self.registry);
         let outliers = lock(&self.outliers);
+        let limits = lock(&self.rate_limits);
         let wanted = registry
             .serving(service)
             .filter(|r| !excluded.contains(&r.id));
-        let mut all: Vec<Arc<Registration>> = wanted.cloned().collect();
-        if all.iter().any(|r| !outliers.is_ejected(&r.id, now)) {
-            all.retain(|r| !outliers.is_ejected(&r.id, now));
+        let (mut available, limited): (Vec<_>, Vec<_>) = wanted
+            .cloned()
+            .partition(|r| limits.wait(&r.id, now).is_zero());
+        if available.iter().any(|r| !outliers.is_ejected(&r.id, now)) {
+            available.retain(|r| !outliers.is_ejected(&r.id, now));
+        }
+        ServingUpstreams {
+            available,
+            limited: limited.len(),
+            limited_for: limited.iter().map(|r| limits.wait(&r.id, now)).min(),
         }
-        all
     }
 
     /// Returns whether the process that `upstream` describes still accepts new requests.
--- /dev/null
+++ b/src/entry/limits.rs
@@ -0,0 +1,116 @@
+//! Limits that upstreams name: observes them in responses, shares them with the other entries, and counts requests.
+
+use crate::{
+    clock::BootInstant,
+    decide::rate_limit::LimitChange,
+    edge::codec::NamedLimit,
+    entry::{
+        context::Entry,
+        messages::{LimitUpdate, PeerUpdate},
+        send_log::SendRecord,
+    },
+    holding::lock,
+    ident::UpstreamId,
+};
+use log::{info, warn};
+use std::{sync::Arc, time::Duration};
+
+impl Entry {
+    /// Records what the response to `request` says of its upstream's limit.
+    pub fn observe_limit(&self, upstream: &UpstreamId, limit: NamedLimit, request: &str) {
+        let per_second = match limit {
+            NamedLimit::None => None,
+            NamedLimit::PerSecond(rate) => Some(rate),
+            NamedLimit::Invalid => {
+                if lock(&self.rate_limits).observe_invalid(upstream) {
+                    warn!(request = request, upstream = &**upstream; "an upstream's limit can't be parsed; the last one stays");
+                }
+                return;
+            }
+        };
+        self.apply_limit(upstream, per_second, Duration::ZERO, request);
+    }
+
+    /// Applies the limits and requests in a peer's update.
+    pub fn apply_peer_limits(&self, update: &PeerUpdate) {
+        for limit in &update.limits {
+            let age = Duration::from_millis(limit.age_ms);
+            self.apply_limit(&limit.upstream, limit.per_second, age, &update.info.name);
+        }
+        let now = BootInstant::now();
+        for (upstream, requests) in &update.sends {
+            lock(&self.rate_limits).record_sends(upstream, *requests, now);
+            lock(&self.send_log).add(SendRecord {
+                source: Some(Arc::clone(&update.info.name)),
+                upstream: Arc::clone(upstream),
+                prompt_tokens: 0,
+                limited: *requests,
+            });
+        }
+    }
+
+    /// Applies an observation that is `age` old; `source` is the request or the peer that it comes from.
+    fn apply_limit(
+        &self,
+        upstream: &UpstreamId,
+        per_second: Option<f64>,
+        age: Duration,
+        source: &str,
+    ) {
+        let seen = BootInstant::now() - age;
+        let change = lock(&self.rate_limits).observe(upstream, per_second, seen);
+        let age_ms = age.as_millis() as u64;
+        match change {
+            LimitChange::Unchanged => return,
+            LimitChange::Named(before) => {
+                info!(
+                    upstream = &**upstream, per_second = per_second.unwrap_or_default(), before = before.unwrap_or_default(),
+                    source = source, age_ms = age_ms;
+                    "routing: upstream named a limit"
+                );
+            }
+            LimitChange::Lifted => {
+                info!(upstream = &**upstream, source = source, age_ms = age_ms; "routing: upstream lifted its limit");
+            }
+        }
+        self.notify_peers();
+    }
+
+    /// Counts a request that is about to be sent to `upstream`, unless its limit is used up; returns whether it may be
+    /// sent.
+    pub fn reserve_send(&self, upstream: &UpstreamId) -> bool {
+        let now = BootInstant::now();
+        {
+            let mut limits = lock(&self.rate_limits);
+            if !limits.wait(upstream, now).is_zero() {
+                return false;
+            }
+            if !limits.record_sends(upstream, 1, now) {
+                return true;
+            }
+        }
+        lock(&self.send_log).add(SendRecord {
+            source: None,
+            upstream: Arc::clone(upstream),
+            prompt_tokens: 0,
+            limited: 1,
+        });
+        self.notify_peers();
+        true
+    }
+
+    /// Returns the limits for an update to a peer.
+    pub fn limit_updates(&self) -> Vec<(BootInstant, LimitUpdate)> {
+        let now = BootInstant::now();
+        let limits = lock(&self.rate_limits);
+        let all = limits.observed(now).map(|(id, limit)| {
+            let update = LimitUpdate {
+                upstream: Arc::clone(id),
+                per_second: limit.per_second,
+                age_ms: now.since(limit.seen).as_millis() as u64,
+            };
+            (limit.seen, update)
+        });
+        all.collect()
+    }
+}
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -73,6 +73,21 @@
     pub versions: Vec<(AdapterKey, u32)>,
     /// Strikes against requests that crash upstreams, not sent to the receiver before.
     pub strikes: Vec<Strike>,
+    /// Limits that upstreams have named or lifted.
+    pub limits: Vec<LimitUpdate>,
+    /// Requests to upstreams with a limit since the last update, of the sender and the entries that it passes on.
+    pub sends: Vec<(UpstreamId, u32)>,
+}
+
+/// Observation of an upstream's limit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitUpdate {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Requests a second from all entries together; `None` if it was lifted.
+    pub per_second: Option<f64>,
+    /// Age of the observation, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Change of an entry that the sender of an update passes on.
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -11,8 +11,8 @@
             DEPLOYMENT_PATH, ENSURE_PATH, EnsureRequest, EnsureResult, MISSING_PATH, PEER_PATH,
             PeerAck, PeerUpdate, REGISTRATIONS_PATH,
         },
-        prompt_log::PromptReservation,
         registrations,
+        send_log::SendRecord,
         update::UpdateBuilder,
     },
     holding::lock,
@@ -256,12 +256,14 @@
     }
     for (upstream, tokens) in &update.prompts {
         lock(&entry.prefill).reserve(upstream, *tokens, now);
-        lock(&entry.prompt_log).add(PromptReservation {
+        lock(&entry.send_log).add(SendRecord {
             source: Some(Arc::clone(&info.name)),
             upstream: Arc::clone(upstream),
-            tokens: *tokens,
+            prompt_tokens: *tokens,
+            limited: 0,
         });
     }
+    entry.apply_peer_limits(update);
     for (key, version) in &update.versions {
         entry.update_version(key, *version);
     }
@@ -279,8 +281,10 @@
     if info.revision > entry.revision() && entry.begin_fetch() {
         tokio::spawn(fetch_deployment(Arc::clone(entry), info.link));
     }
-    let has_changes =
-        !update.prompts.is_empty() || !update.held.is_empty() || !update.others.is_empty();
+    let has_changes = !update.prompts.is_empty()
+        || !update.sends.is_empty()
+        || !update.held.is_empty()
+        || !update.others.is_empty();
     if is_relay && has_changes {
         entry.notify_peers();
     }
--- /dev/null
+++ b/src/entry/send_log.rs
@@ -0,0 +1,51 @@
+//! Recent requests to upstreams, kept to be sent to peers.
+
+use crate::ident::UpstreamId;
+use std::{collections::VecDeque, sync::Arc};
+
+/// Number of records kept: about one second's worth at 500 requests a second, and every peer gets several updates in
+/// that time.
+const CAPACITY: usize = 512;
+
+/// Request that an entry is about to send, or several that a peer reported together.
+#[derive(Clone, Debug)]
+pub struct SendRecord {
+    /// Peer that reported it; `None` for this entry.
+    pub source: Option<Arc<str>>,
+    /// Upstream that gets it.
+    pub upstream: UpstreamId,
+    /// Number of prompt tokens for which prefill time is reserved.
+    pub prompt_tokens: u32,
+    /// Number of requests that count towards the upstream's limit.
+    pub limited: u32,
+}
+
+/// Log of requests, in the order in which they became known.
+#[derive(Debug, Default)]
+pub struct SendLog {
+    records: VecDeque<SendRecord>,
+    /// Number of the first record that is kept.
+    first: u64,
+}
+
+impl SendLog {
+    /// Adds a record.
+    pub fn add(&mut self, record: SendRecord) {
+        if self.records.len() >= CAPACITY {
+            self.records.pop_front();
+            self.first += 1;
+        }
+        self.records.push_back(record);
+    }
+
+    /// Returns the number of the next record.
+    pub fn next(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// Returns the records from number `from` on.
+    pub fn since(&self, from: u64) -> impl Iterator<Item = &SendRecord> {
+        let skipped = from.saturating_sub(self.first) as usize;
+        self.records.iter().skip(skipped)
+    }
+}
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -9,7 +9,7 @@
     edge::registration::AdapterKey,
     entry::{
         context::Entry,
-        messages::{AdapterUse, EntryChange, HeldChange, PeerInfo, PeerUpdate},
+        messages::{AdapterUse, EntryChange, HeldChange, LimitUpdate, PeerInfo, PeerUpdate},
         peers::{EngineWithHolder, HeldEngine, Peer, Peers},
     },
     holding::lock,
@@ -20,8 +20,15 @@
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
+/// Counts by upstream.
+type Counts = Vec<(UpstreamId, u32)>;
+
+/// Interval at which a limit that is named again and again is sent; well below the time after which it expires.
+const LIMIT_REFRESH: Duration = Duration::from_secs(1);
+
 /// Builder of the updates of one stream: the first one has the full state, later ones the changes.
 #[derive(Debug)]
 pub struct UpdateBuilder {
@@ -35,8 +42,10 @@
     versions: HashMap<AdapterKey, u32>,
     /// Request counts of adapters that were already sent.
     sent_requests: HashMap<(UpstreamId, AdapterKey), u64>,
-    /// Number of the next prefill reservation to send.
-    next_prompt: u64,
+    /// Number of the next record of the send log to send.
+    next_send: u64,
+    /// Limits as last sent, with the times at which they were observed.
+    limits: HashMap<UpstreamId, (Option<f64>, BootInstant)>,
     strikes: StrikeFeed,
 }
 
@@ -77,7 +86,8 @@
             held: HashMap::new(),
             versions: HashMap::new(),
             sent_requests: HashMap::new(),
-            next_prompt: lock(&entry.prompt_log).next(),
+            next_send: lock(&entry.send_log).next(),
+            limits: HashMap::new(),
             strikes: entry.quarantine.feed(),
         }
     }
@@ -96,6 +106,7 @@
             receiver: receiver.map(|p| Arc::clone(&p.info.name)),
             relays_for_receiver: receiver.is_some_and(|p| p.is_relayed),
         };
+        let (prompts, sends) = self.new_sends(&peers, &scope);
         PeerUpdate {
             sequence,
             info: entry.peer_info(),
@@ -103,11 +114,13 @@
             known: self.new_links(&peers, now),
             others: self.other_changes(&peers, &scope, now),
             loads: self.in_flight_changes(&peers, &scope, now),
-            prompts: self.new_prompts(&peers, &scope),
+            prompts,
             uses: self.adapter_uses(&peers, &scope, homed),
             held: self.held_changes(own_engines, &peers, &scope),
             versions: self.new_versions(),
             strikes: self.strikes.take(&entry.quarantine),
+            limits: self.limit_changes(),
+            sends,
         }
     }
 
@@ -185,22 +198,37 @@
         changes
     }
 
-    /// Returns the prompt tokens reserved since the last update, by upstream.
-    fn new_prompts(&mut self, peers: &Peers, scope: &Scope) -> Vec<(UpstreamId, u32)> {
-        let log = lock(&self.entry.prompt_log);
-        let mut prompts: HashMap<&UpstreamId, u32> = HashMap::new();
-        for prompt in log.since(self.next_prompt) {
-            let source = prompt.source.as_ref().map(|name| peers.by_name(name));
+    /// Returns the prompt tokens reserved and the requests to limited upstreams since the last update, by upstream.
+    fn new_sends(&mut self, peers: &Peers, scope: &Scope) -> (Counts, Counts) {
+        let log = lock(&self.entry.send_log);
+        let (mut prompts, mut sends) = (HashMap::new(), HashMap::new());
+        for record in log.since(self.next_send) {
+            let source = record.source.as_ref().map(|name| peers.by_name(name));
             let is_included = source.is_none_or(|peer| peer.is_some_and(|p| scope.includes(p)));
             if is_included {
-                *prompts.entry(&prompt.upstream).or_default() += prompt.tokens;
+                *prompts.entry(&record.upstream).or_default() += record.prompt_tokens;
+                *sends.entry(&record.upstream).or_default() += record.limited;
+            }
+        }
+        self.next_send = log.next();
+        (nonzero_counts(prompts), nonzero_counts(sends))
+    }
+
+    /// Returns limits that changed, or that were observed again long enough after the last time they were sent.
+    fn limit_changes(&mut self) -> Vec<LimitUpdate> {
+        let mut changes = Vec::new();
+        for (seen, update) in self.entry.limit_updates() {
+            let sent = self.limits.get(&update.upstream);
+            let is_known = sent.is_some_and(|(per_second, sent_seen)| {
+                *per_second == update.per_second && seen < *sent_seen + LIMIT_REFRESH
+            });
+            if !is_known {
+                let key = Arc::clone(&update.upstream);
+                self.limits.insert(key, (update.per_second, seen));
+                changes.push(update);
             }
         }
-        self.next_prompt = log.next();
-        let prompts = prompts.into_iter();
-        prompts
-            .map(|(id, tokens)| (Arc::clone(id), tokens))
-            .collect()
+        changes
     }
 
     /// Returns the use of adapters at the receiver's engines, or at all engines if it is this entry's relay.
@@ -333,6 +361,11 @@
     }
 }
 
+fn nonzero_counts(counts: HashMap<&UpstreamId, u32>) -> Counts {
+    let counts = counts.into_iter().filter(|(_, count)| *count > 0);
+    counts.map(|(id, count)| (Arc::clone(id), count)).collect()
+}
+
 fn released(upstream: &UpstreamId, holder: &Arc<str>) -> HeldChange {
     HeldChange {
         upstream: Arc::clone(upstream),
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -183,6 +183,11 @@
         let status = response.status();
         let codec = &self.entry.codec;
         let head = codec.response_head(&self.head.id, status, response.headers());
+        // A misdirected request may have reached another process at the address.
+        if head.run != RunState::Misdirected {
+            self.entry
+                .observe_limit(&upstream.id, head.limit, &self.head.id);
+        }
         if head.run != RunState::Run {
             let misdirected = head.run == RunState::Misdirected;
             info!(
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -8,7 +8,12 @@
         deployment::Route,
         registration::{AdapterKey, Registration},
     },
-    entry::{context::Entry, ensure, messages::EnsureResult, prompt_log::PromptReservation},
+    entry::{
+        context::{Entry, ServingUpstreams},
+        ensure,
+        messages::EnsureResult,
+        send_log::SendRecord,
+    },
     holding::lock,
     ident::UpstreamId,
     path::refusal::RefusalReason,
@@ -108,29 +113,37 @@
             if self.time_left().is_zero() {
                 return Err(RefusalReason::DeadlineExpired);
             }
-            let upstreams = self.entry.serving_upstreams(&self.service, &excluded);
-            let chosen = self.choose(&upstreams);
-            match chosen {
-                Choice::Send(i) => return self.placement(&upstreams, i),
+            let serving = self.entry.serving_upstreams(&self.service, &excluded);
+            let upstreams = &serving.available;
+            let chosen = match self.choose(&serving) {
+                Choice::Send(i) => i,
                 Choice::SendAndCopy(i, copy) => {
                     if let Some(target) = upstreams.get(copy) {
                         self.replicate_to(target);
                     }
-                    return self.placement(&upstreams, i);
+                    i
                 }
                 Choice::Load(i) => {
                     let upstream = upstreams.get(i).ok_or(RefusalReason::NoUpstream)?;
                     loads += 1;
-                    if self.load_adapter(upstream).await == EnsureResult::Ready {
-                        return self.placement(&upstreams, i);
-                    }
-                    if loads >= MAX_LOADS {
-                        return Err(RefusalReason::NoAdapter);
+                    if self.load_adapter(upstream).await != EnsureResult::Ready {
+                        if loads >= MAX_LOADS {
+                            return Err(RefusalReason::NoAdapter);
+                        }
+                        excluded.push(Arc::clone(&upstream.id));
+                        continue;
                     }
-                    excluded.push(Arc::clone(&upstream.id));
+                    i
                 }
-                Choice::Full => return Err(RefusalReason::Full),
-                Choice::NoUpstream => return Err(RefusalReason::NoUpstream),
+                Choice::Full => return Err(unavailable(RefusalReason::Full, &serving)),
+                Choice::NoUpstream => {
+                    return Err(unavailable(RefusalReason::NoUpstream, &serving));
+                }
+            };
+            let upstream = upstreams.get(chosen).ok_or(RefusalReason::NoUpstream)?;
+            // Its limit may have been used up during the load.
+            if self.entry.reserve_send(&upstream.id) {
+                return Ok(self.placement(upstream));
             }
         }
     }
@@ -158,32 +171,28 @@
         }
     }
 
-    fn choose(&self, upstreams: &[Arc<Registration>]) -> Choice {
+    fn choose(&self, serving: &ServingUpstreams) -> Choice {
         let work = self.head.work.as_ref();
         let key = self.adapter();
         let describe = |u| self.entry.candidate(u, work);
-        let candidates: Vec<Candidate<'_>> = upstreams.iter().map(|u| describe(u)).collect();
+        let available = serving.available.iter();
+        let candidates: Vec<Candidate<'_>> = available.map(|u| describe(u)).collect();
         let choice = match key {
             Some(key) => load_balancing::choose_for_adapter(&key.to_string(), &candidates),
             None => load_balancing::choose_least_loaded(&self.head.id, &candidates),
         };
-        self.log_choice(choice, &candidates);
+        self.log_choice(choice, &candidates, serving.limited);
         choice
     }
 
-    fn placement(
-        &self,
-        upstreams: &[Arc<Registration>],
-        i: usize,
-    ) -> Result<Placement, RefusalReason> {
-        let upstream = upstreams.get(i).ok_or(RefusalReason::NoUpstream)?;
+    fn placement(&self, upstream: &Arc<Registration>) -> Placement {
         let version = self
             .adapter()
             .map(|key| self.entry.usable_version(upstream, key));
-        Ok(Placement {
+        Placement {
             upstream: Arc::clone(upstream),
             version,
-        })
+        }
     }
 
     /// Reserves the prefill of the prompt and waits until the engine is free for it. Returns the expected time from
@@ -195,10 +204,11 @@
         let now = BootInstant::now();
         let (wait, prefill_time) =
             lock(&self.entry.prefill).reserve(upstream, work.prompt_tokens, now);
-        lock(&self.entry.prompt_log).add(PromptReservation {
+        lock(&self.entry.send_log).add(SendRecord {
             source: None,
             upstream: Arc::clone(upstream),
-            tokens: work.prompt_tokens,
+            prompt_tokens: work.prompt_tokens,
+            limited: 0,
         });
         self.entry.notify_peers();
         if !wait.is_zero() {
@@ -250,7 +260,7 @@
         });
     }
 
-    fn log_choice(&self, choice: Choice, candidates: &[Candidate<'_>]) {
+    fn log_choice(&self, choice: Choice, candidates: &[Candidate<'_>], limited: usize) {
         let (action, index) = match choice {
             Choice::Send(i) | Choice::SendAndCopy(i, _) => ("send", Some(i)),
             Choice::Load(i) => ("load", Some(i)),
@@ -265,8 +275,14 @@
             .collect();
         info!(
             request = &*self.head.id, choice = action, upstream = upstream.map_or("", |c| &**c.id),
-            load = upstream.map_or(0, |c| c.in_flight), candidates = candidates.len(), resident = logged.join(" ");
+            load = upstream.map_or(0, |c| c.in_flight), candidates = candidates.len(), limited = limited,
+            resident = logged.join(" ");
             "routing: chosen"
         );
     }
 }
+
+/// Returns why no upstream takes a request: a limit, if one of them would take it later.
+fn unavailable(reason: RefusalReason, serving: &ServingUpstreams) -> RefusalReason {
+    serving.limited_for.map_or(reason, RefusalReason::Limited)
+}
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -35,6 +35,8 @@
     Full,
     /// The adapter could not be loaded in time.
     NoAdapter,
+    /// Upstreams that could serve it take no more requests for this long.
+    Limited(Duration),
     /// The request crashed upstreams; refused for this long.
     Poison(Duration),
     /// Upstreams refused the request, and no retry is left.
@@ -60,6 +62,7 @@
             Self::NoUpstream => "no-upstream",
             Self::Full => "full",
             Self::NoAdapter => "no-adapter",
+            Self::Limited(_) => "limited",
             Self::Poison(_) => "poison",
             Self::Refused => "refused",
             Self::DeadlineExpired => "late",
@@ -79,6 +82,7 @@
             | Self::NoUpstream
             | Self::Full
             | Self::NoAdapter
+            | Self::Limited(_)
             | Self::Poison(_)
             | Self::Refused
             | Self::DeadlineExpired => StatusCode::SERVICE_UNAVAILABLE,
@@ -92,7 +96,7 @@
             Self::Starting => Some(STARTING_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
             Self::Full | Self::NoAdapter | Self::Refused => Some(FULL_RETRY),
-            Self::Poison(left) => Some(left),
+            Self::Limited(left) | Self::Poison(left) => Some(left),
             _ => None,
         }
     }
@@ -103,7 +107,9 @@
     let text = format!("{}\n", reason.as_str());
     let mut response = http_server::response(reason.status(), "text/plain", text);
     if let Some(retry) = reason.retry_after() {
-        let seconds = format!("{:.3}", retry.as_secs_f64());
+        // Rounded up, so that no caller returns too early.
+        let millis = retry.as_micros().div_ceil(1_000);
+        let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -57,6 +57,8 @@
         held: Vec::new(),
         versions: Vec::new(),
         strikes: Vec::new(),
+        limits: Vec::new(),
+        sends: Vec::new(),
     }
 }
 
