fix: engines that limit their requests get no further adapters

Cause: a limited engine with room for one request was chosen for cold adapters as any other: the load took its place, and the request that had waited for the load often found the limit used up and began anew at the next engine, without an end but its deadline. Its few requests in flight lowered the mean by which all engines are filled, so that adapters were copied that were no busier than before. Change: a limited engine serves what it holds and gets no loads or copies while one without a limit is left; the mean counts the others only. The place at a limited upstream is reserved when it is chosen, before a load.

--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -5,6 +5,7 @@
 //! | popularity is skewed and an engine holds few adapters | rendezvous hashing ranks the engines for each adapter, so that it stays on the engine that holds or held it |
 //! | a hot adapter needs more than one engine | engines are filled up to a bound above the mean number of requests in flight; beyond it, the adapter is also loaded on the next engine in its ranking while the present ones keep serving |
 //! | a burst of prompts arrives at one engine | they are delayed briefly, or sent to the next engine in the ranking |
+//! | an engine in need limits its requests | it serves the adapters that it holds up to its limit, and gets no others; its few requests don't count towards the mean |
 //! | all engines are busy | the request goes to the least busy engine that holds the adapter and has room; otherwise it is refused |
 
 use crate::ident::{UpstreamId, pair_hash};
@@ -38,6 +39,8 @@
     pub resident: bool,
     /// Whether an adapter can be loaded on it now.
     pub loadable: bool,
+    /// Whether it has named a limit, so that it takes fewer requests than the others.
+    pub limited: bool,
 }
 
 impl Candidate<'_> {
@@ -94,7 +97,9 @@
         |c: &Candidate<'_>| f64::from(c.in_flight) < bound && c.has_room() && c.wait <= MAX_WAIT;
     let has_capacity = |i: &usize| is_below_bound(&candidates[*i]);
     let resident = |i: &usize| candidates[*i].resident;
-    let loadable = |i: &usize| candidates[*i].loadable && !candidates[*i].resident;
+    let all_limited = candidates.iter().all(|c| c.limited);
+    let takes_loads = |c: &Candidate<'_>| c.loadable && (all_limited || !c.limited);
+    let loadable = |i: &usize| takes_loads(&candidates[*i]) && !candidates[*i].resident;
 
     if let Some(i) = ranking
         .iter()
@@ -115,17 +120,21 @@
         (Some(i), Some(copy)) => Choice::SendAndCopy(i, copy),
         (Some(i), None) => Choice::Send(i),
         (None, Some(i)) => Choice::Load(i),
-        (None, None) => load_anywhere(&ranking, candidates),
+        (None, None) => load_anywhere(&ranking, candidates, takes_loads),
     }
 }
 
 /// Returns the first engine in the ranking that has room and can load the adapter, ignoring the bound.
-fn load_anywhere(ranking: &[usize], candidates: &[Candidate<'_>]) -> Choice {
-    let usable = |c: &Candidate<'_>| c.resident || c.loadable;
+fn load_anywhere(
+    ranking: &[usize],
+    candidates: &[Candidate<'_>],
+    takes_loads: impl Fn(&Candidate<'_>) -> bool,
+) -> Choice {
+    let usable = |c: &Candidate<'_>| c.resident || takes_loads(c);
     if !candidates.iter().any(usable) {
         return Choice::NoUpstream;
     }
-    let fit = |i: &&usize| candidates[**i].loadable && candidates[**i].has_room();
+    let fit = |i: &&usize| takes_loads(&candidates[**i]) && candidates[**i].has_room();
     ranking
         .iter()
         .find(fit)
@@ -134,7 +143,8 @@
 
 /// Returns the number of requests in flight up to which engines are filled in an adapter's ranking.
 fn in_flight_bound(candidates: &[Candidate<'_>]) -> f64 {
-    let total: u32 = candidates.iter().map(|c| c.in_flight).sum();
-    let mean = f64::from(total) / candidates.len().max(1) as f64;
+    let unlimited = candidates.iter().filter(|c| !c.limited);
+    let (count, total) = unlimited.fold((0, 0), |(n, sum), c| (n + 1, sum + c.in_flight));
+    let mean = f64::from(total) / f64::from(count.max(1));
     mean * IN_FLIGHT_FACTOR + IN_FLIGHT_SLACK
 }
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Returns whether `id` limits its requests.
+    pub fn is_limited(&self, id: &str, now: BootInstant) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.is_some_and(|u| u.limit.rate(now).is_some())
+    }
+
     /// Returns the time until `id` takes another request; zero if it takes one now.
     pub fn wait(&self, id: &str, now: BootInstant) -> Duration {
         let Some(upstream) = self.upstreams.get(id) else {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -413,6 +413,7 @@
             wait: lock(&self.prefill).wait(&upstream.id, tokens, now),
             resident,
             loadable,
+            limited: lock(&self.rate_limits).is_limited(&upstream.id, now),
         }
     }
 
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -115,36 +115,32 @@
             }
             let serving = self.entry.serving_upstreams(&self.service, &excluded);
             let upstreams = &serving.available;
-            let chosen = match self.choose(&serving) {
-                Choice::Send(i) => i,
+            let (chosen, needs_load) = match self.choose(&serving) {
+                Choice::Send(i) => (i, false),
                 Choice::SendAndCopy(i, copy) => {
                     if let Some(target) = upstreams.get(copy) {
                         self.replicate_to(target);
                     }
-                    i
-                }
-                Choice::Load(i) => {
-                    let upstream = upstreams.get(i).ok_or(RefusalReason::NoUpstream)?;
-                    loads += 1;
-                    if self.load_adapter(upstream).await != EnsureResult::Ready {
-                        if loads >= MAX_LOADS {
-                            return Err(RefusalReason::NoAdapter);
-                        }
-                        excluded.push(Arc::clone(&upstream.id));
-                        continue;
-                    }
-                    i
+                    (i, false)
                 }
+                Choice::Load(i) => (i, true),
                 Choice::Full => return Err(unavailable(RefusalReason::Full, &serving)),
                 Choice::NoUpstream => {
                     return Err(unavailable(RefusalReason::NoUpstream, &serving));
                 }
             };
             let upstream = upstreams.get(chosen).ok_or(RefusalReason::NoUpstream)?;
-            // Its limit may have been used up during the load.
-            if self.entry.reserve_send(&upstream.id) {
+            if !self.entry.reserve_send(&upstream.id) {
+                continue;
+            }
+            if !needs_load || self.load_adapter(upstream).await == EnsureResult::Ready {
                 return Ok(self.placement(upstream));
             }
+            loads += 1;
+            if loads >= MAX_LOADS {
+                return Err(RefusalReason::NoAdapter);
+            }
+            excluded.push(Arc::clone(&upstream.id));
         }
     }
 
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -35,6 +35,8 @@
     an_adapter_stays_at_its_first_engine,
     a_hot_adapter_is_replicated_above_the_bound,
     a_cold_adapter_is_loaded_below_the_bound,
+    a_limited_engine_gets_no_further_adapters,
+    limited_engines_do_not_lower_the_bound,
     full_and_missing_upstreams_are_distinguished,
     a_delayed_prompt_goes_to_another_engine,
     retries_stay_within_the_budget,
@@ -105,6 +107,7 @@
         wait: Duration::ZERO,
         resident: false,
         loadable: true,
+        limited: false,
     });
     all.collect()
 }
@@ -193,6 +196,42 @@
         );
     }
 
+    pub(super) fn a_limited_engine_gets_no_further_adapters() {
+        let ids = ids(6);
+        let mut all = candidates(&ids);
+        for c in &mut all[..3] {
+            c.limited = true;
+        }
+        for n in 0..100 {
+            let chosen = load_balancing::choose_for_adapter(&format!("a{n}"), &all);
+            assert!(matches!(chosen, Choice::Load(3..)), "{chosen:?}");
+        }
+        all[1].resident = true;
+        let chosen = load_balancing::choose_for_adapter("a1", &all);
+        assert_eq!(chosen, Choice::Send(1), "it serves what it holds");
+        for c in &mut all {
+            c.limited = true;
+            c.resident = false;
+        }
+        let chosen = load_balancing::choose_for_adapter("a1", &all);
+        assert!(matches!(chosen, Choice::Load(_)), "no other engine is left");
+    }
+
+    /// Guards against copies of adapters that are no busier than before, while limited engines run little.
+    pub(super) fn limited_engines_do_not_lower_the_bound() {
+        let ids = ids(12);
+        let mut all = candidates(&ids);
+        for (n, c) in all.iter_mut().enumerate() {
+            c.limited = n < 6;
+            c.in_flight = if n < 6 { 0 } else { 20 };
+            c.resident = n >= 6;
+        }
+        for n in 0..100 {
+            let chosen = load_balancing::choose_for_adapter(&format!("a{n}"), &all);
+            assert!(matches!(chosen, Choice::Send(_)), "{chosen:?}");
+        }
+    }
+
     pub(super) fn full_and_missing_upstreams_are_distinguished() {
         let ids = ids(3);
         let mut all = candidates(&ids);
