fix: refuse at once what would wait too long for busy engines

Cause: the limits of second1 concentrate the load on the other engines. Prompts wait there for those before them, without a bound but the deadline: callers give up, the prefill reserved for them stays in the schedule, and the rest waits for prompts that nobody waits for any more. Change: a first attempt waits for earlier prompts at most 0.6 of the time in which it is on time; an engine with a longer wait counts as full, and if all are, the caller gets 503 at once with the time until the shortest queue is gone. Later attempts and resumed streams wait as before.

--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -6,6 +6,7 @@
 //! | a hot adapter needs more than one engine | engines are filled up to a bound above the mean number of requests in flight; beyond it, the adapter is also loaded on the next engine in its ranking while the present ones keep serving |
 //! | a burst of prompts arrives at one engine | they are delayed briefly, or sent to the next engine in the ranking |
 //! | an engine in need limits its requests | it serves the adapters that it holds up to its limit, and gets no others; its few requests don't count towards the mean |
+//! | more prompts arrive than the engines prefill, as when some of them leave or limit their requests | a request that would wait too long is refused at once; otherwise all would wait until their callers give up, and prompts that nobody waits for any more would delay the rest |
 //! | all engines are busy | the request goes to the least busy engine that holds the adapter and has room; otherwise it is refused |
 
 use crate::ident::{UpstreamId, pair_hash};
@@ -35,6 +36,8 @@
     pub in_flight: u32,
     /// Time for which the request would be delayed so that running streams do not stall.
     pub wait: Duration,
+    /// Whether that is longer than the request can wait.
+    pub too_late: bool,
     /// Whether it holds the model or adapter that the request needs.
     pub resident: bool,
     /// Whether an adapter can be loaded on it now.
@@ -45,7 +48,7 @@
 
 impl Candidate<'_> {
     fn has_room(&self) -> bool {
-        self.in_flight < self.slots
+        self.in_flight < self.slots && !self.too_late
     }
 
     /// Returns the cost, lower is better: its utilisation plus the delay of the request.
@@ -64,7 +67,7 @@
     SendAndCopy(usize, usize),
     /// Load its adapter on this candidate, then send it there.
     Load(usize),
-    /// All suitable candidates are full.
+    /// All suitable candidates are full, or have more prompts waiting than the request can wait for.
     Full,
     /// No candidate could serve it, even if idle.
     NoUpstream,
--- a/src/decide/prefill.rs
+++ b/src/decide/prefill.rs
@@ -27,6 +27,10 @@
 /// Limits of an engine's measured slowdown.
 const SLOWDOWN: std::ops::RangeInclusive<f64> = 0.8..=2.0;
 
+/// Longest wait for the prompts before a request's own, as a share of the time in which its response is on time; the
+/// rest is for its own prompt.
+const MAX_WAIT_SHARE: f64 = 0.6;
+
 /// Shortest prefill that is used as a measurement; below it, other delays dominate.
 const MIN_MEASURED_PREFILL: Duration = Duration::from_millis(40);
 
@@ -55,6 +59,11 @@
     Duration::from_secs_f64(tokens / PREFILL_RATE + tokens * tokens * TOKEN_PAIR_TIME)
 }
 
+/// Returns how long a request may wait for the prompts before its own if its response is on time within `target`.
+pub fn max_wait(target: Duration) -> Duration {
+    target.mul_f64(MAX_WAIT_SHARE)
+}
+
 impl EngineSchedule {
     /// Returns how long a prompt with the prefill time `time` must wait, and whether it starts a new group.
     fn wait(&self, time: Duration, now: BootInstant) -> (Duration, bool) {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -411,6 +411,7 @@
             slots: upstream.slots,
             in_flight,
             wait: lock(&self.prefill).wait(&upstream.id, tokens, now),
+            too_late: false,
             resident,
             loadable,
             limited: lock(&self.rate_limits).is_limited(&upstream.id, now),
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -169,7 +169,10 @@
     let mut attempts = 0;
     let mut uncertain = false;
     let reason = loop {
-        let (placement, prefill_time) = match request.select_ready_upstream(&excluded).await {
+        let (placement, prefill_time) = match request
+            .select_ready_upstream(&excluded, request.patience(attempts))
+            .await
+        {
             Ok(ready) => ready,
             Err(reason) => break reason,
         };
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     clock::BootInstant,
-    decide::load_balancing::{self, Candidate, Choice},
+    decide::{
+        load_balancing::{self, Candidate, Choice},
+        prefill,
+    },
     edge::{
         codec::RequestHead,
         deployment::Route,
@@ -105,7 +108,11 @@
     ///
     /// # Errors
     /// The reason why no upstream can take the request.
-    async fn select_upstream(&self, excluded: &[UpstreamId]) -> Result<Placement, RefusalReason> {
+    async fn select_upstream(
+        &self,
+        excluded: &[UpstreamId],
+        patience: Duration,
+    ) -> Result<Placement, RefusalReason> {
         let mut excluded = excluded.to_vec();
         let mut loads = 0;
         loop {
@@ -115,7 +122,7 @@
             }
             let serving = self.entry.serving_upstreams(&self.service, &excluded);
             let upstreams = &serving.available;
-            let (chosen, needs_load) = match self.choose(&serving) {
+            let (chosen, needs_load) = match self.choose(&serving, patience) {
                 Choice::Send(i) => (i, false),
                 Choice::SendAndCopy(i, copy) => {
                     if let Some(target) = upstreams.get(copy) {
@@ -124,7 +131,10 @@
                     (i, false)
                 }
                 Choice::Load(i) => (i, true),
-                Choice::Full => return Err(unavailable(RefusalReason::Full, &serving)),
+                Choice::Full => {
+                    let reason = self.full_reason(upstreams, patience);
+                    return Err(unavailable(reason, &serving));
+                }
                 Choice::NoUpstream => {
                     return Err(unavailable(RefusalReason::NoUpstream, &serving));
                 }
@@ -144,7 +154,34 @@
         }
     }
 
-    /// Selects an upstream and waits until it can start on the prompt. Also returns the expected time from sending to
+    /// Returns how long the request may wait for prompts before its own: a first attempt until its response would be
+    /// late, a later one until the deadline, as an upstream has worked on it.
+    pub fn patience(&self, attempts: u32) -> Duration {
+        if attempts > 0 {
+            return self.time_left();
+        }
+        let elapsed = BootInstant::now().since(self.arrived);
+        let patience = prefill::max_wait(self.route.target).saturating_sub(elapsed);
+        patience.min(self.time_left())
+    }
+
+    /// Returns why all of `upstreams` are full: their batches, or the prompts that wait there.
+    fn full_reason(&self, upstreams: &[Arc<Registration>], patience: Duration) -> RefusalReason {
+        let Some(work) = &self.head.work else {
+            return RefusalReason::Full;
+        };
+        let now = BootInstant::now();
+        let prefill = lock(&self.entry.prefill);
+        let waits = upstreams
+            .iter()
+            .map(|u| prefill.wait(&u.id, work.prompt_tokens, now));
+        match waits.min() {
+            Some(wait) if wait > patience => RefusalReason::Backlog(wait),
+            _ => RefusalReason::Full,
+        }
+    }
+
+    /// Selects an upstream and waits until it can start on the prompt, at most for `patience`. Also returns the expected time from sending to
     /// the first chunk of the response.
     ///
     /// # Errors
@@ -152,10 +189,11 @@
     pub async fn select_ready_upstream(
         &self,
         excluded: &[UpstreamId],
+        patience: Duration,
     ) -> Result<(Placement, Duration), RefusalReason> {
         let mut excluded = excluded.to_vec();
         loop {
-            let placement = self.select_upstream(&excluded).await?;
+            let placement = self.select_upstream(&excluded, patience).await?;
             let prefill_time = self.reserve_prefill(&placement.upstream.id).await;
             self.check_quarantine()?;
             // The upstream may have started to leave during the adapter load or the wait for earlier prefills.
@@ -167,10 +205,16 @@
         }
     }
 
-    fn choose(&self, serving: &ServingUpstreams) -> Choice {
+    fn choose(&self, serving: &ServingUpstreams, patience: Duration) -> Choice {
         let work = self.head.work.as_ref();
         let key = self.adapter();
-        let describe = |u| self.entry.candidate(u, work);
+        let describe = |u| {
+            let candidate = self.entry.candidate(u, work);
+            Candidate {
+                too_late: candidate.wait > patience,
+                ..candidate
+            }
+        };
         let available = serving.available.iter();
         let candidates: Vec<Candidate<'_>> = available.map(|u| describe(u)).collect();
         let choice = match key {
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -35,6 +35,8 @@
     Full,
     /// The adapter could not be loaded in time.
     NoAdapter,
+    /// Prompts that arrived earlier keep every suitable engine busy for this long.
+    Backlog(Duration),
     /// Upstreams that could serve it take no more requests for this long.
     Limited(Duration),
     /// The request crashed upstreams; refused for this long.
@@ -62,6 +64,7 @@
             Self::NoUpstream => "no-upstream",
             Self::Full => "full",
             Self::NoAdapter => "no-adapter",
+            Self::Backlog(_) => "backlog",
             Self::Limited(_) => "limited",
             Self::Poison(_) => "poison",
             Self::Refused => "refused",
@@ -82,6 +85,7 @@
             | Self::NoUpstream
             | Self::Full
             | Self::NoAdapter
+            | Self::Backlog(_)
             | Self::Limited(_)
             | Self::Poison(_)
             | Self::Refused
@@ -96,7 +100,7 @@
             Self::Starting => Some(STARTING_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
             Self::Full | Self::NoAdapter | Self::Refused => Some(FULL_RETRY),
-            Self::Limited(left) | Self::Poison(left) => Some(left),
+            Self::Backlog(left) | Self::Limited(left) | Self::Poison(left) => Some(left),
             _ => None,
         }
     }
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -245,8 +245,9 @@
                 warn!(request = &*self.request.head.id; "routing: retry budget exhausted, stream not resumed");
                 return false;
             }
-            let Ok((placement, prefill_time)) = self.request.select_ready_upstream(&[]).await
-            else {
+            let patience = self.request.patience(self.attempts);
+            let selected = self.request.select_ready_upstream(&[], patience).await;
+            let Ok((placement, prefill_time)) = selected else {
                 return false;
             };
             self.attempts += 1;
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -2,7 +2,10 @@
 
 use carobfield::{
     clock::BootInstant,
-    decide::prefill::{PrefillSchedule, prefill_time},
+    decide::{
+        load_balancing::{self, Candidate, Choice},
+        prefill::{PrefillSchedule, max_wait, prefill_time},
+    },
     ident::UpstreamId,
 };
 use std::time::Duration;
@@ -18,17 +21,49 @@
     a_prompt_joins_a_waiting_group,
     an_idle_engine_gets_prompts_at_once,
     a_slow_engine_gets_fewer_at_once,
+    overload_makes_every_response_late,
 }
 
 /// Longest stall of a stream that its callers accept.
 const MAX_STALL: Duration = Duration::from_millis(300);
 
+/// Time in which a response is on time.
+const TARGET: Duration = Duration::from_millis(800);
+
+/// Tokens of a usual prompt.
+const PROMPT_TOKENS: u32 = 826;
+
 fn at(ms: u64) -> BootInstant {
     BootInstant(1_000_000_000_000) + Duration::from_millis(ms)
 }
 
+/// Returns idle engines that hold the adapter, with the wait for a first attempt.
+fn candidates<'a>(
+    engines: &'a [UpstreamId],
+    schedule: &PrefillSchedule,
+    now: BootInstant,
+) -> Vec<Candidate<'a>> {
+    let all = engines.iter().map(|id| {
+        let wait = schedule.wait(id, PROMPT_TOKENS, now);
+        Candidate {
+            id,
+            slots: 1_000,
+            in_flight: 0,
+            wait,
+            too_late: wait > max_wait(TARGET),
+            resident: true,
+            loadable: true,
+            limited: false,
+        }
+    });
+    all.collect()
+}
+
 mod case {
-    use super::{BootInstant, Duration, MAX_STALL, PrefillSchedule, UpstreamId, at, prefill_time};
+    use super::{
+        BootInstant, Choice, Duration, MAX_STALL, PROMPT_TOKENS, PrefillSchedule, TARGET,
+        UpstreamId, at, candidates, load_balancing, prefill_time,
+    };
 
     /// Prompts that arrived at one engine within 200 ms, in (ms, tokens), recorded on a day without faults. When they were
     /// all sent on arrival, every stream there stalled for 503 ms.
@@ -97,4 +132,33 @@
         schedule.reserve(&engine, 4_000, at(60_000));
         assert!(schedule.wait(&engine, 4_000, at(60_001)) > Duration::from_millis(100));
     }
+
+    /// Twice as many prompts as the engines prefill, as when most engines limit their requests. When all of them waited,
+    /// each caller gave up, and prompts that nobody waited for any more delayed the rest.
+    pub(super) fn overload_makes_every_response_late() {
+        let engines: Vec<UpstreamId> = (0..4).map(|n| format!("engine-{n}").into()).collect();
+        let mut schedule = PrefillSchedule::default();
+        let time = prefill_time(PROMPT_TOKENS);
+        let interval = time.div_f64(2.0 * engines.len() as f64);
+        let (mut on_time, mut late, mut refused) = (0, 0, 0);
+        let mut now = at(0);
+        while now < at(20_000) {
+            now = now + interval;
+            let candidates = candidates(&engines, &schedule, now);
+            let chosen = load_balancing::choose_for_adapter("a1", &candidates);
+            let Choice::Send(i) = chosen else {
+                refused += 1;
+                continue;
+            };
+            let (wait, prefill) = schedule.reserve(&engines[i], PROMPT_TOKENS, now);
+            if wait + prefill <= TARGET {
+                on_time += 1;
+            } else {
+                late += 1;
+            }
+        }
+        let all = on_time + late + refused;
+        assert_eq!(late, 0, "of {all}");
+        assert!(on_time * 5 >= all * 2, "{on_time} of {all}");
+    }
 }
