--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -36,8 +36,8 @@
     pub in_flight: u32,
     /// Time for which the request would be delayed so that running streams do not stall.
     pub wait: Duration,
-    /// Whether that is longer than the request can wait.
-    pub too_late: bool,
+    /// Longest such delay that the request accepts.
+    pub max_wait: Duration,
     /// Whether it holds the model or adapter that the request needs.
     pub resident: bool,
     /// Whether an adapter can be loaded on it now.
@@ -48,7 +48,7 @@
 
 impl Candidate<'_> {
     fn has_room(&self) -> bool {
-        self.in_flight < self.slots && !self.too_late
+        self.in_flight < self.slots && self.wait <= self.max_wait
     }
 
     /// Returns the cost, lower is better: its utilisation plus the delay of the request.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -384,11 +384,12 @@
         now.is_some_and(|r| r.is_serving() && r.is_same_process(upstream))
     }
 
-    /// Describes `upstream` as a candidate for a request with `work`.
+    /// Describes `upstream` as a candidate for a request with `work` that waits at most `max_wait` for earlier prompts.
     pub fn candidate<'a>(
         &self,
         upstream: &'a Registration,
         work: Option<&InferenceWork>,
+        max_wait: Duration,
     ) -> Candidate<'a> {
         let key = work.and_then(|w| w.adapter.as_ref());
         let model = work.map(|w| &*w.model);
@@ -411,7 +412,7 @@
             slots: upstream.slots,
             in_flight,
             wait: lock(&self.prefill).wait(&upstream.id, tokens, now),
-            too_late: false,
+            max_wait,
             resident,
             loadable,
             limited: lock(&self.rate_limits).is_limited(&upstream.id, now),
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -208,13 +208,7 @@
     fn choose(&self, serving: &ServingUpstreams, patience: Duration) -> Choice {
         let work = self.head.work.as_ref();
         let key = self.adapter();
-        let describe = |u| {
-            let candidate = self.entry.candidate(u, work);
-            Candidate {
-                too_late: candidate.wait > patience,
-                ..candidate
-            }
-        };
+        let describe = |u| self.entry.candidate(u, work, patience);
         let available = serving.available.iter();
         let candidates: Vec<Candidate<'_>> = available.map(|u| describe(u)).collect();
         let choice = match key {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -108,7 +108,7 @@
         resident: false,
         loadable: true,
         limited: false,
-        too_late: false,
+        max_wait: Duration::MAX,
     });
     all.collect()
 }
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -43,18 +43,15 @@
     schedule: &PrefillSchedule,
     now: BootInstant,
 ) -> Vec<Candidate<'a>> {
-    let all = engines.iter().map(|id| {
-        let wait = schedule.wait(id, PROMPT_TOKENS, now);
-        Candidate {
-            id,
-            slots: 1_000,
-            in_flight: 0,
-            wait,
-            too_late: wait > max_wait(TARGET),
-            resident: true,
-            loadable: true,
-            limited: false,
-        }
+    let all = engines.iter().map(|id| Candidate {
+        id,
+        slots: 1_000,
+        in_flight: 0,
+        wait: schedule.wait(id, PROMPT_TOKENS, now),
+        max_wait: max_wait(TARGET),
+        resident: true,
+        loadable: true,
+        limited: false,
     });
     all.collect()
 }
