--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -154,8 +154,8 @@
         }
     }
 
-    /// Returns how long the request may wait for prompts before its own: a first attempt until its response would be
-    /// late, a later one until the deadline, as an upstream has worked on it.
+    /// Returns how long the request may wait for prompts before its own: a first attempt as long as its response can be
+    /// on time, a later one until the deadline, as it has cost an attempt already.
     pub fn patience(&self, attempts: u32) -> Duration {
         if attempts > 0 {
             return self.time_left();
