fix: bound the wait of requests that an upstream refused, too

Cause: the bound on waiting for earlier prompts held for the first attempt only. A request that an engine refused without running it waited until its deadline for the next one, the same fault by another way of sending; busy engines refuse most. Change: the bound holds until an upstream may have run the request; resumed streams and attempts after a possible run wait until the deadline as before. One name for the bound (max_wait) instead of two.

--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -167,10 +167,10 @@
     lock(&request.entry.retry_budget).record_request(&request.service, BootInstant::now());
     let mut excluded: Vec<UpstreamId> = Vec::new();
     let mut attempts = 0;
-    let mut uncertain = false;
+    let mut may_have_run = false;
     let reason = loop {
         let (placement, prefill_time) = match request
-            .select_ready_upstream(&excluded, request.patience(attempts))
+            .select_ready_upstream(&excluded, request.max_wait(may_have_run))
             .await
         {
             Ok(ready) => ready,
@@ -196,14 +196,14 @@
             AttemptOutcome::NotRun if attempts < request.route.attempts + MAX_EXTRA_ATTEMPTS => {}
             AttemptOutcome::NotRun => break RefusalReason::Refused,
             AttemptOutcome::Uncertain(check) => {
-                uncertain = true;
+                may_have_run = true;
                 if !request.route.kind.is_repeatable() || attempts >= request.route.attempts {
                     break RefusalReason::ResponseLost;
                 }
                 request.finish_check(check).await;
             }
             AttemptOutcome::Timeout => {
-                uncertain = true;
+                may_have_run = true;
                 break RefusalReason::Timeout;
             }
         }
@@ -212,16 +212,16 @@
     refuse(
         &request.head.id,
         request.route.kind.as_str(),
-        final_reason(reason, uncertain, request.time_left()),
+        final_reason(reason, may_have_run, request.time_left()),
     )
 }
 
 /// Returns the reason given to the caller. A refusal promises that the request was not run, so after an attempt that
 /// may have run it becomes a timeout or a lost response.
-fn final_reason(reason: RefusalReason, uncertain: bool, left: Duration) -> RefusalReason {
+fn final_reason(reason: RefusalReason, may_have_run: bool, left: Duration) -> RefusalReason {
     match reason {
         RefusalReason::Timeout | RefusalReason::ResponseLost => reason,
-        _ if !uncertain => reason,
+        _ if !may_have_run => reason,
         _ if left.is_zero() => RefusalReason::Timeout,
         _ => RefusalReason::ResponseLost,
     }
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -111,7 +111,7 @@
     async fn select_upstream(
         &self,
         excluded: &[UpstreamId],
-        patience: Duration,
+        max_wait: Duration,
     ) -> Result<Placement, RefusalReason> {
         let mut excluded = excluded.to_vec();
         let mut loads = 0;
@@ -122,7 +122,7 @@
             }
             let serving = self.entry.serving_upstreams(&self.service, &excluded);
             let upstreams = &serving.available;
-            let (chosen, needs_load) = match self.choose(&serving, patience) {
+            let (chosen, needs_load) = match self.choose(&serving, max_wait) {
                 Choice::Send(i) => (i, false),
                 Choice::SendAndCopy(i, copy) => {
                     if let Some(target) = upstreams.get(copy) {
@@ -132,7 +132,7 @@
                 }
                 Choice::Load(i) => (i, true),
                 Choice::Full => {
-                    let reason = self.full_reason(upstreams, patience);
+                    let reason = self.full_reason(upstreams, max_wait);
                     return Err(unavailable(reason, &serving));
                 }
                 Choice::NoUpstream => {
@@ -154,19 +154,19 @@
         }
     }
 
-    /// Returns how long the request may wait for prompts before its own: a first attempt as long as its response can be
-    /// on time, a later one until the deadline, as it has cost an attempt already.
-    pub fn patience(&self, attempts: u32) -> Duration {
-        if attempts > 0 {
+    /// Returns how long the request may wait for the prompts before its own: as long as its response can be on time, or
+    /// until the deadline if an upstream may have run it.
+    pub fn max_wait(&self, may_have_run: bool) -> Duration {
+        if may_have_run {
             return self.time_left();
         }
         let elapsed = BootInstant::now().since(self.arrived);
-        let patience = prefill::max_wait(self.route.target).saturating_sub(elapsed);
-        patience.min(self.time_left())
+        let max_wait = prefill::max_wait(self.route.target).saturating_sub(elapsed);
+        max_wait.min(self.time_left())
     }
 
     /// Returns why all of `upstreams` are full: their batches, or the prompts that wait there.
-    fn full_reason(&self, upstreams: &[Arc<Registration>], patience: Duration) -> RefusalReason {
+    fn full_reason(&self, upstreams: &[Arc<Registration>], max_wait: Duration) -> RefusalReason {
         let Some(work) = &self.head.work else {
             return RefusalReason::Full;
         };
@@ -176,24 +176,24 @@
             .iter()
             .map(|u| prefill.wait(&u.id, work.prompt_tokens, now));
         match waits.min() {
-            Some(wait) if wait > patience => RefusalReason::Backlog(wait),
+            Some(wait) if wait > max_wait => RefusalReason::Backlog(wait),
             _ => RefusalReason::Full,
         }
     }
 
-    /// Selects an upstream and waits until it can start on the prompt, at most for `patience`. Also returns the expected time from sending to
-    /// the first chunk of the response.
+    /// Selects an upstream where the prompts before the request's own take at most `max_wait`, and waits for them. Also
+    /// returns the expected time from sending to the first chunk of the response.
     ///
     /// # Errors
     /// The reason why no upstream can take the request.
     pub async fn select_ready_upstream(
         &self,
         excluded: &[UpstreamId],
-        patience: Duration,
+        max_wait: Duration,
     ) -> Result<(Placement, Duration), RefusalReason> {
         let mut excluded = excluded.to_vec();
         loop {
-            let placement = self.select_upstream(&excluded, patience).await?;
+            let placement = self.select_upstream(&excluded, max_wait).await?;
             let prefill_time = self.reserve_prefill(&placement.upstream.id).await;
             self.check_quarantine()?;
             // The upstream may have started to leave during the adapter load or the wait for earlier prefills.
@@ -205,10 +205,10 @@
         }
     }
 
-    fn choose(&self, serving: &ServingUpstreams, patience: Duration) -> Choice {
+    fn choose(&self, serving: &ServingUpstreams, max_wait: Duration) -> Choice {
         let work = self.head.work.as_ref();
         let key = self.adapter();
-        let describe = |u| self.entry.candidate(u, work, patience);
+        let describe = |u| self.entry.candidate(u, work, max_wait);
         let available = serving.available.iter();
         let candidates: Vec<Candidate<'_>> = available.map(|u| describe(u)).collect();
         let choice = match key {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -245,8 +245,8 @@
                 warn!(request = &*self.request.head.id; "routing: retry budget exhausted, stream not resumed");
                 return false;
             }
-            let patience = self.request.patience(self.attempts);
-            let selected = self.request.select_ready_upstream(&[], patience).await;
+            let max_wait = self.request.max_wait(true);
+            let selected = self.request.select_ready_upstream(&[], max_wait).await;
             let Ok((placement, prefill_time)) = selected else {
                 return false;
             };
