fix: forward a failed response instead of a refusal that says not run

Cause: a server error on a route that may be retried was dropped before the retry had an upstream. If none took it (all full, limited, gone), the caller got 503, which promises that the request was not run, though it had run and failed. Older than the limits, but they leave a retry without an upstream far more often. Change: the failed response is kept until another one replaces it, and is forwarded if no retry follows; after the deadline it is a timeout, never a refusal.

--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -168,6 +168,8 @@
     let mut excluded: Vec<UpstreamId> = Vec::new();
     let mut attempts = 0;
     let mut may_have_run = false;
+    // Response of a failed run, for the caller if no other attempt follows it.
+    let mut failed = None;
     let reason = loop {
         let (placement, prefill_time) = match request
             .select_ready_upstream(&excluded, request.max_wait(may_have_run))
@@ -192,6 +194,8 @@
                     return relay::relay(request, *received, attempts);
                 }
                 info!(request = &*request.head.id, status = received.response.status().as_u16(); "routing: retrying a failed request at another upstream");
+                may_have_run = true;
+                failed = Some(received);
             }
             AttemptOutcome::NotRun if attempts < request.route.attempts + MAX_EXTRA_ATTEMPTS => {}
             AttemptOutcome::NotRun => break RefusalReason::Refused,
@@ -209,6 +213,10 @@
         }
         excluded.push(Arc::clone(&placement.upstream.id));
     };
+    if let Some(received) = failed.filter(|_| !request.time_left().is_zero()) {
+        info!(request = &*request.head.id, reason = reason.as_str(); "routing: no retry, the failed response is forwarded");
+        return relay::relay(request, *received, attempts);
+    }
     refuse(
         &request.head.id,
         request.route.kind.as_str(),
