fix: treat a limit that expired and is named again as a new one

Cause: an expired limit was kept with its value, so that the next response that named the same one changed nothing: no log line, and peers told only with the next periodic update. Expired limits were never dropped but with their upstream, nor was what had been sent of them on each stream to a peer. Change: an observation drops what has expired by its time; a stream forgets limits that are gone. Evidence: an_expired_limit_is_news_when_it_is_named_again failed before and passes.

--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -110,6 +110,9 @@
         seen: BootInstant,
     ) -> LimitChange {
         self.unparsable.remove(id);
+        // Drops what has expired, so that a limit that is named again is a new one.
+        self.upstreams
+            .retain(|_, upstream| seen.since(upstream.limit.seen) < LIMIT_TTL);
         let limit = ObservedLimit { per_second, seen };
         let Some(known) = self.upstreams.get_mut(id) else {
             if per_second.is_none() {
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -217,7 +217,10 @@
     /// Returns limits that changed, or that were observed again long enough after the last time they were sent.
     fn limit_changes(&mut self) -> Vec<LimitUpdate> {
         let mut changes = Vec::new();
-        for (seen, update) in self.entry.limit_updates() {
+        let observed = self.entry.limit_updates();
+        self.limits
+            .retain(|id, _| observed.iter().any(|(_, update)| update.upstream == *id));
+        for (seen, update) in observed {
             let sent = self.limits.get(&update.upstream);
             let is_known = sent.is_some_and(|(per_second, sent_seen)| {
                 *per_second == update.per_second && seen < *sent_seen + LIMIT_REFRESH
