style: one name for each thing in what limits added

A newcomer met limited as a flag, a count and a number of requests, sends beside it, a default for a pair, the pages' words for an overloaded upstream, and a test comment that needs a postmortem. Names and comments only; the wire between entries goes by place and is the same.

--- a/src/decide/load_balancing.rs
+++ b/src/decide/load_balancing.rs
@@ -5,7 +5,7 @@
 //! | popularity is skewed and an engine holds few adapters | rendezvous hashing ranks the engines for each adapter, so that it stays on the engine that holds or held it |
 //! | a hot adapter needs more than one engine | engines are filled up to a bound above the mean number of requests in flight; beyond it, the adapter is also loaded on the next engine in its ranking while the present ones keep serving |
 //! | a burst of prompts arrives at one engine | they are delayed briefly, or sent to the next engine in the ranking |
-//! | an engine in need limits its requests | it serves the adapters that it holds up to its limit, and gets no others; its few requests don't count towards the mean |
+//! | an overloaded engine limits its requests | it serves the adapters that it holds up to its limit, and gets no others; its few requests don't count towards the mean |
 //! | more prompts arrive than the engines prefill, as when some of them leave or limit their requests | a request that would wait too long is refused at once; otherwise all would wait until their callers give up, and prompts that nobody waits for any more would delay the rest |
 //! | all engines are busy | the request goes to the least busy engine that holds the adapter and has room; otherwise it is refused |
 
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -1,11 +1,11 @@
-//! Rate limits that upstreams in need name in their responses, kept by all entries together.
+//! Rate limits that overloaded upstreams name in their responses, kept by all entries together.
 //!
 //! | load pattern | response |
 //! |---|---|
-//! | an upstream in need takes fewer requests than the entries send it | one leaky bucket per upstream, which counts the requests of all entries; what it does not take goes to the other upstreams |
+//! | an overloaded upstream takes fewer requests than the entries send it | one leaky bucket per upstream, which counts the requests of all entries; what it does not take goes to the other upstreams |
 //! | several entries send at the same moment, before they know of each other | each request counts when it becomes known, so that an excess delays the next ones |
 //! | all upstreams of a service are limited | the request is refused at once with the time until one takes the next |
-//! | the need ends | a response that names no limit lifts it; without any response it expires |
+//! | the overload ends | a response that names no limit lifts it; without any response it expires |
 
 use crate::{clock::BootInstant, ident::UpstreamId};
 use std::{
@@ -16,7 +16,8 @@
 /// Time after which a limit expires that no response has named again.
 const LIMIT_TTL: Duration = Duration::from_secs(10);
 
-/// Lowest rate that is kept, in requests a second: below it, responses would be too rare to show the end of the need.
+/// Lowest rate that is kept, in requests a second: below it, responses would be too rare to show the end of the
+/// overload.
 const MIN_RATE: f64 = 0.25;
 
 /// Time whose requests may be sent at once after a pause.
@@ -39,7 +40,7 @@
 /// Limit of one upstream, as last observed by any entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ObservedLimit {
-    /// Requests a second from all entries together; `None` if the upstream stopped to name a limit.
+    /// Requests a second from all entries together; `None` if the upstream no longer names a limit.
     pub per_second: Option<f64>,
     /// When a response last said so.
     pub seen: BootInstant,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -51,7 +51,7 @@
     /// Those that take a request now.
     pub available: Vec<Arc<Registration>>,
     /// Number of those that have named a limit which is used up.
-    pub limited: usize,
+    pub limited_count: usize,
     /// Time until the first of these takes another request.
     pub limited_for: Option<Duration>,
 }
@@ -372,7 +372,7 @@
         }
         ServingUpstreams {
             available,
-            limited: limited.len(),
+            limited_count: limited.len(),
             limited_for: limited.iter().map(|r| limits.wait(&r.id, now)).min(),
         }
     }
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -38,13 +38,13 @@
             self.apply_limit(&limit.upstream, limit.per_second, age, &update.info.name);
         }
         let now = BootInstant::now();
-        for (upstream, requests) in &update.sends {
+        for (upstream, requests) in &update.limited_sends {
             lock(&self.rate_limits).record_sends(upstream, *requests, now);
             lock(&self.send_log).add(SendRecord {
                 source: Some(Arc::clone(&update.info.name)),
                 upstream: Arc::clone(upstream),
                 prompt_tokens: 0,
-                limited: *requests,
+                limited_sends: *requests,
             });
         }
     }
@@ -93,7 +93,7 @@
             source: None,
             upstream: Arc::clone(upstream),
             prompt_tokens: 0,
-            limited: 1,
+            limited_sends: 1,
         });
         self.notify_peers();
         true
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -76,7 +76,7 @@
     /// Limits that upstreams have named or lifted.
     pub limits: Vec<LimitUpdate>,
     /// Requests to upstreams with a limit since the last update, of the sender and the entries that it passes on.
-    pub sends: Vec<(UpstreamId, u32)>,
+    pub limited_sends: Vec<(UpstreamId, u32)>,
 }
 
 /// Observation of an upstream's limit.
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -231,7 +231,7 @@
         apply_update(entry, &update);
         let (control, strikes) = match update.sequence {
             0 => (entry.control_links(), entry.quarantine.known()),
-            _ => Default::default(),
+            _ => (Vec::new(), Vec::new()),
         };
         let ack = PeerAck {
             sequence: update.sequence,
@@ -260,7 +260,7 @@
             source: Some(Arc::clone(&info.name)),
             upstream: Arc::clone(upstream),
             prompt_tokens: *tokens,
-            limited: 0,
+            limited_sends: 0,
         });
     }
     entry.apply_peer_limits(update);
@@ -282,7 +282,7 @@
         tokio::spawn(fetch_deployment(Arc::clone(entry), info.link));
     }
     let has_changes = !update.prompts.is_empty()
-        || !update.sends.is_empty()
+        || !update.limited_sends.is_empty()
         || !update.held.is_empty()
         || !update.others.is_empty();
     if is_relay && has_changes {
--- a/src/entry/send_log.rs
+++ b/src/entry/send_log.rs
@@ -17,7 +17,7 @@
     /// Number of prompt tokens for which prefill time is reserved.
     pub prompt_tokens: u32,
     /// Number of requests that count towards the upstream's limit.
-    pub limited: u32,
+    pub limited_sends: u32,
 }
 
 /// Log of requests, in the order in which they became known.
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -106,7 +106,7 @@
             receiver: receiver.map(|p| Arc::clone(&p.info.name)),
             relays_for_receiver: receiver.is_some_and(|p| p.is_relayed),
         };
-        let (prompts, sends) = self.new_sends(&peers, &scope);
+        let (prompts, limited_sends) = self.new_sends(&peers, &scope);
         PeerUpdate {
             sequence,
             info: entry.peer_info(),
@@ -120,7 +120,7 @@
             versions: self.new_versions(),
             strikes: self.strikes.take(&entry.quarantine),
             limits: self.limit_changes(),
-            sends,
+            limited_sends,
         }
     }
 
@@ -207,7 +207,7 @@
             let is_included = source.is_none_or(|peer| peer.is_some_and(|p| scope.includes(p)));
             if is_included {
                 *prompts.entry(&record.upstream).or_default() += record.prompt_tokens;
-                *sends.entry(&record.upstream).or_default() += record.limited;
+                *sends.entry(&record.upstream).or_default() += record.limited_sends;
             }
         }
         self.next_send = log.next();
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -215,7 +215,7 @@
             Some(key) => load_balancing::choose_for_adapter(&key.to_string(), &candidates),
             None => load_balancing::choose_least_loaded(&self.head.id, &candidates),
         };
-        self.log_choice(choice, &candidates, serving.limited);
+        self.log_choice(choice, &candidates, serving.limited_count);
         choice
     }
 
@@ -242,7 +242,7 @@
             source: None,
             upstream: Arc::clone(upstream),
             prompt_tokens: work.prompt_tokens,
-            limited: 0,
+            limited_sends: 0,
         });
         self.entry.notify_peers();
         if !wait.is_zero() {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Requests that are suspected of crashing upstreams, shared by all processes: each sends its new strikes to the others.
+//! Requests that are suspected of crashing upstreams, shared by all processes: each sends its new strikes to the
+//! others.
 
 use crate::{
     clock,
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -58,7 +58,7 @@
         versions: Vec::new(),
         strikes: Vec::new(),
         limits: Vec::new(),
-        sends: Vec::new(),
+        limited_sends: Vec::new(),
     }
 }
 
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -192,7 +192,7 @@
         assert_eq!(sent, 3, "one in four seconds");
     }
 
-    /// Entries send at the same moment before they know of each other: the load pattern of incident second1.
+    /// Entries send at the same moment, before they know of each other's requests.
     pub(super) fn entries_that_know_of_each_other_late_keep_the_limit() {
         for seed in 0..60 {
             let mut rng = SmallRng::seed_from_u64(seed);
