fix: let the stand-in engine finish an adapter's runs before it evicts it

Run again beside six busy loops, the same tests failed 3 of 6 times; the one response that was not served had status 200 and broke off after its first event. Cause: the stand-in aborted the runs of an adapter that it was ordered to evict. The users' pages say that an unload and a replacement wait for the adapter's runs, that an unload of an idle adapter is done at once (200), and that requests concerned get 503, not run, until the order is complete. A holder learns of requests at other entries some 100 ms late, so it can order an eviction just before it knows of a run, and leaves the last word to the engine. No fault of the entries.

--- a/standin/src/engine_state.rs
+++ b/standin/src/engine_state.rs
@@ -265,6 +265,16 @@
         Some(in_flight)
     }
 
+    /// Evicts an adapter unless it is in use; returns false if it is.
+    pub fn evict_idle(&self, model: &str) -> bool {
+        let mut inner = lock(&self.inner);
+        if inner.in_flight.get(model).is_some_and(|runs| *runs > 0) {
+            return false;
+        }
+        inner.adapters.remove(model);
+        true
+    }
+
     /// Registers a request, provided that its adapter is loaded.
     ///
     /// # Errors
