fix: entries that all restart at once keep refusing poison requests

What callers would see: after a kill or a loss of power of all entries, a request that had crashed two upstreams crashes two more, and with them ends what else runs there. Cause: the quarantine lived in the entries' memory only and passed from entry to entry; with the last of them it was gone. Change: the member record of each entry lists the requests that it refuses (at most 256, under 100 KB). An entry takes over what its own earlier process and any other entry recorded; the strikes keep their times and expire as before.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -26,6 +26,7 @@
     ident::{Revision, UpstreamId},
     link::Link,
     path::pool::Pool,
+    poison::RefusedRequest,
     quarantine::Quarantine,
     wire::Strike,
 };
@@ -233,6 +234,12 @@
         }
     }
 
+    /// Records the strikes of requests that an entry had refused when it last wrote its record in the store.
+    pub fn restore_refused(&self, refused: &[RefusedRequest]) {
+        let strikes = refused.iter().flat_map(RefusedRequest::strikes);
+        strikes.for_each(|strike| self.record_strike(&strike));
+    }
+
     /// Records that the process of `upstream` ended while it ran a request.
     pub fn record_crash(&self, fingerprint: u64, upstream: &Registration) {
         let (id, born) = (Arc::clone(&upstream.id), upstream.born.unwrap_or_default());
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -191,6 +191,9 @@
             Some((Arc::<str>::from(object.name.as_str()), record))
         });
         self.members = records.collect();
+        for record in self.members.values() {
+            self.entry.restore_refused(&record.refused);
+        }
         let renewals = self.members.iter().map(|(name, record)| {
             let renewal = Renewal {
                 incarnation: record.incarnation,
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -1,4 +1,5 @@
-//! Renews this entry's member record in the store, which is its lease on the engines that it holds.
+//! Renews this entry's member record in the store, which is its lease on the engines that it holds and keeps what the
+//! next process of the VM needs to know.
 
 use crate::{
     clock::BootInstant,
@@ -43,6 +44,7 @@
             link: entry.config.link,
             stopped: false,
             late: Vec::new(),
+            refused: Vec::new(),
         },
         entry,
         store,
@@ -72,6 +74,7 @@
     async fn renew(&mut self) {
         self.record.counter += 1;
         self.record.late = self.entry.late_orders();
+        self.record.refused = self.entry.quarantine.refused();
         let sent = BootInstant::now();
         let written = self.write().await;
         match &written {
@@ -90,7 +93,7 @@
             Some(revision) => revision,
             None => match self.store.get(ObjectKind::Members, name).await {
                 Ok(object) => {
-                    self.inherit_late_orders(&object);
+                    self.inherit(&object);
                     object.revision
                 }
                 Err(StoreError::NotFound) => {
@@ -106,8 +109,8 @@
             .await
     }
 
-    /// Takes over the orders that got no response in an earlier process of this VM.
-    fn inherit_late_orders(&mut self, object: &Object) {
+    /// Takes over the orders that got no response in an earlier process of this VM, and the requests that it refused.
+    fn inherit(&mut self, object: &Object) {
         let Ok(earlier) = MemberRecord::deserialize(&object.content) else {
             warn!("the member record of an earlier process can't be parsed");
             return;
@@ -115,6 +118,8 @@
         if earlier.incarnation != self.entry.incarnation {
             lock(&self.entry.late_orders).inherit(&earlier.late, BootInstant::now());
             self.record.late = self.entry.late_orders();
+            self.entry.restore_refused(&earlier.refused);
+            self.record.refused = self.entry.quarantine.refused();
         }
     }
 
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -5,6 +5,7 @@
     wire::{Strike, StrikeEvent},
 };
 use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
@@ -20,6 +21,9 @@
 /// Requests tracked at once.
 const MAX_SUSPECTS: usize = 16_384;
 
+/// Refused requests in one record in the store, to keep the record well below the size of a value there.
+const MAX_STORED: usize = 256;
+
 /// Returns the hash of what stays the same when a caller repeats a request, such as its path and body.
 pub fn fingerprint(parts: &[&[u8]]) -> u64 {
     rapidhash_v3(&parts.join(&0))
@@ -36,6 +40,36 @@
     Refuse,
 }
 
+/// Refused request as kept in the store, for processes that start when no other knows of it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RefusedRequest {
+    /// Fingerprint as a hexadecimal number, as not every reader of JSON keeps 64 bits.
+    pub fingerprint: String,
+    /// Upstreams that it crashed, with the start times of their processes.
+    pub lost: Vec<(UpstreamId, u64)>,
+    /// Time of the last strike, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+impl RefusedRequest {
+    /// Returns the strikes that led to the refusal; none if the fingerprint can't be parsed.
+    pub fn strikes(&self) -> Vec<Strike> {
+        let Ok(fingerprint) = u64::from_str_radix(&self.fingerprint, 16) else {
+            return Vec::new();
+        };
+        let lost = self.lost.iter();
+        let strike = |(upstream, boot): &(UpstreamId, u64)| Strike {
+            fingerprint,
+            event: StrikeEvent::Lost {
+                upstream: Arc::clone(upstream),
+                boot: *boot,
+            },
+            at_ms: self.at_ms,
+        };
+        lost.map(strike).collect()
+    }
+}
+
 /// Upstreams that one request crashed, and when strikes were last recorded or cleared.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
@@ -106,6 +140,22 @@
         Some(Duration::from_millis(expires_ms.saturating_sub(now_ms)))
     }
 
+    /// Returns the requests that are refused at `now_ms`, the latest ones if there are many.
+    pub fn refused(&self, now_ms: u64) -> Vec<RefusedRequest> {
+        let suspects = self.table.iter();
+        let refused = suspects.filter(|(f, _)| self.verdict(**f, now_ms) == Verdict::Refuse);
+        let mut refused: Vec<RefusedRequest> = refused
+            .map(|(fingerprint, suspect)| RefusedRequest {
+                fingerprint: format!("{fingerprint:016x}"),
+                lost: suspect.lost.iter().cloned().collect(),
+                at_ms: suspect.last_ms,
+            })
+            .collect();
+        refused.sort_unstable_by_key(|r| std::cmp::Reverse(r.at_ms));
+        refused.truncate(MAX_STORED);
+        refused
+    }
+
     /// Returns every known strike, for a process that has just connected.
     pub fn all(&self) -> Vec<Strike> {
         let strikes = self.table.iter().flat_map(|(fingerprint, suspect)| {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -5,7 +5,7 @@
     clock,
     holding::lock,
     ident::UpstreamId,
-    poison::{Suspects, Verdict},
+    poison::{RefusedRequest, Suspects, Verdict},
     wire::{Strike, StrikeEvent},
 };
 use log::info;
@@ -74,6 +74,11 @@
         })
     }
 
+    /// Returns the requests that are refused now, for a record in the store.
+    pub fn refused(&self) -> Vec<RefusedRequest> {
+        lock(&self.suspects).refused(clock::unix_ms())
+    }
+
     /// Returns all known strikes.
     pub fn known(&self) -> Vec<Strike> {
         lock(&self.suspects).all()
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -454,6 +454,7 @@
             link: SocketAddr::from(([10, 0, 0, 1], 80)),
             stopped: false,
             late: vec![order.clone()],
+            refused: Vec::new(),
         };
         let written = serde_json::to_string(&record).expect("a record");
         let read: MemberRecord = serde_json::from_str(&written).expect("the record");
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -6,7 +6,7 @@
     clock::BootInstant,
     ident::{ModelRef, RequestId, UpstreamId},
     permits::{Allowance, PendingPermit, PermitQueue},
-    poison::{Suspects, Verdict},
+    poison::{RefusedRequest, Suspects, Verdict},
     quarantine::Quarantine,
     queue::{QueuedRequest, RequestQueue},
     retry_budget::RetryBudget,
@@ -208,6 +208,37 @@
     assert_eq!(suspects.refused_for(8, 31_000), None, "another request");
 }
 
+/// What a record in the store has of a refused request leads to the same refusal, and there is room for it.
+#[test]
+fn refusals_survive_in_a_record() {
+    let mut suspects = Suspects::default();
+    for n in 0..10_000 {
+        for upstream in ["a", "b"] {
+            suspects.record(&Strike {
+                fingerprint: u64::MAX - n,
+                ..lost(upstream, 1, 1_000 + n)
+            });
+        }
+    }
+    suspects.record(&lost("a", 1, 20_000));
+    let stored = suspects.refused(20_000);
+    let json = serde_json::to_string(&stored).expect("a record");
+    assert!(json.len() < 100_000, "{}", json.len());
+    let read: Vec<RefusedRequest> = serde_json::from_str(&json).expect("the record");
+    let mut restored = Suspects::default();
+    for strike in read.iter().flat_map(RefusedRequest::strikes) {
+        restored.record(&strike);
+    }
+    let latest = u64::MAX - 9_999;
+    assert_eq!(restored.verdict(latest, 20_000), Verdict::Refuse);
+    assert_eq!(
+        restored.refused_for(latest, 20_000),
+        suspects.refused_for(latest, 20_000)
+    );
+    assert_eq!(restored.verdict(7, 20_000), Verdict::Allow, "one crash");
+    assert!(suspects.refused(700_000).is_empty(), "expired");
+}
+
 #[test]
 fn a_feed_has_all_strikes_first_and_again_after_a_lag() {
     let quarantine = Quarantine::default();
