fix: order a poison request's strikes after those already known

What callers would see: on a VM whose clock is seconds behind, a request that crashed an upstream for another reason stays under suspicion although it completed since, and two crashes right after a completion are not counted, so that a third upstream is lost. Cause: strikes and completions are ordered by the observing VM's time of day. Clocks of VMs differ, and jump (clock_step); an event of a slow clock looked older than what it follows, and every process ignored it. Change: a process gives an event that it observes a time after all that it knows of the request. Gateway, dispatcher and entries share it, as they do the quarantine. Evidence: a_slow_clock_hides_strikes_and_completions failed with the time of day alone and passes.

--- a/src/poison.rs
+++ b/src/poison.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Returns the time of an event that is observed at `now_ms`: later than those already known, whose times come from
+    /// other VMs' clocks.
+    pub fn event_time(&self, fingerprint: u64, now_ms: u64) -> u64 {
+        let Some(suspect) = self.table.get(&fingerprint) else {
+            return now_ms;
+        };
+        now_ms.max(suspect.last_ms.max(suspect.cleared_ms) + 1)
+    }
+
     /// Returns how the request may be run at `now_ms`.
     pub fn verdict(&self, fingerprint: u64, now_ms: u64) -> Verdict {
         let Some(suspect) = self.table.get(&fingerprint) else {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -55,11 +55,7 @@
 
     /// Records that the process of `upstream` that started at `boot` ended while it ran the request.
     pub fn record_lost(&self, fingerprint: u64, upstream: UpstreamId, boot: u64) -> bool {
-        self.record(&Strike {
-            fingerprint,
-            event: StrikeEvent::Lost { upstream, boot },
-            at_ms: clock::unix_ms(),
-        })
+        self.observe(fingerprint, StrikeEvent::Lost { upstream, boot })
     }
 
     /// Clears the strikes of a request that has completed; returns whether it had any.
@@ -67,10 +63,16 @@
         if self.verdict(fingerprint) == Verdict::Allow {
             return false;
         }
+        self.observe(fingerprint, StrikeEvent::Cleared)
+    }
+
+    /// Records an event that this process observes now.
+    fn observe(&self, fingerprint: u64, event: StrikeEvent) -> bool {
+        let at_ms = lock(&self.suspects).event_time(fingerprint, clock::unix_ms());
         self.record(&Strike {
             fingerprint,
-            event: StrikeEvent::Cleared,
-            at_ms: clock::unix_ms(),
+            event,
+            at_ms,
         })
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -208,6 +208,26 @@
     assert_eq!(suspects.refused_for(8, 31_000), None, "another request");
 }
 
+/// VMs' clocks differ by seconds: what a process observes counts after all that it knows already.
+#[test]
+fn a_slow_clock_hides_strikes_and_completions() {
+    let mut suspects = Suspects::default();
+    suspects.record(&lost("a", 1, 20_000));
+    let cleared = Strike {
+        event: StrikeEvent::Cleared,
+        ..lost("a", 1, suspects.event_time(7, 15_000))
+    };
+    assert!(suspects.record(&cleared), "it completed after its crash");
+    assert_eq!(suspects.verdict(7, 15_000), Verdict::Allow);
+    for upstream in ["b", "c"] {
+        let at_ms = suspects.event_time(7, 15_000);
+        assert!(suspects.record(&lost(upstream, 1, at_ms)));
+    }
+    assert_eq!(suspects.verdict(7, 15_000), Verdict::Refuse);
+    assert_eq!(suspects.event_time(7, 30_000), 30_000);
+    assert_eq!(suspects.event_time(8, 15_000), 15_000, "another request");
+}
+
 /// What a record in the store has of a refused request leads to the same refusal, and there is room for it.
 #[test]
 fn refusals_survive_in_a_record() {
