fix: keep a part of an upstream's limit while other entries are not heard

What callers and upstreams would see: while the connections between entries are silent or broken, every entry that reaches a limited upstream sends it the whole of its limit. Cause: an entry counted the requests that others told it of, and took silence for no requests. What was sent while a stream was broken was never told, as a new stream began with the requests after it. Change: entries without an update for 0.4 s (two are missing) count as sending as much as this one, so it keeps rate / (1 + their number) until they are heard, directly or from a relay, or count as gone after 3 s. A new stream begins with the requests of the last second, which a bucket remembers.

--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | an overloaded upstream takes fewer requests than the entries send it | one leaky bucket per upstream, which counts the requests of all entries; what it does not take goes to the other upstreams |
 //! | several entries send at the same moment, before they know of each other | each request counts when it becomes known, so that an excess delays the next ones |
+//! | the network between entries fails, or one of them freezes | an entry keeps the part of the limit that is its own if each entry that it does not hear sends as much as it does |
 //! | all upstreams of a service are limited | the request is refused at once with the time until one takes the next |
 //! | the overload ends | a response that names no limit lifts it; without any response it expires |
 
@@ -21,7 +22,7 @@
 const MIN_RATE: f64 = 0.25;
 
 /// Time whose requests may be sent at once after a pause.
-const BURST: Duration = Duration::from_secs(1);
+pub const BURST: Duration = Duration::from_secs(1);
 
 /// Lowest capacity of a bucket, in requests.
 const MIN_CAPACITY: f64 = 1.0;
@@ -47,7 +48,7 @@
 }
 
 impl ObservedLimit {
-    /// Returns the rate to keep, in requests a second, unless the limit was lifted or has expired.
+    /// Returns the rate to keep, in requests a second of all entries together, unless the limit was lifted or has expired.
     fn rate(&self, now: BootInstant) -> Option<f64> {
         let is_fresh = now.since(self.seen) < LIMIT_TTL;
         let rate = self.per_second.filter(|_| is_fresh)?;
@@ -94,6 +95,8 @@
     upstreams: HashMap<UpstreamId, LimitedUpstream>,
     /// Upstreams whose last response named a limit that can't be parsed.
     unparsable: HashSet<UpstreamId>,
+    /// Entries that may send requests of which this entry does not learn.
+    unheard: usize,
 }
 
 impl RateLimits {
@@ -135,6 +138,21 @@
         }
     }
 
+    /// Sets the number of entries that may send requests of which this entry does not learn; returns whether it changed.
+    pub fn set_unheard(&mut self, unheard: usize, now: BootInstant) -> bool {
+        if unheard == self.unheard {
+            return false;
+        }
+        for upstream in self.upstreams.values_mut() {
+            if let Some(rate) = own_rate(upstream.limit, self.unheard, now) {
+                // What has drained until now did so at the earlier rate.
+                upstream.bucket.add(0, rate, now);
+            }
+        }
+        self.unheard = unheard;
+        true
+    }
+
     /// Returns whether `id` limits its requests.
     pub fn is_limited(&self, id: &str, now: BootInstant) -> bool {
         let upstream = self.upstreams.get(id);
@@ -146,7 +164,7 @@
         let Some(upstream) = self.upstreams.get(id) else {
             return Duration::ZERO;
         };
-        let rate = upstream.limit.rate(now);
+        let rate = own_rate(upstream.limit, self.unheard, now);
         rate.map_or(Duration::ZERO, |rate| upstream.bucket.wait(rate, now))
     }
 
@@ -155,7 +173,7 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return false;
         };
-        let Some(rate) = upstream.limit.rate(now) else {
+        let Some(rate) = own_rate(upstream.limit, self.unheard, now) else {
             return false;
         };
         upstream.bucket.add(requests, rate, now);
@@ -177,3 +195,9 @@
         self.unparsable.remove(id);
     }
 }
+
+/// Returns the rate, in requests a second, of this entry and those that it hears, unless there is no limit.
+fn own_rate(limit: ObservedLimit, unheard: usize, now: BootInstant) -> Option<f64> {
+    let rate = limit.rate(now)?;
+    Some(rate / (1 + unheard) as f64)
+}
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -365,6 +365,7 @@
     /// unless all are ejected.
     pub fn serving_upstreams(&self, service: &str, excluded: &[UpstreamId]) -> ServingUpstreams {
         let now = BootInstant::now();
+        self.refresh_limits(now);
         let registry = lock(&self.registry);
         let outliers = lock(&self.outliers);
         let limits = lock(&self.rate_limits);
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -41,6 +41,7 @@
         for (upstream, requests) in &update.limited_sends {
             lock(&self.rate_limits).record_sends(upstream, *requests, now);
             lock(&self.send_log).add(SendRecord {
+                at: now,
                 source: Some(Arc::clone(&update.info.name)),
                 upstream: Arc::clone(upstream),
                 prompt_tokens: 0,
@@ -76,10 +77,20 @@
         self.notify_peers();
     }
 
+    /// Adapts the part of the limits that this entry keeps to the entries that it hears.
+    pub fn refresh_limits(&self, now: BootInstant) {
+        let unheard = lock(&self.peers).unheard(now);
+        let mut limits = lock(&self.rate_limits);
+        if limits.set_unheard(unheard, now) && limits.observed(now).next().is_some() {
+            info!(unheard = unheard; "routing: the entries that are not heard may use a part of the upstreams' limits");
+        }
+    }
+
     /// Counts a request that is about to be sent to `upstream`, unless its limit is used up; returns whether it may be
     /// sent.
     pub fn reserve_send(&self, upstream: &UpstreamId) -> bool {
         let now = BootInstant::now();
+        self.refresh_limits(now);
         {
             let mut limits = lock(&self.rate_limits);
             if !limits.wait(upstream, now).is_zero() {
@@ -90,6 +101,7 @@
             }
         }
         lock(&self.send_log).add(SendRecord {
+            at: now,
             source: None,
             upstream: Arc::clone(upstream),
             prompt_tokens: 0,
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -257,6 +257,7 @@
     for (upstream, tokens) in &update.prompts {
         lock(&entry.prefill).reserve(upstream, *tokens, now);
         lock(&entry.send_log).add(SendRecord {
+            at: now,
             source: Some(Arc::clone(&info.name)),
             upstream: Arc::clone(upstream),
             prompt_tokens: *tokens,
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -20,6 +20,10 @@
 /// entries that it relayed for are dropped: they find another relay by then.
 const RETENTION: Duration = Duration::from_secs(3);
 
+/// Time without an update after which an entry may have sent requests that this entry has not learned of; two updates
+/// are missing by then.
+const SILENCE: Duration = Duration::from_millis(400);
+
 /// State of an engine, as its holder describes it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeldEngine {
@@ -106,6 +110,16 @@
         now.since(self.last_update) < RETENTION
     }
 
+    /// Returns whether its updates are overdue, unless it was about to end.
+    fn is_silent(&self, now: BootInstant) -> bool {
+        now.since(self.last_update) >= SILENCE && !self.info.leaving
+    }
+
+    /// Returns the names of the entries whose requests its updates report.
+    fn entries(&self) -> impl Iterator<Item = &Arc<str>> {
+        std::iter::once(&self.info.name).chain(self.others.keys())
+    }
+
     /// Clears the state from an earlier stream of updates.
     fn reset(&mut self) {
         *self = Self::new(self.info.clone(), self.last_update);
@@ -196,6 +210,19 @@
         self.peers.values().filter(move |p| p.is_retained(now))
     }
 
+    /// Returns the number of entries that may be sending requests of which this entry does not learn, from them or from
+    /// their relay.
+    pub fn unheard(&self, now: BootInstant) -> usize {
+        let retained = self.retained(now);
+        let (silent, heard): (Vec<&Peer>, Vec<&Peer>) = retained.partition(|p| p.is_silent(now));
+        if silent.is_empty() {
+            return 0;
+        }
+        let heard: HashSet<&Arc<str>> = heard.into_iter().flat_map(Peer::entries).collect();
+        let unheard: HashSet<&Arc<str>> = silent.into_iter().flat_map(Peer::entries).collect();
+        unheard.difference(&heard).count()
+    }
+
     /// Returns all live entries, those with a relay included; the newest process of each.
     pub fn live(&self, now: BootInstant) -> Vec<&PeerInfo> {
         let mut all: HashMap<&str, &PeerInfo> = HashMap::new();
--- a/src/entry/send_log.rs
+++ b/src/entry/send_log.rs
@@ -1,6 +1,6 @@
 //! Recent requests to upstreams, kept to be sent to peers.
 
-use crate::ident::UpstreamId;
+use crate::{clock::BootInstant, ident::UpstreamId};
 use std::{collections::VecDeque, sync::Arc};
 
 /// Number of records kept: about one second's worth at 500 requests a second, and every peer gets several updates in
@@ -10,6 +10,8 @@
 /// Request that an entry is about to send, or several that a peer reported together.
 #[derive(Clone, Debug)]
 pub struct SendRecord {
+    /// When it became known here.
+    pub at: BootInstant,
     /// Peer that reported it; `None` for this entry.
     pub source: Option<Arc<str>>,
     /// Upstream that gets it.
@@ -43,9 +45,15 @@
         self.first + self.records.len() as u64
     }
 
-    /// Returns the records from number `from` on.
-    pub fn since(&self, from: u64) -> impl Iterator<Item = &SendRecord> {
+    /// Returns the number of the first record that became known at `at` or later.
+    pub fn number_at(&self, at: BootInstant) -> u64 {
+        let earlier = self.records.partition_point(|record| record.at < at);
+        self.first + earlier as u64
+    }
+
+    /// Returns the records from number `from` on, with their numbers.
+    pub fn since(&self, from: u64) -> impl Iterator<Item = (u64, &SendRecord)> {
         let skipped = from.saturating_sub(self.first) as usize;
-        self.records.iter().skip(skipped)
+        (self.first..).zip(&self.records).skip(skipped)
     }
 }
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::rate_limit,
     edge::registration::AdapterKey,
     entry::{
         context::Entry,
@@ -44,6 +45,8 @@
     sent_requests: HashMap<(UpstreamId, AdapterKey), u64>,
     /// Number of the next record of the send log to send.
     next_send: u64,
+    /// Number of the first record whose prompt is sent; earlier ones were prefilled before this stream began.
+    first_prompt: u64,
     /// Limits as last sent, with the times at which they were observed.
     limits: HashMap<UpstreamId, (Option<f64>, BootInstant)>,
     strikes: StrikeFeed,
@@ -76,6 +79,11 @@
 impl UpdateBuilder {
     /// Creates a builder of updates to the entry at `address`.
     pub fn new(entry: &Arc<Entry>, address: SocketAddr) -> Self {
+        let (next_send, first_prompt) = {
+            let log = lock(&entry.send_log);
+            let recent = log.number_at(BootInstant::now() - rate_limit::BURST);
+            (recent, log.next())
+        };
         Self {
             entry: Arc::clone(entry),
             address,
@@ -86,7 +94,8 @@
             held: HashMap::new(),
             versions: HashMap::new(),
             sent_requests: HashMap::new(),
-            next_send: lock(&entry.send_log).next(),
+            next_send,
+            first_prompt,
             limits: HashMap::new(),
             strikes: entry.quarantine.feed(),
         }
@@ -198,15 +207,18 @@
         changes
     }
 
-    /// Returns the prompt tokens reserved and the requests to limited upstreams since the last update, by upstream.
+    /// Returns the prompt tokens reserved and the requests to limited upstreams since the last update, by upstream. The
+    /// first update has the latest requests as well: the peer may have missed them while no stream was open.
     fn new_sends(&mut self, peers: &Peers, scope: &Scope) -> (Counts, Counts) {
         let log = lock(&self.entry.send_log);
         let (mut prompts, mut sends) = (HashMap::new(), HashMap::new());
-        for record in log.since(self.next_send) {
+        for (number, record) in log.since(self.next_send) {
             let source = record.source.as_ref().map(|name| peers.by_name(name));
             let is_included = source.is_none_or(|peer| peer.is_some_and(|p| scope.includes(p)));
             if is_included {
-                *prompts.entry(&record.upstream).or_default() += record.prompt_tokens;
+                if number >= self.first_prompt {
+                    *prompts.entry(&record.upstream).or_default() += record.prompt_tokens;
+                }
                 *sends.entry(&record.upstream).or_default() += record.limited_sends;
             }
         }
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -239,6 +239,7 @@
         let (wait, prefill_time) =
             lock(&self.entry.prefill).reserve(upstream, work.prompt_tokens, now);
         lock(&self.entry.send_log).add(SendRecord {
+            at: now,
             source: None,
             upstream: Arc::clone(upstream),
             prompt_tokens: work.prompt_tokens,
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -6,6 +6,7 @@
     entry::{
         messages::{EntryChange, HeldChange, PeerInfo, PeerUpdate},
         peers::Peers,
+        send_log::{SendLog, SendRecord},
     },
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -22,6 +23,8 @@
     a_silent_peer_that_is_the_only_source_is_kept,
     relayed_entries_outlive_a_short_silence,
     request_counts_are_sent_as_changes,
+    entries_that_are_not_heard_are_counted,
+    the_send_log_tells_a_new_stream_of_the_latest_requests,
 }
 
 fn at(ms: u64) -> BootInstant {
@@ -97,7 +100,8 @@
 
 mod case {
     use super::{
-        Duration, EntryChange, PeerUpdate, Peers, at, held, info, key, peers_after_relay, update,
+        Arc, Duration, EntryChange, PeerUpdate, Peers, SendLog, SendRecord, at, held, info, key,
+        peers_after_relay, update,
     };
 
     pub(super) fn newer_relayed_state_overrides_a_silent_holder() {
@@ -178,4 +182,52 @@
         let later = at(300) + Duration::from_secs(4);
         assert_eq!(peers.in_flight("f", later), 0);
     }
+
+    /// Their requests may use up limits of upstreams.
+    pub(super) fn entries_that_are_not_heard_are_counted() {
+        let mut peers = Peers::default();
+        let mut relay = update(1, 0);
+        for n in [4, 5] {
+            relay.others.push(EntryChange {
+                info: info(n),
+                gone: false,
+            });
+        }
+        let mut leaving = update(3, 0);
+        leaving.info.leaving = true;
+        for update in [relay, update(2, 0), leaving] {
+            peers.apply_update(&update, at(0));
+        }
+        assert_eq!(peers.unheard(at(300)), 0);
+        assert_eq!(peers.unheard(at(500)), 4, "1, 2, 4 and 5");
+        peers.apply_update(&update(2, 1), at(600));
+        assert_eq!(peers.unheard(at(700)), 3);
+        let mut other_relay = update(2, 2);
+        other_relay.others.push(EntryChange {
+            info: info(4),
+            gone: false,
+        });
+        peers.apply_update(&other_relay, at(700));
+        assert_eq!(peers.unheard(at(800)), 2, "1 and 5");
+        assert_eq!(peers.unheard(at(3_100)), 2, "2 and 4; the others are gone");
+    }
+
+    pub(super) fn the_send_log_tells_a_new_stream_of_the_latest_requests() {
+        let mut log = SendLog::default();
+        for n in 0..600 {
+            log.add(SendRecord {
+                at: at(n * 10),
+                source: None,
+                upstream: Arc::from("e"),
+                prompt_tokens: 0,
+                limited_sends: 1,
+            });
+        }
+        let sent = |from| log.since(from).count();
+        assert_eq!(sent(log.number_at(at(5_000))), 100);
+        assert_eq!(sent(log.number_at(at(6_000))), 0);
+        assert_eq!(sent(log.number_at(at(0))), 512, "older ones were dropped");
+        assert_eq!(log.since(0).next().map(|(n, _)| n), Some(88));
+        assert_eq!(log.number_at(at(6_000)), log.next());
+    }
 }
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -25,8 +25,13 @@
     a_limit_expires_unless_it_is_named_again,
     an_upstream_that_takes_nothing_is_still_asked_now_and_then,
     entries_that_know_of_each_other_late_keep_the_limit,
+    entries_that_lose_each_other_go_past_the_limit,
+    the_limit_is_shared_with_entries_that_are_not_heard,
 }
 
+/// Time after which an entry that is not heard is taken into account.
+const SILENCE_MS: u64 = 400;
+
 /// Window over which the users count requests, and what they allow in it beyond one and a half times the limit.
 const COUNT_WINDOW_MS: u64 = 4_000;
 const COUNT_SLACK: f64 = 5.0;
@@ -84,6 +89,17 @@
         self.reports.retain(|(at_ms, _)| *at_ms > now_ms);
     }
 
+    /// Loses what the entries would tell each other from now on, and what is under way.
+    fn lose_reports(&mut self) {
+        self.reports.clear();
+    }
+
+    fn set_unheard(&mut self, unheard: usize, now_ms: u64) {
+        for entry in &mut self.entries {
+            entry.set_unheard(unheard, at(now_ms));
+        }
+    }
+
     fn request(&mut self, entry: usize, now_ms: u64, delay_ms: u64) {
         if send(&mut self.entries[entry], now_ms) {
             self.sent_ms.push(now_ms);
@@ -106,7 +122,7 @@
 
 mod case {
     use super::{
-        COUNT_SLACK, COUNT_WINDOW_MS, Duration, Fleet, LimitChange, RateLimits, RngExt,
+        COUNT_SLACK, COUNT_WINDOW_MS, Duration, Fleet, LimitChange, RateLimits, RngExt, SILENCE_MS,
         SeedableRng, SmallRng, at, limited, send, upstream,
     };
 
@@ -221,4 +237,47 @@
             );
         }
     }
+
+    /// All connections between the entries go silent for a time, while each of them reaches the upstream.
+    pub(super) fn entries_that_lose_each_other_go_past_the_limit() {
+        const BREAK_MS: std::ops::Range<u64> = 4_000..6_500;
+        for seed in 0..60 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let entries = [3, 6, 9][seed as usize % 3];
+            let rate = rng.random_range(0.5..8.0);
+            let mut fleet = Fleet::new(entries, rate);
+            for now_ms in 0..9_500 {
+                if BREAK_MS.contains(&now_ms) {
+                    fleet.lose_reports();
+                }
+                if now_ms == BREAK_MS.start + SILENCE_MS {
+                    fleet.set_unheard(entries - 1, now_ms);
+                }
+                if now_ms == BREAK_MS.end {
+                    fleet.set_unheard(0, now_ms);
+                }
+                fleet.deliver(now_ms);
+                if now_ms % 40 == 0 {
+                    let delay_ms = rng.random_range(30..250);
+                    fleet.request(rng.random_range(0..entries), now_ms, delay_ms);
+                }
+            }
+            let window = COUNT_WINDOW_MS as f64 / 1_000.0;
+            let most = fleet.most_in_a_window() as f64;
+            assert!(
+                most <= rate * window * 1.5 + COUNT_SLACK,
+                "seed {seed}: {most} at {rate:.2} a second, {entries} entries"
+            );
+        }
+    }
+
+    pub(super) fn the_limit_is_shared_with_entries_that_are_not_heard() {
+        let mut limits = limited(2.0);
+        limits.record_sends("e", 4, at(0));
+        assert!(limits.set_unheard(1, at(500)));
+        assert!(!limits.set_unheard(1, at(600)), "no change");
+        assert_eq!(limits.wait("e", at(500)), Duration::from_secs(3));
+        assert!(limits.set_unheard(0, at(1_500)));
+        assert_eq!(limits.wait("e", at(1_500)), Duration::from_millis(500));
+    }
 }
