fix: bound the wait for earlier prompts after a load, too

What was seen: requests_that_an_engine_refused_wait_until_their_callers_give_up failed once beside load: a response took 1.29 s, 0.8 s is the bound. Cause: the bound was checked when an upstream was chosen. Requests for an adapter that loads count no prompt until the load ends; all of them found an idle engine, and then waited one after the other without a bound. Change: the bound is checked once more where the prefill is reserved. A request that finds it exceeded goes to another upstream that has the adapter, or is refused at once with the time until one is free. The time of the load doesn't count towards the bound: a first trial that counted it refused requests whose load had just been paid for. Evidence: requests_for_an_adapter_that_loads_wait_until_their_callers_give_up failed 3 of 3 (1.23 to 1.28 s) and passes; the three tests of such waits passed 12 of 12 beside six busy loops.

--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -112,9 +112,9 @@
         &self,
         excluded: &[UpstreamId],
         max_wait: Duration,
+        mut loads_left: usize,
     ) -> Result<Placement, RefusalReason> {
         let mut excluded = excluded.to_vec();
-        let mut loads = 0;
         loop {
             self.check_quarantine()?;
             if self.time_left().is_zero() {
@@ -130,8 +130,8 @@
                     }
                     (i, false)
                 }
-                Choice::Load(i) => (i, true),
-                Choice::Full => {
+                Choice::Load(i) if loads_left > 0 => (i, true),
+                Choice::Load(_) | Choice::Full => {
                     let reason = self.full_reason(upstreams, max_wait);
                     return Err(unavailable(reason, &serving));
                 }
@@ -146,8 +146,8 @@
             if !needs_load || self.load_adapter(upstream).await == EnsureResult::Ready {
                 return Ok(self.placement(upstream));
             }
-            loads += 1;
-            if loads >= MAX_LOADS {
+            loads_left -= 1;
+            if loads_left == 0 {
                 return Err(RefusalReason::NoAdapter);
             }
             excluded.push(Arc::clone(&upstream.id));
@@ -182,7 +182,8 @@
     }
 
     /// Selects an upstream where the prompts before the request's own take at most `max_wait`, and waits for them. Also
-    /// returns the expected time from sending to the first chunk of the response.
+    /// returns the expected time from sending to the first chunk of the response. If more prompts have come during a load,
+    /// only upstreams that have the adapter already are left.
     ///
     /// # Errors
     /// The reason why no upstream can take the request.
@@ -192,9 +193,17 @@
         max_wait: Duration,
     ) -> Result<(Placement, Duration), RefusalReason> {
         let mut excluded = excluded.to_vec();
+        let mut loads_left = MAX_LOADS;
         loop {
-            let placement = self.select_upstream(&excluded, max_wait).await?;
-            let prefill_time = self.reserve_prefill(&placement.upstream.id).await;
+            let placement = self
+                .select_upstream(&excluded, max_wait, loads_left)
+                .await?;
+            let reserved = self.reserve_prefill(&placement.upstream.id, max_wait);
+            let Some(prefill_time) = reserved.await else {
+                info!(request = &*self.head.id, upstream = &*placement.upstream.id; "routing: other prompts came first at the chosen upstream");
+                loads_left = 0;
+                continue;
+            };
             self.check_quarantine()?;
             // The upstream may have started to leave during the adapter load or the wait for earlier prefills.
             if self.entry.is_still_serving(&placement.upstream) {
@@ -230,14 +239,19 @@
     }
 
     /// Reserves the prefill of the prompt and waits until the engine is free for it. Returns the expected time from
-    /// sending to the first chunk of the response.
-    async fn reserve_prefill(&self, upstream: &UpstreamId) -> Duration {
+    /// sending to the first chunk of the response; `None`, and reserves nothing, if the wait is longer than `max_wait`.
+    async fn reserve_prefill(&self, upstream: &UpstreamId, max_wait: Duration) -> Option<Duration> {
         let Some(work) = &self.head.work else {
-            return Duration::ZERO;
+            return Some(Duration::ZERO);
         };
         let now = BootInstant::now();
-        let (wait, prefill_time) =
-            lock(&self.entry.prefill).reserve(upstream, work.prompt_tokens, now);
+        let (wait, prefill_time) = {
+            let mut prefill = lock(&self.entry.prefill);
+            if prefill.wait(upstream, work.prompt_tokens, now) > max_wait {
+                return None;
+            }
+            prefill.reserve(upstream, work.prompt_tokens, now)
+        };
         lock(&self.entry.send_log).add(SendRecord {
             at: now,
             source: None,
@@ -249,7 +263,7 @@
         if !wait.is_zero() {
             tokio::time::sleep(wait.min(self.time_left())).await;
         }
-        prefill_time
+        Some(prefill_time)
     }
 
     /// Waits until the adapter is loaded at `upstream`.
