--- a/src/bin/carobfield-dispatcher.rs
+++ b/src/bin/carobfield-dispatcher.rs
@@ -1,6 +1,6 @@
 //! Runs a dispatcher.
 
-use carobfield::{dispatcher, process, settings};
+use carobfield::{dispatcher_run, process, settings};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -8,6 +8,6 @@
         "carobfield-dispatcher",
         settings::read_dispatcher,
         |c| c.log,
-        |config, tree| Box::pin(dispatcher::run(config, tree)),
+        |config, tree| Box::pin(dispatcher_run::run(config, tree)),
     )
 }
--- a/src/holding.rs
+++ b/src/holding.rs
@@ -4,17 +4,18 @@
     authority::{Authority, TakeoverKind},
     catalogue::{Fencing, PoolKind},
     clock::BootInstant,
+    holding_monitor::REPORT_INTERVAL,
     ident::{Generation, ModelRef, RequestId, UpstreamId},
-    lease::{HolderLease, RENEW_INTERVAL},
+    lease::HolderLease,
     metrics,
     permit_service::{Denied, Permit, PermitRequestSource},
     queue::QueuedRequest,
     scheduler::{Action, LoadPlan, LoadPreparation, Mode, Scheduler, UpstreamCapacity},
     settings::EvictionPolicy,
-    upstream_client::{InFlightReport, OrderResult, UpstreamClient},
+    upstream_client::{OrderResult, UpstreamClient},
     wire::{PermitRequest, Refusal, UpstreamStatus},
 };
-use log::{info, warn};
+use log::info;
 use std::{
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
@@ -30,9 +31,6 @@
 /// Maximum wait before a load checks again whether a slot can be freed.
 const SLOT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Interval between reads of the report of requests in flight.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Description of an upstream from the VM list and the catalogue.
 #[derive(Clone, Debug)]
 pub struct UpstreamSpec {
@@ -93,9 +91,9 @@
 
 /// Identifier of the engine's process, and its clock when its adapters were read.
 #[derive(Clone, Copy, Debug, Default)]
-struct EngineState {
-    boot: u64,
-    clock_ms: u64,
+pub(crate) struct EngineState {
+    pub(crate) boot: u64,
+    pub(crate) clock_ms: u64,
 }
 
 /// One held upstream.
@@ -107,10 +105,10 @@
     pub generation: Generation,
     /// Client of the upstream.
     pub client: UpstreamClient,
-    surroundings: Surroundings,
+    pub(crate) surroundings: Surroundings,
     scheduler: Mutex<Scheduler>,
     authority: Mutex<Authority>,
-    engine: Mutex<EngineState>,
+    pub(crate) engine: Mutex<EngineState>,
     waiters: Mutex<HashMap<QueueKey, oneshot::Sender<Outcome>>>,
     wake: Notify,
 }
@@ -394,125 +392,6 @@
         }
     }
 
-    /// Stops all use of the upstream, because it is released, delisted or held by another process.
-    pub fn mark_lost(&self, reason: &str) {
-        let mut authority = self.authority();
-        if !authority.is_lost() {
-            warn!(upstream = &*self.spec.id, generation = self.generation; "holding lost: {reason}");
-            authority.lose();
-        }
-    }
-
-    /// Raises the engine's fencing number where it is checked, and reads which adapters are loaded.
-    ///
-    /// Returns whether the upstream can be used now.
-    pub async fn sync_engine(self: &Arc<Self>) -> bool {
-        if self.spec.kind == PoolKind::Service {
-            self.schedule();
-            return true;
-        }
-        if self.spec.fencing == Fencing::Checked && !self.heartbeat().await {
-            return false;
-        }
-        let Ok(list) = self.client.models().await else {
-            return false;
-        };
-        let settled = self.authority().may_trust_report(Duration::ZERO) && list.boot == self.boot();
-        self.scheduler().sync_adapters(&list.adapters(), settled);
-        *lock(&self.engine) = EngineState {
-            boot: list.boot,
-            clock_ms: list.now_ms,
-        };
-        self.surroundings.changed.notify_waiters();
-        self.schedule();
-        true
-    }
-
-    /// Sends the fencing number again, an order without effect by which the upstream confirms this holder.
-    pub async fn heartbeat(&self) -> bool {
-        let sent = BootInstant::now();
-        match self.client.fence(self.generation).await {
-            OrderResult::Done => {
-                self.authority().engine_confirmed(sent);
-                true
-            }
-            OrderResult::Fenced => {
-                self.mark_lost("the upstream knows a higher fencing number");
-                false
-            }
-            OrderResult::Failed | OrderResult::NotSent | OrderResult::Unknown => false,
-        }
-    }
-
-    /// Keeps the upstream's state up to date until it is lost or the future is dropped.
-    pub async fn monitor(self: &Arc<Self>) {
-        let mut last_sent = BootInstant::now();
-        while !self.authority().is_lost() {
-            tokio::time::sleep(REPORT_INTERVAL).await;
-            if self.spec.kind == PoolKind::Service {
-                self.schedule();
-                continue;
-            }
-            let now = BootInstant::now();
-            if self.spec.fencing == Fencing::Checked && now.since(last_sent) >= RENEW_INTERVAL {
-                last_sent = now;
-                self.heartbeat().await;
-            }
-            if lock(&self.engine).clock_ms == 0 {
-                self.sync_engine().await;
-            } else if let Ok(report) = self.client.report().await {
-                self.apply_report(&report).await;
-            }
-            self.schedule();
-        }
-        self.schedule();
-        self.surroundings.changed.notify_waiters();
-    }
-
-    async fn apply_report(self: &Arc<Self>, report: &InFlightReport) {
-        if report.boot != self.boot() {
-            self.check_restart().await;
-            return;
-        }
-        let synced_ms = lock(&self.engine).clock_ms;
-        let mut scheduler = self.scheduler();
-        if !scheduler.has_unsettled() {
-            return;
-        }
-        let authority = self.authority();
-        if authority.earlier_requests_expired(BootInstant::now(), self.surroundings.max_timeout) {
-            scheduler.settle_idle(|_| true);
-        } else if report.made_ms > synced_ms
-            && authority.may_trust_report(Duration::from_millis(report.made_ms - synced_ms))
-        {
-            scheduler.settle_idle(|m| report.in_flight.get(&m.to_string()).is_none_or(|n| *n == 0));
-        }
-    }
-
-    /// Reads the model list, and resets the state if the engine's process has changed.
-    pub async fn check_restart(self: &Arc<Self>) -> bool {
-        if self.spec.kind == PoolKind::Service {
-            return false;
-        }
-        let Ok(list) = self.client.models().await else {
-            return false;
-        };
-        if list.boot == self.boot() {
-            return false;
-        }
-        info!(upstream = &*self.spec.id, boot = list.boot; "the engine restarted");
-        // A new process only runs requests that it received since it started, none of a holder that stopped before.
-        let settled = !self.authority().awaits_earlier_holder();
-        self.scheduler().sync_adapters(&list.adapters(), settled);
-        *lock(&self.engine) = EngineState {
-            boot: list.boot,
-            clock_ms: list.now_ms,
-        };
-        self.surroundings.changed.notify_waiters();
-        self.schedule();
-        true
-    }
-
     /// Notes that a started request has ended at the upstream.
     pub fn request_finished(self: &Arc<Self>, model: Option<&ModelRef>, elapsed: Option<Duration>) {
         self.scheduler().request_finished(model, elapsed);
--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -1,10 +1,6 @@
 //! Test harness: runs a deployment as separate processes on its own loopback addresses and injects failures.
 
-use crate::{
-    client::{self, CompletionRequest, Reply},
-    layout::Layout,
-    run_log::LogEntry,
-};
+use crate::layout::Layout;
 use bytes::Bytes;
 use carobfield::{
     catalogue_store::{Applied, ApplyError, CatalogueStore},
@@ -15,7 +11,7 @@
 };
 use http::Method;
 use rustix::process::{Pid, Signal, kill_process};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use std::{
     fmt::Write,
     fs::File,
@@ -27,10 +23,10 @@
 };
 
 /// Interval between polls while waiting for a condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Timeout of the harness's own HTTP requests.
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Last octets of the VMs' addresses within a deployment's network.
 const PLATFORM_VM: u8 = 1;
@@ -39,7 +35,7 @@
 const FIRST_SERVICE: u8 = 200;
 
 /// Key shared by a deployment's processes.
-const KEY: &str = "harness-key";
+pub(crate) const KEY: &str = "harness-key";
 
 /// Number of deployments started by this process, used in their addresses and folder names.
 static DEPLOYMENTS: AtomicU8 = AtomicU8::new(0);
@@ -237,7 +233,7 @@
         ObjectApi::new(self.objects())
     }
 
-    fn centre(&self, n: u8) -> String {
+    pub(crate) fn centre(&self, n: u8) -> String {
         format!("centre-{}", n % self.layout.centres.max(1))
     }
 
@@ -283,7 +279,7 @@
             .await
     }
 
-    fn settings_file(&self, role: Role, n: u8) -> PathBuf {
+    pub(crate) fn settings_file(&self, role: Role, n: u8) -> PathBuf {
         self.dir.join(format!("{}-{n}.ini", role.binary()))
     }
 
@@ -291,127 +287,6 @@
         self.dir.join(format!("{}-{n}.log", role.binary()))
     }
 
-    fn write_settings(&self) {
-        let write = |path: PathBuf, text: String| {
-            std::fs::write(path, text).expect("settings can be written");
-        };
-        write(
-            self.settings_file(Role::Platform, 0),
-            self.platform_settings(),
-        );
-        for n in 0..self.layout.entries {
-            write(
-                self.settings_file(Role::Dispatcher, n),
-                self.dispatcher_settings(n),
-            );
-            write(
-                self.settings_file(Role::Gateway, n),
-                self.gateway_settings(n),
-            );
-        }
-    }
-
-    fn platform_settings(&self) -> String {
-        let l = &self.layout;
-        let mut text = format!(
-            "[object-api]\nlisten = {}\n[vm-list]\nlisten = {}\nlag-ms = 300\n\
-             [weight-store]\nlisten = {}\nrate = {}\nstreams = 2\n",
-            self.objects(),
-            self.vms(),
-            self.weights(),
-            l.load_rate
-        );
-        for n in 0..l.entries {
-            let (address, centre) = (self.gateway(n), self.centre(n));
-            let _infallible = write!(
-                text,
-                "[entry entry-{n}]\nlisten = {address}\ndata-centre = {centre}\n"
-            );
-        }
-        for n in 0..l.engines {
-            let open = n + l.open_engines >= l.engines;
-            let (pool, fencing) = if open {
-                ("open", false)
-            } else {
-                ("checked", true)
-            };
-            let (address, centre) = (self.engine(n), self.centre(n));
-            let _infallible = write!(
-                text,
-                "[engine engine-{n}]\nlisten = {address}\npool = {pool}\ndata-centre = {centre}\n\
-                 fencing = {fencing}\nslots = {}\nbatch = {}\nstep-us = {}\ndown-ms = {}\n",
-                l.slots, l.batch, l.step_us, l.down_ms
-            );
-        }
-        for n in 0..l.services {
-            let (address, centre) = (self.service(n), self.centre(n));
-            let _infallible = write!(
-                text,
-                "[service status-{n}]\nlisten = {address}\npool = application\ndata-centre = {centre}\n\
-                 work-ms = {}\n",
-                l.work_ms
-            );
-        }
-        text
-    }
-
-    fn dispatcher_settings(&self, n: u8) -> String {
-        format!(
-            "[dispatcher]\nid = entry-{n}\ndata-centre = {}\nlink = {}\noperators = {}\n\
-             object-api = {}\nvm-list = {}\nkey = {KEY}\npeers = {}\neviction = {}\n\
-             max-timeout-ms = {}\n[log]\nlevel = {}\n",
-            self.centre(n),
-            self.dispatcher_link(n),
-            self.dispatcher_operators(n),
-            self.objects(),
-            self.vms(),
-            self.peers(n),
-            self.layout.eviction,
-            self.layout.max_timeout,
-            self.layout.log
-        )
-    }
-
-    fn gateway_settings(&self, n: u8) -> String {
-        format!(
-            "[gateway]\nid = entry-{n}\ndata-centre = {}\ncallers = {}\noperators = {}\n\
-             dispatcher = {}\nobject-api = {}\nkey = {KEY}\npeers = {}\nplacement = {}\n\
-             [limits]\nmax-age-s = {}\nmax-timeout-ms = {}\n[log]\nlevel = {}\n",
-            self.centre(n),
-            self.gateway(n),
-            self.gateway_operators(n),
-            self.dispatcher_link(n),
-            self.objects(),
-            self.peers(n),
-            self.layout.placement,
-            self.layout.max_age,
-            self.layout.max_timeout,
-            self.layout.log
-        )
-    }
-
-    /// Changes the settings of dispatcher `n` so that it has the name of dispatcher `name` from its next start on.
-    ///
-    /// # Panics
-    /// Panics if the settings could not be written.
-    pub fn rename_dispatcher(&self, n: u8, name: u8) {
-        let text = self.dispatcher_settings(n);
-        let text = text.replace(
-            &format!("id = entry-{n}\n"),
-            &format!("id = entry-{name}\n"),
-        );
-        let file = self.settings_file(Role::Dispatcher, n);
-        std::fs::write(file, text).expect("settings can be written");
-    }
-
-    fn peers(&self, own: u8) -> String {
-        let others = (0..self.layout.entries).filter(|n| *n != own);
-        let links: Vec<String> = others
-            .map(|n| self.dispatcher_link(n).to_string())
-            .collect();
-        links.join(", ")
-    }
-
     fn spawn(&self, role: Role, n: u8) -> ChildProcess {
         let settings = self.settings_file(role, n);
         let log = File::options()
@@ -531,161 +406,6 @@
         std::fs::write(dir.join("catalogue.ini"), text).expect("declarations can be written");
         dir
     }
-
-    /// Waits until `condition` is true, for at most 40 seconds.
-    ///
-    /// # Panics
-    /// Panics if it was not true in time.
-    pub async fn wait_for<F, T>(&self, what: &str, mut condition: F)
-    where
-        F: FnMut() -> T,
-        T: Future<Output = bool>,
-    {
-        let started = std::time::Instant::now();
-        while !condition().await {
-            assert!(
-                started.elapsed() < Duration::from_secs(40),
-                "timed out waiting for {what}"
-            );
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    /// Waits until the log of a process has a line after byte `from` that contains all of `texts`.
-    pub async fn wait_log(&self, role: Role, n: u8, from: usize, texts: &[&str]) {
-        let has_line = || {
-            let log = self.log(role, n);
-            let tail = log.get(from..).unwrap_or("").to_owned();
-            tail.lines()
-                .any(|line| texts.iter().all(|t| line.contains(t)))
-        };
-        self.wait_for(&format!("{texts:?} in the log of {role:?} {n}"), || async {
-            has_line()
-        })
-        .await;
-    }
-
-    async fn wait_ready(&self) {
-        for n in 0..self.layout.entries {
-            self.wait_gateway(n).await;
-        }
-        let (upstreams, entries) = (
-            self.layout.engines + self.layout.services,
-            self.layout.entries,
-        );
-        self.wait_for("every upstream to be held", || async {
-            let mut held = 0;
-            for n in 0..entries {
-                held += self.held(n).await.len();
-            }
-            held == usize::from(upstreams)
-        })
-        .await;
-    }
-
-    /// Waits until a gateway is ready and knows every dispatcher.
-    pub async fn wait_gateway(&self, n: u8) {
-        let address = self.gateway_operators(n);
-        let (client, wanted) = (&self.client, u64::from(self.layout.entries));
-        self.wait_for("a gateway to be ready", || async {
-            let ready = get(client, address, "/readyz")
-                .await
-                .is_some_and(|r| r.status == 200);
-            let status: Option<serde_json::Value> = get_json(client, address, "/status").await;
-            ready && status.is_some_and(|s| s["dispatchers"].as_u64().unwrap_or(0) >= wanted)
-        })
-        .await;
-    }
-
-    /// Returns the names of the upstreams that a dispatcher holds and that accept requests.
-    pub async fn held(&self, n: u8) -> Vec<String> {
-        let address = self.dispatcher_operators(n);
-        let status: Option<serde_json::Value> = get_json(&self.client, address, "/status").await;
-        let upstreams = status.map(|s| s["upstreams"].clone()).unwrap_or_default();
-        let all = upstreams.as_array().cloned().unwrap_or_default();
-        let held = all.iter().filter(|u| u["accepting"] == true);
-        held.filter_map(|u| u["id"].as_str().map(ToOwned::to_owned))
-            .collect()
-    }
-
-    /// Returns the generation of an upstream's latest holder that a dispatcher knows, or 0.
-    pub async fn generation(&self, n: u8, upstream: &str) -> u64 {
-        let address = self.dispatcher_operators(n);
-        let status: Option<serde_json::Value> = get_json(&self.client, address, "/status").await;
-        let known = status.map(|s| s["generations"][upstream].clone());
-        known.and_then(|g| g.as_u64()).unwrap_or(0)
-    }
-
-    /// Returns the number of the dispatcher that holds an upstream.
-    pub async fn holder(&self, upstream: &str) -> Option<u8> {
-        for n in 0..self.layout.entries {
-            if self.held(n).await.iter().any(|u| u == upstream) {
-                return Some(n);
-            }
-        }
-        None
-    }
-
-    /// Requests a completion from a gateway.
-    pub async fn complete(&self, n: u8, request: &CompletionRequest) -> Reply {
-        client::complete(&self.client, self.gateway(n), request).await
-    }
-
-    /// Posts JSON to a stand-in.
-    ///
-    /// # Panics
-    /// Panics if the response is not 200; `/restart` closes the connection and is exempt.
-    pub async fn post<T: Serialize + Sync>(&self, address: SocketAddr, path: &str, value: &T) {
-        let body = serde_json::to_vec(value).expect("the value has a JSON form");
-        let uri = format!("http://{address}{path}");
-        let request = http_client::json_request(&Method::POST, &uri, Bytes::from(body));
-        let response = http_client::call(&self.client, request, CALL_TIMEOUT).await;
-        let status = response.as_ref().map_or(0, |r| r.status);
-        assert!(
-            status == 200 || path == "/restart",
-            "POST {uri}: {response:?}"
-        );
-    }
-
-    /// Returns the run log of an engine.
-    ///
-    /// # Panics
-    /// Panics if the engine does not respond.
-    pub async fn engine_log(&self, n: u8) -> Vec<LogEntry> {
-        let address = self.engine(n);
-        self.read_log(address).await
-    }
-
-    /// Returns the run log of a plain service.
-    ///
-    /// # Panics
-    /// Panics if the service does not respond.
-    pub async fn service_log(&self, n: u8) -> Vec<LogEntry> {
-        let address = self.service(n);
-        self.read_log(address).await
-    }
-
-    async fn read_log(&self, address: SocketAddr) -> Vec<LogEntry> {
-        for _ in 0..100 {
-            if let Some(log) = get_json(&self.client, address, "/log").await {
-                return log;
-            }
-            tokio::time::sleep(POLL_INTERVAL * 5).await;
-        }
-        panic!("no run log from {address}");
-    }
-
-    /// Returns the run logs of every engine and service.
-    pub async fn all_logs(&self) -> Vec<LogEntry> {
-        let mut all = Vec::new();
-        for n in 0..self.layout.engines {
-            all.extend(self.engine_log(n).await);
-        }
-        for n in 0..self.layout.services {
-            all.extend(self.service_log(n).await);
-        }
-        all
-    }
 }
 
 /// Defines a test for each named asynchronous function of the module `case`, with its own runtime.
--- a/standin/src/local.rs
+++ b/standin/src/local.rs
@@ -13,7 +13,7 @@
     catalogue::Declarations,
     catalogue_store::{ApplyError, CatalogueStore},
     configs::{dispatcher::DispatcherConfig, gateway::GatewayConfig},
-    declarations, dispatcher,
+    declarations, dispatcher_run,
     findings::Findings,
     gateway,
     http_client::{self, HttpClient},
@@ -178,7 +178,7 @@
         let config = dispatcher_config(n);
         tree.start(SubsystemBuilder::new(
             format!("dispatcher-{}", n + 1),
-            async move |tree: &mut SubsystemHandle| dispatcher::run(config, tree).await,
+            async move |tree: &mut SubsystemHandle| dispatcher_run::run(config, tree).await,
         ));
         let config = gateway_config(n);
         tree.start(SubsystemBuilder::new(
