fix: let each strike against a request expire

What callers would see: a request that was in flight beside a crash of its upstream twice, hours apart, is refused for ten minutes, though a strike is meant to count for ten minutes. Cause: only the last strike's age was looked at; a new one counted together with all earlier ones. Change: a strike drops those that expired before it, and one that is that much older than the latest is ignored. Evidence: expired_strikes_count_with_a_new_one failed before (refused after one crash today and one long ago) and passes.

--- a/src/poison.rs
+++ b/src/poison.rs
@@ -78,6 +78,32 @@
     last_ms: u64,
 }
 
+impl Suspect {
+    /// Records a crash of an upstream's process; returns whether it was new.
+    fn record_lost(&mut self, process: (UpstreamId, u64), at_ms: u64) -> bool {
+        let is_expired = at_ms + STRIKE_TTL_MS < self.last_ms;
+        if at_ms <= self.cleared_ms || is_expired {
+            return false;
+        }
+        if self.last_ms + STRIKE_TTL_MS < at_ms {
+            self.lost.clear();
+        }
+        self.last_ms = self.last_ms.max(at_ms);
+        self.lost.insert(process)
+    }
+
+    /// Records a completion of the request; returns whether it cleared any strikes.
+    fn record_cleared(&mut self, at_ms: u64) -> bool {
+        if at_ms <= self.cleared_ms || self.last_ms > at_ms {
+            return false;
+        }
+        self.cleared_ms = at_ms;
+        let had_strikes = !self.lost.is_empty();
+        self.lost.clear();
+        had_strikes
+    }
+}
+
 /// Strikes known to this process, by request fingerprint.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -97,21 +123,9 @@
         let suspect = self.table.entry(strike.fingerprint).or_default();
         match &strike.event {
             StrikeEvent::Lost { upstream, boot } => {
-                if strike.at_ms <= suspect.cleared_ms {
-                    return false;
-                }
-                suspect.last_ms = suspect.last_ms.max(strike.at_ms);
-                suspect.lost.insert((Arc::clone(upstream), *boot))
-            }
-            StrikeEvent::Cleared => {
-                if strike.at_ms <= suspect.cleared_ms || suspect.last_ms > strike.at_ms {
-                    return false;
-                }
-                suspect.cleared_ms = strike.at_ms;
-                let known = !suspect.lost.is_empty();
-                suspect.lost.clear();
-                known
+                suspect.record_lost((Arc::clone(upstream), *boot), strike.at_ms)
             }
+            StrikeEvent::Cleared => suspect.record_cleared(strike.at_ms),
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -179,6 +179,22 @@
     );
 }
 
+/// A request that is in flight beside a crash once in a while is no poison request.
+#[test]
+fn expired_strikes_count_with_a_new_one() {
+    let mut suspects = Suspects::default();
+    suspects.record(&lost("a", 1, 10));
+    assert!(suspects.record(&lost("b", 1, 700_000)));
+    assert_eq!(suspects.verdict(7, 700_001), Verdict::Probation);
+    assert!(
+        !suspects.record(&lost("a", 1, 10)),
+        "an old strike is ignored"
+    );
+    assert_eq!(suspects.verdict(7, 700_001), Verdict::Probation);
+    assert!(suspects.record(&lost("c", 1, 1_200_000)));
+    assert_eq!(suspects.verdict(7, 1_200_001), Verdict::Refuse);
+}
+
 #[test]
 fn completing_clears_a_suspect() {
     let mut suspects = Suspects::default();
