refactor: one check of the limit in its tests, one place that applies an engine's model list

Read as a newcomer: two tests of the limit had the same check, the test had a copy of the time after which an entry is not heard, and the model list of a held engine was applied in the same lines after a synchronisation and after a restart.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -22,7 +22,7 @@
 
 /// Time without an update after which an entry may have sent requests that this entry has not learned of; two updates
 /// are missing by then.
-const SILENCE: Duration = Duration::from_millis(400);
+pub const SILENCE: Duration = Duration::from_millis(400);
 
 /// State of an engine, as its holder describes it.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/src/holding_monitor.rs
+++ b/src/holding_monitor.rs
@@ -5,7 +5,7 @@
     clock::BootInstant,
     holding::{EngineState, Holding, lock},
     lease::RENEW_INTERVAL,
-    upstream_client::{InFlightReport, OrderResult},
+    upstream_client::{InFlightReport, ModelList, OrderResult},
 };
 use log::{info, warn};
 use std::{sync::Arc, time::Duration};
@@ -38,13 +38,7 @@
             return false;
         };
         let settled = self.authority().may_trust_report(Duration::ZERO) && list.boot == self.boot();
-        self.scheduler().sync_adapters(&list.adapters(), settled);
-        *lock(&self.engine) = EngineState {
-            boot: list.boot,
-            clock_ms: list.now_ms,
-        };
-        self.surroundings.changed.notify_waiters();
-        self.schedule();
+        self.apply_models(&list, settled);
         true
     }
 
@@ -123,6 +117,12 @@
         info!(upstream = &*self.spec.id, boot = list.boot; "the engine restarted");
         // A new process only runs requests that it received since it started, none of a holder that stopped before.
         let settled = !self.authority().awaits_earlier_holder();
+        self.apply_models(&list, settled);
+        true
+    }
+
+    /// Takes over the adapters of the engine's process; `settled` if no request of an earlier holder can run there.
+    fn apply_models(self: &Arc<Self>, list: &ModelList, settled: bool) {
         self.scheduler().sync_adapters(&list.adapters(), settled);
         *lock(&self.engine) = EngineState {
             boot: list.boot,
@@ -130,6 +130,5 @@
         };
         self.surroundings.changed.notify_waiters();
         self.schedule();
-        true
     }
 }
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -3,6 +3,7 @@
 use carobfield::{
     clock::BootInstant,
     decide::rate_limit::{LimitChange, RateLimits},
+    entry::peers::SILENCE,
     ident::UpstreamId,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -29,9 +30,6 @@
     the_limit_is_shared_with_entries_that_are_not_heard,
 }
 
-/// Time after which an entry that is not heard is taken into account.
-const SILENCE_MS: u64 = 400;
-
 /// Window over which the users count requests, and what they allow in it beyond one and a half times the limit.
 const COUNT_WINDOW_MS: u64 = 4_000;
 const COUNT_SLACK: f64 = 5.0;
@@ -107,6 +105,17 @@
         }
     }
 
+    /// Checks that the upstream got no more than its limit allows in any window.
+    fn assert_limit_was_kept(&self, seed: u64, rate: f64) {
+        let window = COUNT_WINDOW_MS as f64 / 1_000.0;
+        let most = self.most_in_a_window() as f64;
+        assert!(
+            most <= rate * window * 1.5 + COUNT_SLACK,
+            "seed {seed}: {most} at {rate:.2} a second, {} entries",
+            self.entries.len()
+        );
+    }
+
     /// Returns the largest number of requests in one window.
     fn most_in_a_window(&self) -> usize {
         let sent = &self.sent_ms;
@@ -122,8 +131,8 @@
 
 mod case {
     use super::{
-        COUNT_SLACK, COUNT_WINDOW_MS, Duration, Fleet, LimitChange, RateLimits, RngExt, SILENCE_MS,
-        SeedableRng, SmallRng, at, limited, send, upstream,
+        Duration, Fleet, LimitChange, RateLimits, RngExt, SILENCE, SeedableRng, SmallRng, at,
+        limited, send, upstream,
     };
 
     pub(super) fn an_upstream_without_a_limit_takes_every_request() {
@@ -223,12 +232,7 @@
                     fleet.request(rng.random_range(0..entries), now_ms, delay_ms);
                 }
             }
-            let window = COUNT_WINDOW_MS as f64 / 1_000.0;
-            let most = fleet.most_in_a_window() as f64;
-            assert!(
-                most <= rate * window * 1.5 + COUNT_SLACK,
-                "seed {seed}: {most} at {rate:.2} a second, {entries} entries"
-            );
+            fleet.assert_limit_was_kept(seed, rate);
             let demand = 9_500.0 / interval_ms as f64;
             let used = fleet.sent_ms.len() as f64;
             assert!(
@@ -241,6 +245,7 @@
     /// All connections between the entries go silent for a time, while each of them reaches the upstream.
     pub(super) fn entries_that_lose_each_other_go_past_the_limit() {
         const BREAK_MS: std::ops::Range<u64> = 4_000..6_500;
+        let noticed_ms = BREAK_MS.start + SILENCE.as_millis() as u64;
         for seed in 0..60 {
             let mut rng = SmallRng::seed_from_u64(seed);
             let entries = [3, 6, 9][seed as usize % 3];
@@ -250,7 +255,7 @@
                 if BREAK_MS.contains(&now_ms) {
                     fleet.lose_reports();
                 }
-                if now_ms == BREAK_MS.start + SILENCE_MS {
+                if now_ms == noticed_ms {
                     fleet.set_unheard(entries - 1, now_ms);
                 }
                 if now_ms == BREAK_MS.end {
@@ -262,12 +267,7 @@
                     fleet.request(rng.random_range(0..entries), now_ms, delay_ms);
                 }
             }
-            let window = COUNT_WINDOW_MS as f64 / 1_000.0;
-            let most = fleet.most_in_a_window() as f64;
-            assert!(
-                most <= rate * window * 1.5 + COUNT_SLACK,
-                "seed {seed}: {most} at {rate:.2} a second, {entries} entries"
-            );
+            fleet.assert_limit_was_kept(seed, rate);
         }
     }
 
