feat: log the framing of a response and whether it ended inside an event

`routing: answer ended` could not tell the three hypotheses of docs/incidents/unframed-stream.md apart. It now has framing= (length, chunks, or close for a body that ends with its connection) and inside_event=. For that, streams that can't be resumed are scanned for event ends, too; their bytes are passed on as before, and no response ends differently.

--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -73,6 +73,39 @@
     _usage: UsageGuard,
 }
 
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// The number of bytes in `Content-Length`.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection, which also comes when the upstream breaks off.
+    Close,
+}
+
+impl Framing {
+    /// Returns the framing of a response with these headers.
+    fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
 /// The upstream that responds, and the connection that carries the response body.
 #[derive(Debug)]
 pub struct ResponseSource {
@@ -91,6 +124,8 @@
 pub struct UpstreamResponse {
     /// Head and body, without hop-by-hop headers.
     pub response: Response<Incoming>,
+    /// What ends the body.
+    pub framing: Framing,
     /// Upstream and connection that it comes from.
     pub source: ResponseSource,
 }
@@ -206,9 +241,11 @@
         }
         lock(&self.entry.outliers).record_success(&upstream.id);
         let keep_alive = pool::keep_alive_time(response.headers());
+        let framing = Framing::of(response.headers());
         remove_hop_by_hop_headers(response.headers_mut());
         AttemptOutcome::Response(Box::new(UpstreamResponse {
             response,
+            framing,
             source: ResponseSource {
                 upstream: Arc::clone(upstream),
                 connection,
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -5,10 +5,11 @@
     holding::lock,
     metrics,
     path::{
-        attempt::{AttemptOutcome, CrashCheck, ResponseSource, UpstreamResponse},
+        attempt::{AttemptOutcome, CrashCheck, Framing, ResponseSource, UpstreamResponse},
+        event_buffer::{Buffering, EventBuffer},
         job::ProxyRequest,
     },
-    sse::{EventBuffer, EventTooLarge},
+    sse::EventTooLarge,
 };
 use bytes::Bytes;
 use futures_util::stream;
@@ -29,7 +30,9 @@
     body: Option<Incoming>,
     /// The current upstream; `None` once its response ended.
     source: Option<ResponseSource>,
-    events: EventBuffer,
+    framing: Framing,
+    /// The stream's events; `None` if the body is no stream.
+    events: Option<EventBuffer>,
     resumable: bool,
     resumes: u32,
     timings: ChunkTimings,
@@ -83,10 +86,17 @@
         // The body may be assembled from the responses of several upstreams.
         response.headers_mut().remove(header::CONTENT_LENGTH);
     }
+    let buffering = if resumable {
+        Buffering::CompleteEvents
+    } else {
+        Buffering::None
+    };
+    let last_event = request.head.last_event;
     let relay = Relay {
-        events: EventBuffer::new(request.head.last_event),
+        events: is_stream.then(|| EventBuffer::new(buffering, last_event)),
         request,
         body: Some(body),
+        framing: received.framing,
         resumable,
         resumes: 0,
         logged: false,
@@ -130,7 +140,7 @@
                 }
                 None => {
                     self.finish_upstream_body();
-                    return match self.events.take_rest() {
+                    return match self.events.as_mut().and_then(EventBuffer::take_rest) {
                         Some(rest) => self.forward_chunk(rest),
                         None => self.finish(),
                     };
@@ -152,13 +162,17 @@
 
     /// Returns only complete events of a resumable stream, and buffers the rest; other bodies are not buffered.
     fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
-        if self.resumable {
-            self.events.push(&data)
-        } else {
-            Ok(Some(data))
+        match &mut self.events {
+            Some(events) => events.push(data),
+            None => Ok(Some(data)),
         }
     }
 
+    fn is_inside_event(&self) -> bool {
+        let events = self.events.as_ref();
+        events.is_some_and(EventBuffer::is_inside_event)
+    }
+
     fn forward_chunk(&mut self, data: Bytes) -> RelayStep {
         let now = BootInstant::now();
         if self.timings.first.is_none() {
@@ -226,7 +240,8 @@
             request = &*self.request.head.id, outcome = outcome, took_ms = took.as_millis() as u64,
             first_ms = first.unwrap_or_default().as_millis() as u64, gap_ms = self.timings.longest_gap.as_millis() as u64,
             gap_at_ms = self.timings.gap_end.since(arrived).as_millis() as u64, sent_ms = self.first_sent.since(arrived).as_millis() as u64,
-            prompt_tokens = prompt, tries = self.attempts, resumes = self.resumes;
+            prompt_tokens = prompt, tries = self.attempts, resumes = self.resumes, framing = self.framing.as_str(),
+            inside_event = self.is_inside_event();
             "routing: answer ended"
         );
     }
@@ -252,11 +267,15 @@
             };
             self.attempts += 1;
             self.resumes += 1;
-            let last = self.events.last_event_id();
+            let events = self.events.as_ref();
+            let last = events.and_then(EventBuffer::last_event_id);
             info!(request = &*self.request.head.id, upstream = &*placement.upstream.id, last_event = last.unwrap_or(0); "routing: stream resumed");
             match self.request.attempt(&placement, last, prefill_time).await {
                 AttemptOutcome::Response(received) if received.response.status().is_success() => {
-                    self.events.discard_partial();
+                    if let Some(events) = &mut self.events {
+                        events.discard_partial();
+                    }
+                    self.framing = received.framing;
                     self.body = Some(received.response.into_body());
                     self.source = Some(received.source);
                     return true;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -19,7 +19,6 @@
     },
     entry::late_orders::LateOrders,
     ident::UpstreamId,
-    sse::EventBuffer,
 };
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -49,7 +48,6 @@
     an_engine_is_taken_over_by_one_entry,
     a_takeover_waits_for_the_earlier_holder,
     late_orders_pass_to_the_next_holder,
-    a_broken_stream_resumes_after_its_last_complete_event,
 }
 
 fn at(ms: u64) -> BootInstant {
@@ -115,11 +113,11 @@
 
 mod case {
     use super::{
-        AdapterKey, Arc, Choice, Deployment, Duration, EventBuffer, HashSet, HolderRecord,
-        HolderState, LateOrder, LateOrders, MemberRecord, Outliers, OwnProcess, Phase, Plan,
-        Registry, RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget,
-        SlotState, SocketAddr, TakeoverStep, UpstreamId, at, candidates, ids, load_balancing,
-        registration, route, routes, takeover,
+        AdapterKey, Arc, Choice, Deployment, Duration, HashSet, HolderRecord, HolderState,
+        LateOrder, LateOrders, MemberRecord, Outliers, OwnProcess, Phase, Plan, Registry,
+        RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget, SlotState,
+        SocketAddr, TakeoverStep, UpstreamId, at, candidates, ids, load_balancing, registration,
+        route, routes, takeover,
     };
 
     pub(super) fn the_longest_prefix_wins() {
@@ -475,18 +473,4 @@
         let plan = next.plan(&cold, 1, at(5_000), |_| false);
         assert_eq!(plan, Plan::Evict(AdapterKey::new("base", "a2")));
     }
-
-    pub(super) fn a_broken_stream_resumes_after_its_last_complete_event() {
-        let mut buffer = EventBuffer::new(None);
-        let first = buffer.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("small");
-        assert_eq!(first.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
-        assert_eq!(buffer.last_event_id(), Some(1));
-        buffer.discard_partial();
-        let second = buffer.push(b"id: 2\ndata: b\n\n").expect("small");
-        assert_eq!(second.as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
-        assert_eq!(
-            (buffer.last_event_id(), buffer.take_rest()),
-            (Some(2), None)
-        );
-    }
 }
