fix: a stream that ends inside an event is broken off, whatever ended its body

The response had neither a length nor chunks, so the end of its connection was the end of its body: the HTTP client reports no error, and the relay took every regular end of a body for the end of the stream, forwarded the rest of the event and wrote the last chunk.

What ends a body says nothing about the stream in it. The relay now asks the stream itself: one that ends inside an event, or, if only the connection's end ends it, before its first event, is broken off like one whose connection fails. It is resumed where the route allows it, and ends without the last chunk where not; the upstream's failure is recorded, the request's strikes are not cleared, and the connection is not kept. Streams are passed on in chunks, so that one with a length can end broken as well. The relay yields once before it fails a body: the server drops what it has buffered then, and a break that comes with the last data took the head with it.

Whole responses without a length or chunks, streams and calls, are still complete.

--- a/src/path/event_buffer.rs
+++ b/src/path/event_buffer.rs
@@ -62,6 +62,7 @@
     buffer: BytesMut,
     /// Size of the incomplete event, in bytes.
     partial: usize,
+    has_events: bool,
     last: Option<u64>,
 }
 
@@ -73,6 +74,7 @@
             scanner: EventScanner::default(),
             buffer: BytesMut::new(),
             partial: 0,
+            has_events: last.is_some(),
             last,
         }
     }
@@ -87,6 +89,7 @@
             Some(end) => data.len() - end,
             None => self.partial + data.len(),
         };
+        self.has_events |= end.is_some();
         if self.buffering == Buffering::None {
             return Ok(Some(data));
         }
@@ -110,10 +113,9 @@
         self.partial > 0
     }
 
-    /// Takes the bytes after the last complete event, once the stream has ended.
-    pub fn take_rest(&mut self) -> Option<Bytes> {
-        let rest = self.buffer.split().freeze();
-        (!rest.is_empty()).then_some(rest)
+    /// Returns whether there was a complete event, in the stream or in the part of it before a resumption.
+    pub fn has_events(&self) -> bool {
+        self.has_events
     }
 
     /// Discards an incomplete event, which another upstream will send again.
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -15,7 +15,7 @@
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::{Response, header};
-use http_body::Frame;
+use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use log::{info, warn};
@@ -82,8 +82,8 @@
     let mut response = Response::new(());
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
-    if resumable {
-        // The body may be assembled from the responses of several upstreams.
+    if is_stream {
+        // A stream may end before its upstream's length, or be assembled from the responses of several upstreams.
         response.headers_mut().remove(header::CONTENT_LENGTH);
     }
     let buffering = if resumable {
@@ -110,7 +110,11 @@
         match relay.next().await {
             RelayStep::Data(data) => Some((Ok(Frame::data(data)), Some(relay))),
             RelayStep::End => None,
-            RelayStep::Broken(problem) => Some((Err(io::Error::other(problem)), None)),
+            RelayStep::Broken(problem) => {
+                // The server discards what it has not written yet when the body fails; this lets it write first.
+                tokio::task::yield_now().await;
+                Some((Err(io::Error::other(problem)), None))
+            }
         }
     });
     response.map(|()| StreamBody::new(frames).boxed_unsync())
@@ -138,14 +142,11 @@
                         Err(EventTooLarge) => return self.fail("event too large"),
                     }
                 }
-                None => {
+                None if !self.is_cut_short() => {
                     self.finish_upstream_body();
-                    return match self.events.as_mut().and_then(EventBuffer::take_rest) {
-                        Some(rest) => self.forward_chunk(rest),
-                        None => self.finish(),
-                    };
+                    return self.finish();
                 }
-                Some(Err(_broken)) => {
+                None | Some(Err(_)) => {
                     self.body = None;
                     let source = self.source.take();
                     let check = source.map(|s| {
@@ -160,6 +161,15 @@
         }
     }
 
+    /// Returns whether a stream whose body has ended regularly is incomplete all the same: inside an event, or before the
+    /// first one if only the end of the connection ends the body.
+    fn is_cut_short(&self) -> bool {
+        let Some(events) = &self.events else {
+            return false;
+        };
+        events.is_inside_event() || (self.framing == Framing::Close && !events.has_events())
+    }
+
     /// Returns only complete events of a resumable stream, and buffers the rest; other bodies are not buffered.
     fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
         match &mut self.events {
@@ -168,11 +178,6 @@
         }
     }
 
-    fn is_inside_event(&self) -> bool {
-        let events = self.events.as_ref();
-        events.is_some_and(EventBuffer::is_inside_event)
-    }
-
     fn forward_chunk(&mut self, data: Bytes) -> RelayStep {
         let now = BootInstant::now();
         if self.timings.first.is_none() {
@@ -181,11 +186,8 @@
             metrics::first_chunk(self.request.route.kind.as_str(), taken.as_secs_f64());
         }
         self.timings.record(now);
-        if self
-            .body
-            .as_ref()
-            .is_some_and(http_body::Body::is_end_stream)
-        {
+        let has_ended = self.body.as_ref().is_some_and(Incoming::is_end_stream);
+        if has_ended && !self.is_cut_short() {
             // The server does not poll the body again once `Content-Length` bytes were sent.
             self.finish_upstream_body();
         }
@@ -241,7 +243,7 @@
             first_ms = first.unwrap_or_default().as_millis() as u64, gap_ms = self.timings.longest_gap.as_millis() as u64,
             gap_at_ms = self.timings.gap_end.since(arrived).as_millis() as u64, sent_ms = self.first_sent.since(arrived).as_millis() as u64,
             prompt_tokens = prompt, tries = self.attempts, resumes = self.resumes, framing = self.framing.as_str(),
-            inside_event = self.is_inside_event();
+            inside_event = self.events.as_ref().is_some_and(EventBuffer::is_inside_event);
             "routing: answer ended"
         );
     }
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -57,5 +57,5 @@
     let second = push(&mut buffer, "id: 2\ndata: b\n\n");
     assert_eq!(*second, *b"id: 2\ndata: b\n\n");
     assert_eq!(buffer.last_event_id(), Some(2));
-    assert_eq!(buffer.take_rest(), None);
+    assert!(!buffer.is_inside_event());
 }
