fix: give up an event that does not end, and resume its stream elsewhere

A faulty upstream may write bytes without end. Streams that can't be resumed passed an endless event on until the deadline (4.0 s in the test), as only buffered streams had a bound on an event; and a resumable stream that met the bound ended broken instead of being resumed. Both now count as broken off after 1 MiB of one event. A response head is read up to 64 KiB, not 408 KiB (hyper's default), so that many requests to such upstreams stay small in memory.

platform/standin/tests/endless.rs writes without end in a head (one line, many headers, noise), in interim responses, in an event, in a body with and without framing, and in a failed response that may be retried; other requests must be served meanwhile and each connection be closed.

--- a/src/path/event_buffer.rs
+++ b/src/path/event_buffer.rs
@@ -90,12 +90,12 @@
             None => self.partial + data.len(),
         };
         self.has_events |= end.is_some();
-        if self.buffering == Buffering::None {
-            return Ok(Some(data));
-        }
         if self.partial > MAX_EVENT_BYTES {
             return Err(EventTooLarge);
         }
+        if self.buffering == Buffering::None {
+            return Ok(Some(data));
+        }
         let kept = self.buffer.len();
         self.buffer.extend_from_slice(&data);
         let Some(end) = end else {
--- a/src/path/pool.rs
+++ b/src/path/pool.rs
@@ -30,6 +30,9 @@
 /// Largest number of idle connections per upstream; an upstream limits its connections across all entries.
 const MAX_IDLE: usize = 24;
 
+/// Largest response head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// An idle connection.
 #[derive(Debug)]
 struct IdleConnection {
@@ -125,6 +128,7 @@
             return Err(SendError::NotSent);
         };
         let handshake = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(stream)
             .await;
         let Ok((sender, driver)) = handshake else {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -9,7 +9,6 @@
         event_buffer::{Buffering, EventBuffer},
         job::ProxyRequest,
     },
-    sse::EventTooLarge,
 };
 use bytes::Bytes;
 use futures_util::stream;
@@ -131,36 +130,37 @@
                 Ok(frame) => frame,
                 Err(_elapsed) => return self.fail("timeout"),
             };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    match self.complete_events(data) {
-                        Ok(Some(data)) => return self.forward_chunk(data),
-                        Ok(None) => {}
-                        Err(EventTooLarge) => return self.fail("event too large"),
-                    }
-                }
+            let received = match frame {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => self.complete_events(data),
+                    Err(_trailers) => Ok(None),
+                },
                 None if !self.is_cut_short() => {
                     self.finish_upstream_body();
                     return self.finish();
                 }
-                None | Some(Err(_)) => {
-                    self.body = None;
-                    let source = self.source.take();
-                    let check = source.map(|s| {
-                        self.request
-                            .record_broken_connection(&s.upstream, "answer broke off")
-                    });
-                    if !self.resume(check).await {
-                        return self.fail("answer broke off");
+                None | Some(Err(_)) => Err("answer broke off"),
+            };
+            match received {
+                Ok(Some(data)) => return self.forward_chunk(data),
+                Ok(None) => {}
+                Err(problem) => {
+                    if !self.recover(problem).await {
+                        return self.fail(problem);
                     }
                 }
             }
         }
     }
 
+    /// Gives up the current upstream and resumes the stream at another one; false if that is not possible.
+    async fn recover(&mut self, problem: &str) -> bool {
+        self.body = None;
+        let source = self.source.take();
+        let check = source.map(|s| self.request.record_broken_connection(&s.upstream, problem));
+        self.resume(check).await
+    }
+
     /// Returns whether a stream whose body has ended regularly is incomplete all the same: inside an event, or before the
     /// first one if only the end of the connection ends the body.
     fn is_cut_short(&self) -> bool {
@@ -171,9 +171,9 @@
     }
 
     /// Returns only complete events of a resumable stream, and buffers the rest; other bodies are not buffered.
-    fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
+    fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, &'static str> {
         match &mut self.events {
-            Some(events) => events.push(data),
+            Some(events) => events.push(data).map_err(|_e| "event too large"),
             None => Ok(Some(data)),
         }
     }
