feat: log the parts of a prompt, and how far a run had come, when a connection breaks

The logs could not show what the requests under which engines end have in common (hypothesis 1 of docs/incidents/prompt-part.md): a request's fingerprint says nothing about its parts.

--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -169,7 +169,7 @@
                 AttemptOutcome::NotRun
             }
             Err(SendError::Broken) => {
-                let check = self.record_broken_connection(upstream, "connection broke");
+                let check = self.record_broken_connection(upstream, "connection broke", None);
                 AttemptOutcome::Uncertain(Some(check))
             }
         }
@@ -267,20 +267,24 @@
     }
 
     /// Records that the connection broke under the request, and checks in the background whether the upstream crashed.
+    /// `ran` is the time since the first chunk of the response, if there was one.
     pub fn record_broken_connection(
         &self,
         upstream: &Arc<Registration>,
         problem: &str,
+        ran: Option<Duration>,
     ) -> CrashCheck {
         self.record_failure(upstream, problem);
         let (entry, request) = (Arc::clone(&self.entry), Arc::clone(&self.head.id));
         let (method, target) = (self.method.clone(), self.path_and_query.clone());
         let (upstream, fingerprint) = (Arc::clone(upstream), self.fingerprint);
+        let parts: Vec<String> = self.prompt_parts().map(|id| format!("{id:016x}")).collect();
         tokio::spawn(async move {
             let listener = http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await;
             info!(
                 request = &*request, fingerprint:% = format!("{fingerprint:016x}"), method:% = method, target = target,
-                upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), listener:? = listener;
+                upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), listener:? = listener,
+                started = ran.is_some(), ran_ms = ran.unwrap_or_default().as_millis() as u64, parts = parts.join(" ");
                 "routing: connection broke under a request"
             );
             // A connection can also break without a crash, and a silent host may only be unreachable.
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -78,6 +78,19 @@
         self.head.work.as_ref()?.adapter.as_ref()
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but the last.
+    pub fn prompt_parts(&self) -> impl Iterator<Item = u64> {
+        let segments = self
+            .head
+            .work
+            .as_ref()
+            .map(|w| w.prompt_segments.as_slice());
+        let shared = segments
+            .and_then(<[_]>::split_last)
+            .map(|(_own, shared)| shared);
+        shared.unwrap_or_default().iter().map(|(id, _tokens)| *id)
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(BootInstant::now())
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -157,7 +157,11 @@
     async fn recover(&mut self, problem: &str) -> bool {
         self.body = None;
         let source = self.source.take();
-        let check = source.map(|s| self.request.record_broken_connection(&s.upstream, problem));
+        let ran = self.timings.first.map(|t| BootInstant::now().since(t));
+        let check = source.map(|s| {
+            self.request
+                .record_broken_connection(&s.upstream, problem, ran)
+        });
         self.resume(check).await
     }
 
