fix: refuse a part of prompts under which engines crash

Cause: strikes were kept by whole request, so that each new request with the same deadly part was the first of its kind. The class of fault: a memory of failures whose key is finer than their cause.

Strikes are now recorded against subjects, a whole request or a part of its prompt, in the same table, with the same expiry, verdict and way to other entries, to one that restarts, through an outage of the store and in the member records. A part is suspected if a request with it had no response yet, or for under 100 ms, when its engine ended; a response clears it at all entries. It is refused after three crashes under two requests, or five over more than a second if it was ever responded to, each 200 ms after the crash. Crashes under a refused part count against nothing else: requests that were only beside them are not refused any more.

Strikes and member records have new fields: all entries need this build; old beside new was not tried.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -46,3 +46,22 @@
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |d| d.as_millis() as u64)
 }
+
+/// A point in time on the clock of this VM and on the one that leaves it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Moment {
+    /// Time on `CLOCK_BOOTTIME`.
+    pub boot: BootInstant,
+    /// Milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+impl Moment {
+    /// Reads both clocks.
+    pub fn now() -> Self {
+        Self {
+            boot: BootInstant::now(),
+            unix_ms: unix_ms(),
+        }
+    }
+}
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -7,7 +7,7 @@
     clock::BootInstant,
     edge::registration::AdapterKey,
     ident::{Generation, UpstreamId, rendezvous},
-    poison::RefusedRequest,
+    refused_subject::RefusedSubject,
 };
 use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
@@ -34,9 +34,9 @@
     /// Its orders that may still be executed, for the next holder of those engines.
     #[serde(default)]
     pub late: Vec<LateOrder>,
-    /// Requests that crashed upstreams, for entries that start after all that know of them have ended.
+    /// What upstreams crashed under, for entries that start after all that know of them have ended.
     #[serde(default)]
-    pub refused: Vec<RefusedRequest>,
+    pub refused: Vec<RefusedSubject>,
 }
 
 /// An order for an adapter that got no response and may be executed later.
--- a/src/dispatch_server.rs
+++ b/src/dispatch_server.rs
@@ -253,12 +253,11 @@
     dispatch: &DispatchRequest,
     boot: u64,
 ) {
-    let upstream = Arc::clone(&holding.spec.id);
     // A plain service does not identify its process, so each of its crashes counts.
     let boot = if boot == 0 { clock::unix_ms() } else { boot };
     context
         .quarantine
-        .record_lost(dispatch.fingerprint, upstream, boot);
+        .record_lost(dispatch.fingerprint, &[], &holding.spec.id, boot);
     holding.check_restart().await;
 }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -23,12 +23,12 @@
         usage::Usage,
     },
     holding::lock,
-    ident::{Revision, UpstreamId},
+    ident::{Revision, UpstreamId, rendezvous},
     link::Link,
     path::pool::Pool,
-    poison::RefusedRequest,
     quarantine::Quarantine,
-    wire::Strike,
+    refused_subject::RefusedSubject,
+    wire::{Strike, Subject},
 };
 use arc_swap::ArcSwap;
 use log::info;
@@ -74,7 +74,7 @@
     pub outliers: Mutex<Outliers>,
     /// Budget of retries.
     pub retry_budget: Mutex<ServiceRetryBudget>,
-    /// Requests suspected of crashing upstreams.
+    /// Requests and parts of prompts suspected of crashing upstreams.
     pub quarantine: Quarantine,
     /// Newest announced versions of adapters.
     pub versions: Mutex<HashMap<AdapterKey, u32>>,
@@ -227,23 +227,27 @@
         true
     }
 
-    /// Records a peer's strike against a request, and passes it on if it is new.
+    /// Records a peer's strike, and passes it on if it is new.
     pub fn record_strike(&self, strike: &Strike) {
         if self.quarantine.record(strike) {
             self.notify_peers();
         }
     }
 
-    /// Records the strikes of requests that an entry had refused when it last wrote its record in the store.
-    pub fn restore_refused(&self, refused: &[RefusedRequest]) {
-        let strikes = refused.iter().flat_map(RefusedRequest::strikes);
+    /// Records the strikes of what an entry had refused when it last wrote its record in the store.
+    pub fn restore_refused(&self, refused: &[RefusedSubject]) {
+        let strikes = refused.iter().flat_map(RefusedSubject::strikes);
         strikes.for_each(|strike| self.record_strike(&strike));
     }
 
-    /// Records that the process of `upstream` ended while it ran a request.
-    pub fn record_crash(&self, fingerprint: u64, upstream: &Registration) {
-        let (id, born) = (Arc::clone(&upstream.id), upstream.born.unwrap_or_default());
-        if self.quarantine.record_lost(fingerprint, id, born) {
+    /// Records that the process of `upstream` ended while it ran a request, and that any of `parts` of its prompt may
+    /// have caused that.
+    pub fn record_crash(&self, fingerprint: u64, parts: &[u64], upstream: &Registration) {
+        let boot = upstream.born.unwrap_or_default();
+        if self
+            .quarantine
+            .record_lost(fingerprint, parts, &upstream.id, boot)
+        {
             self.notify_peers();
         }
     }
@@ -255,6 +259,24 @@
         }
     }
 
+    /// Clears the suspicion against parts of a prompt to which an upstream has responded.
+    pub fn clear_part_strikes(&self, parts: &[u64]) {
+        if self.quarantine.clear_parts(parts) {
+            self.notify_peers();
+        }
+    }
+
+    /// Returns whether this entry is the one that tries a refused part, of all entries that take requests.
+    pub fn tries(&self, subject: Subject) -> bool {
+        let peers = lock(&self.peers);
+        let live = peers.live(BootInstant::now());
+        let ready = live.into_iter().filter(|info| info.ready && !info.leaving);
+        let own = self.config.id.as_str();
+        let names: Vec<&str> = ready.map(|info| &*info.name).chain([own]).collect();
+        let ranked = rendezvous(&subject.to_string(), &names, |name| name);
+        ranked.first().is_none_or(|name| **name == own)
+    }
+
     /// Returns this entry's description for its peers.
     pub fn peer_info(&self) -> PeerInfo {
         PeerInfo {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,8 @@
 pub mod process;
 pub mod quarantine;
 pub mod queue;
+pub mod recent_set;
+pub mod refused_subject;
 pub mod release_log;
 pub mod renewal;
 pub mod responses;
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -32,6 +32,10 @@
 /// Timeout of the check whether an upstream still listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time from the first chunk of a response after which the parts of its prompt are not the cause of a crash: such a part
+/// crashes the upstream when it begins to respond.
+pub const PROVEN_AFTER: Duration = Duration::from_millis(100);
+
 /// Hop-by-hop headers, which apply to a single connection and must not be forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -278,18 +282,21 @@
         let (entry, request) = (Arc::clone(&self.entry), Arc::clone(&self.head.id));
         let (method, target) = (self.method.clone(), self.path_and_query.clone());
         let (upstream, fingerprint) = (Arc::clone(upstream), self.fingerprint);
-        let parts: Vec<String> = self.prompt_parts().map(|id| format!("{id:016x}")).collect();
+        let parts: Vec<u64> = self.prompt_parts().collect();
         tokio::spawn(async move {
+            let logged: Vec<String> = parts.iter().map(|id| format!("{id:016x}")).collect();
             let listener = http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await;
             info!(
                 request = &*request, fingerprint:% = format!("{fingerprint:016x}"), method:% = method, target = target,
                 upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), listener:? = listener,
-                started = ran.is_some(), ran_ms = ran.unwrap_or_default().as_millis() as u64, parts = parts.join(" ");
+                started = ran.is_some(), ran_ms = ran.unwrap_or_default().as_millis() as u64, parts = logged.join(" ");
                 "routing: connection broke under a request"
             );
             // A connection can also break without a crash, and a silent host may only be unreachable.
             if listener == ListenerState::Closed {
-                entry.record_crash(fingerprint, &upstream);
+                let is_proven = ran.is_some_and(|ran| ran >= PROVEN_AFTER);
+                let suspected = if is_proven { &[] } else { &*parts };
+                entry.record_crash(fingerprint, suspected, &upstream);
             }
         })
     }
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -18,8 +18,9 @@
         send_log::SendRecord,
     },
     holding::lock,
-    ident::UpstreamId,
+    ident::{UpstreamId, pair_hash},
     path::refusal::RefusalReason,
+    wire::Subject,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -29,6 +30,9 @@
 /// Engines on which loading the adapter is attempted before a request is refused.
 const MAX_LOADS: usize = 3;
 
+/// Parts of a prompt that are looked at, the first ones, to bound what one request costs.
+const MAX_PARTS: usize = 16;
+
 /// Interval at which a waiting request polls whether its upstream started to leave; a small part of the two seconds
 /// during which a leaving upstream still takes requests.
 const LEAVING_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -78,17 +82,14 @@
         self.head.work.as_ref()?.adapter.as_ref()
     }
 
-    /// Returns the parts of the prompt that other requests may share: all but the last.
+    /// Returns the parts of the prompt that other requests may share: all but the last, and at most [`MAX_PARTS`].
     pub fn prompt_parts(&self) -> impl Iterator<Item = u64> {
-        let segments = self
-            .head
-            .work
-            .as_ref()
-            .map(|w| w.prompt_segments.as_slice());
+        let work = self.head.work.as_ref();
+        let segments = work.map_or(&[][..], |w| &w.prompt_segments);
         let shared = segments
-            .and_then(<[_]>::split_last)
-            .map(|(_own, shared)| shared);
-        shared.unwrap_or_default().iter().map(|(id, _tokens)| *id)
+            .split_last()
+            .map_or(&[][..], |(_own, shared)| shared);
+        shared.iter().take(MAX_PARTS).map(|(id, _tokens)| *id)
     }
 
     /// Returns the time left until the deadline.
@@ -108,12 +109,17 @@
         lock(&self.entry.retry_budget).has_retry(&self.service, entries, BootInstant::now())
     }
 
-    /// Returns whether the request may be sent, given the upstreams that crashed under it at any entry.
+    /// Returns whether the request may be sent, given the upstreams that crashed at any entry under it, or under requests
+    /// that share a part of its prompt.
     ///
     /// # Errors
     /// The refusal, with the time for which it holds.
     pub fn check_quarantine(&self) -> Result<(), RefusalReason> {
-        let left = self.entry.quarantine.refused_for(self.fingerprint);
+        let parts = self.prompt_parts().map(Subject::Part);
+        let subjects = parts.chain([Subject::Request(self.fingerprint)]);
+        let ticket = pair_hash(&self.head.id, "");
+        let quarantine = &self.entry.quarantine;
+        let left = quarantine.refused_for(subjects, ticket, |subject| self.entry.tries(subject));
         left.map_or(Ok(()), |left| Err(RefusalReason::Poison(left)))
     }
 
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -5,7 +5,9 @@
     holding::lock,
     metrics,
     path::{
-        attempt::{AttemptOutcome, CrashCheck, Framing, ResponseSource, UpstreamResponse},
+        attempt::{
+            AttemptOutcome, CrashCheck, Framing, PROVEN_AFTER, ResponseSource, UpstreamResponse,
+        },
         event_buffer::{Buffering, EventBuffer},
         job::ProxyRequest,
     },
@@ -29,6 +31,8 @@
     body: Option<Incoming>,
     /// The current upstream; `None` once its response ended.
     source: Option<ResponseSource>,
+    /// Time of the current upstream's first chunk.
+    started: Option<BootInstant>,
     framing: Framing,
     /// The stream's events; `None` if the body is no stream.
     events: Option<EventBuffer>,
@@ -38,6 +42,8 @@
     /// Time at which the request was first sent to an upstream.
     first_sent: BootInstant,
     attempts: u32,
+    /// Whether the current upstream has responded to the prompt for long enough to clear its parts.
+    proven: bool,
     logged: bool,
 }
 
@@ -96,8 +102,10 @@
         request,
         body: Some(body),
         framing: received.framing,
+        started: None,
         resumable,
         resumes: 0,
+        proven: false,
         logged: false,
         timings: ChunkTimings::default(),
         first_sent: received.source.sent.at,
@@ -157,7 +165,7 @@
     async fn recover(&mut self, problem: &str) -> bool {
         self.body = None;
         let source = self.source.take();
-        let ran = self.timings.first.map(|t| BootInstant::now().since(t));
+        let ran = self.started.map(|t| BootInstant::now().since(t));
         let check = source.map(|s| {
             self.request
                 .record_broken_connection(&s.upstream, problem, ran)
@@ -190,6 +198,10 @@
             metrics::first_chunk(self.request.route.kind.as_str(), taken.as_secs_f64());
         }
         self.timings.record(now);
+        let started = *self.started.get_or_insert(now);
+        if !self.proven && now.since(started) >= PROVEN_AFTER {
+            self.clear_parts();
+        }
         let has_ended = self.body.as_ref().is_some_and(Incoming::is_end_stream);
         if has_ended && !self.is_cut_short() {
             // The server does not poll the body again once `Content-Length` bytes were sent.
@@ -198,6 +210,13 @@
         RelayStep::Data(data)
     }
 
+    /// Clears the parts of the prompt of suspicion.
+    fn clear_parts(&mut self) {
+        self.proven = true;
+        let parts: Vec<u64> = self.request.prompt_parts().collect();
+        self.request.entry.clear_part_strikes(&parts);
+    }
+
     /// Reports the actual time to the first chunk to the prefill schedule, next to the expected time.
     fn record_prefill(&self, now: BootInstant) {
         if let Some(source) = &self.source {
@@ -212,6 +231,9 @@
         self.body = None;
         if let Some(source) = self.source.take() {
             self.request.entry.clear_strikes(self.request.fingerprint);
+            if self.events.is_some() && !self.proven {
+                self.clear_parts();
+            }
             let pool = &self.request.entry.pool;
             pool.release(source.connection, source.keep_alive);
         }
@@ -284,6 +306,8 @@
                     self.framing = received.framing;
                     self.body = Some(received.response.into_body());
                     self.source = Some(received.source);
+                    self.started = None;
+                    self.proven = false;
                     return true;
                 }
                 AttemptOutcome::Uncertain(broken) => check = broken,
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -1,29 +1,61 @@
-//! Poison requests, which crash the upstreams that run them: counts strikes, and restricts or refuses such requests.
+//! Decides which requests are refused because upstreams crash under them: repeats of one request, and requests that
+//! share a part of their prompts.
+//!
+//! | load pattern | response |
+//! |---|---|
+//! | a caller repeats a request that crashes each upstream | refused after two crashes |
+//! | requests of which no two are alike share a part that crashes each engine that begins to respond to it | the part is refused once three engines crashed under at least two requests with it and none has responded to it since |
+//! | the same with a part that was served before | after five crashes over more than a second |
+//! | many engines crash at once | parts that other engines respond to are cleared within [`SETTLE_TIME`], before the crashes count; parts served before need crashes over a longer time |
+//! | sound requests are in flight beside such crashes | a crash that a refused part explains counts against nothing else |
+//! | a sound part is refused all the same | one request with it is tried after ten seconds, and clears it; a crash makes the next wait longer |
 
 use crate::{
+    clock::{BootInstant, Moment},
     ident::UpstreamId,
-    wire::{Strike, StrikeEvent},
+    refused_subject::RefusedSubject,
+    wire::{LostRun, Strike, StrikeEvent, Subject},
 };
+use log::warn;
 use rapidhash::v3::rapidhash_v3;
-use serde::{Deserialize, Serialize};
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
 
-/// Upstreams that a request may crash before it is refused.
-const MAX_CRASHED_UPSTREAMS: usize = 2;
-
 /// Time for which a strike counts, in milliseconds.
-const STRIKE_TTL_MS: u64 = 600_000;
+pub const STRIKE_TTL_MS: u64 = 600_000;
 
-/// Requests tracked at once.
+/// Subjects tracked at once.
 const MAX_SUSPECTS: usize = 16_384;
 
-/// Refused requests in one record in the store, to keep the record well below the size of a value there.
+/// Crashes kept of one subject; more change nothing.
+const MAX_LOSSES: usize = 64;
+
+/// Refused subjects in one record in the store, to keep the record well below the size of a value there.
 const MAX_STORED: usize = 256;
 
+/// Time after which a crash counts against a part: all entries have heard of it by then, and those that get responses to
+/// the part have cleared it.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
+/// Time from the last crash under a refused part to the first trial.
+const FIRST_TRIAL_MS: u64 = 10_000;
+
+/// Factor by which each trial that failed prolongs the wait for the next one.
+const TRIAL_BACKOFF: u64 = 4;
+
+/// Pause between crashes under a refused part that makes the later one that of a trial.
+const TRIAL_GAP_MS: u64 = FIRST_TRIAL_MS / 2;
+
+/// Time for which the outcome of a trial is awaited before the next one.
+const TRIAL_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which callers may return while the outcome of a trial is awaited.
+const TRIAL_RETRY: Duration = Duration::from_secs(1);
+
 /// Returns the hash of what stays the same when a caller repeats a request, such as its path and body.
 pub fn fingerprint(parts: &[&[u8]]) -> u64 {
     rapidhash_v3(&parts.join(&0))
@@ -40,47 +72,85 @@
     Refuse,
 }
 
-/// Refused request as kept in the store, for processes that start when no other knows of it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RefusedRequest {
-    /// Fingerprint as a hexadecimal number, as not every reader of JSON keeps 64 bits.
-    pub fingerprint: String,
-    /// Upstreams that it crashed, with the start times of their processes.
-    pub lost: Vec<(UpstreamId, u64)>,
-    /// Time of the last strike, in milliseconds since the Unix epoch.
-    pub at_ms: u64,
+/// Process of an upstream: its name, and the time at which it started.
+type Process = (UpstreamId, u64);
+
+/// Evidence that leads to a refusal.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    /// Crashes of different processes.
+    crashes: usize,
+    /// Different requests among them.
+    requests: usize,
+    /// Time from the first to the last of them, in milliseconds.
+    spread_ms: u64,
+    /// Age from which a crash counts.
+    settle: Duration,
 }
 
-impl RefusedRequest {
-    /// Returns the strikes that led to the refusal; none if the fingerprint can't be parsed.
-    pub fn strikes(&self) -> Vec<Strike> {
-        let Ok(fingerprint) = u64::from_str_radix(&self.fingerprint, 16) else {
-            return Vec::new();
-        };
-        let lost = self.lost.iter();
-        let strike = |(upstream, boot): &(UpstreamId, u64)| Strike {
-            fingerprint,
-            event: StrikeEvent::Lost {
-                upstream: Arc::clone(upstream),
-                boot: *boot,
-            },
-            at_ms: self.at_ms,
-        };
-        lost.map(strike).collect()
-    }
+const REQUEST_LIMITS: Limits = Limits {
+    crashes: 2,
+    requests: 1,
+    spread_ms: 0,
+    settle: Duration::ZERO,
+};
+
+const NEW_PART_LIMITS: Limits = Limits {
+    crashes: 3,
+    // One request that is resumed and sent again may crash three by itself.
+    requests: 2,
+    spread_ms: 0,
+    settle: SETTLE_TIME,
+};
+
+const PROVEN_PART_LIMITS: Limits = Limits {
+    crashes: 5,
+    requests: 3,
+    spread_ms: 1_000,
+    settle: SETTLE_TIME,
+};
+
+/// A crash under a request with the subject.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    request: u64,
+    at_ms: u64,
+    /// Time from which its age is counted on this VM.
+    known: BootInstant,
 }
 
-/// Upstreams that one request crashed, and when strikes were last recorded or cleared.
+/// The request that tries a refused part.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    ticket: u64,
+    ends: BootInstant,
+}
+
+/// Whether a request tries a refused part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TrialState {
+    /// It does not: another one does, or it is too early.
+    NotDue,
+    /// It begins to.
+    Begun,
+    /// It has begun before.
+    Running,
+}
+
+/// Crashes under one subject, and when strikes were last recorded or cleared.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    lost: HashSet<(UpstreamId, u64)>,
+    lost: HashMap<Process, Loss>,
     cleared_ms: u64,
     last_ms: u64,
+    depth: u8,
+    proven: bool,
+    trial: Option<Trial>,
 }
 
 impl Suspect {
     /// Records a crash of an upstream's process; returns whether it was new.
-    fn record_lost(&mut self, process: (UpstreamId, u64), at_ms: u64) -> bool {
+    fn record_lost(&mut self, run: &LostRun, at_ms: u64, now: Moment) -> bool {
         let is_expired = at_ms + STRIKE_TTL_MS < self.last_ms;
         if at_ms <= self.cleared_ms || is_expired {
             return false;
@@ -88,109 +158,250 @@
         if self.last_ms + STRIKE_TTL_MS < at_ms {
             self.lost.clear();
         }
+        let process = (Arc::clone(&run.upstream), run.boot);
+        if self.lost.len() >= MAX_LOSSES || self.lost.contains_key(&process) {
+            return false;
+        }
+        let age = Duration::from_millis(now.unix_ms.saturating_sub(at_ms));
+        let loss = Loss {
+            request: run.request,
+            at_ms,
+            known: now.boot - age.min(SETTLE_TIME),
+        };
+        self.lost.insert(process, loss);
         self.last_ms = self.last_ms.max(at_ms);
-        self.lost.insert(process)
+        self.depth = self.depth.max(run.depth);
+        self.proven |= run.proven;
+        self.trial = None;
+        true
     }
 
-    /// Records a completion of the request; returns whether it cleared any strikes.
+    /// Records a response to the subject; returns whether it cleared any strikes.
     fn record_cleared(&mut self, at_ms: u64) -> bool {
         if at_ms <= self.cleared_ms || self.last_ms > at_ms {
             return false;
         }
-        self.cleared_ms = at_ms;
         let had_strikes = !self.lost.is_empty();
-        self.lost.clear();
+        *self = Self {
+            cleared_ms: at_ms,
+            last_ms: self.last_ms,
+            proven: true,
+            ..Self::default()
+        };
         had_strikes
     }
+
+    fn limits(&self, subject: Subject) -> Limits {
+        match subject {
+            Subject::Request(_) => REQUEST_LIMITS,
+            Subject::Part(_) if self.proven => PROVEN_PART_LIMITS,
+            Subject::Part(_) => NEW_PART_LIMITS,
+        }
+    }
+
+    fn is_expired(&self, now: Moment) -> bool {
+        now.unix_ms.saturating_sub(self.last_ms) > STRIKE_TTL_MS
+    }
+
+    /// Returns whether the crashes that nothing else explains lead to a refusal.
+    fn is_refused(&self, limits: Limits, explained: &HashSet<&Process>, now: Moment) -> bool {
+        let counted = self.lost.iter().filter(|(process, loss)| {
+            !explained.contains(process) && loss.known + limits.settle <= now.boot
+        });
+        let counted: Vec<&Loss> = counted.map(|(_, loss)| loss).collect();
+        let requests: HashSet<u64> = counted.iter().map(|loss| loss.request).collect();
+        let times = || counted.iter().map(|loss| loss.at_ms);
+        let spread_ms = times().max().unwrap_or(0) - times().min().unwrap_or(0);
+        counted.len() >= limits.crashes
+            && requests.len() >= limits.requests
+            && spread_ms >= limits.spread_ms
+    }
+
+    /// Returns when a request with the refused part may be tried, in milliseconds since the Unix epoch.
+    fn trial_ms(&self) -> u64 {
+        let mut times: Vec<u64> = self.lost.values().map(|loss| loss.at_ms).collect();
+        times.sort_unstable();
+        let failed = times
+            .windows(2)
+            .filter(|pair| pair[1] - pair[0] > TRIAL_GAP_MS);
+        let failed = u32::try_from(failed.count()).unwrap_or(u32::MAX);
+        let wait_ms = FIRST_TRIAL_MS.saturating_mul(TRIAL_BACKOFF.saturating_pow(failed));
+        self.last_ms.saturating_add(wait_ms.min(STRIKE_TTL_MS))
+    }
 }
 
-/// Strikes known to this process, by request fingerprint.
+/// Strikes known to this process, by subject, and the subjects that are refused for them.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    table: HashMap<u64, Suspect>,
+    table: HashMap<Subject, Suspect>,
+    refused: HashSet<Subject>,
+    /// Whether a strike was recorded since `refused` was derived.
+    is_changed: bool,
+    /// Time at which a recorded crash begins to count.
+    next_settled: Option<BootInstant>,
 }
 
 impl Suspects {
     /// Records a strike; returns true if it was new and has to be forwarded.
-    pub fn record(&mut self, strike: &Strike) -> bool {
+    pub fn record(&mut self, strike: &Strike, now: Moment) -> bool {
         if self.table.len() >= MAX_SUSPECTS {
             let oldest = strike.at_ms.saturating_sub(STRIKE_TTL_MS);
             self.table.retain(|_, s| s.last_ms > oldest);
         }
-        if self.table.len() >= MAX_SUSPECTS && !self.table.contains_key(&strike.fingerprint) {
+        if self.table.len() >= MAX_SUSPECTS && !self.table.contains_key(&strike.subject) {
+            warn!(subject:% = strike.subject; "routing: too many suspects, a strike is dropped");
             return false;
         }
-        let suspect = self.table.entry(strike.fingerprint).or_default();
-        match &strike.event {
-            StrikeEvent::Lost { upstream, boot } => {
-                suspect.record_lost((Arc::clone(upstream), *boot), strike.at_ms)
-            }
+        let suspect = self.table.entry(strike.subject).or_default();
+        let is_new = match &strike.event {
+            StrikeEvent::Lost(run) => suspect.record_lost(run, strike.at_ms, now),
             StrikeEvent::Cleared => suspect.record_cleared(strike.at_ms),
-        }
+        };
+        self.is_changed |= is_new;
+        is_new
     }
 
     /// Returns the time of an event that is observed at `now_ms`: later than those already known, whose times come from
     /// other VMs' clocks.
-    pub fn event_time(&self, fingerprint: u64, now_ms: u64) -> u64 {
-        let Some(suspect) = self.table.get(&fingerprint) else {
+    pub fn event_time(&self, subject: Subject, now_ms: u64) -> u64 {
+        let Some(suspect) = self.table.get(&subject) else {
             return now_ms;
         };
         now_ms.max(suspect.last_ms.max(suspect.cleared_ms) + 1)
     }
 
-    /// Returns how the request may be run at `now_ms`.
-    pub fn verdict(&self, fingerprint: u64, now_ms: u64) -> Verdict {
-        let Some(suspect) = self.table.get(&fingerprint) else {
-            return Verdict::Allow;
-        };
-        if now_ms.saturating_sub(suspect.last_ms) > STRIKE_TTL_MS {
-            return Verdict::Allow;
+    /// Returns whether a subject has strikes that a response to it would clear.
+    pub fn has_strikes(&self, subject: Subject) -> bool {
+        let suspect = self.table.get(&subject);
+        suspect.is_some_and(|s| !s.lost.is_empty())
+    }
+
+    /// Brings the refused subjects up to date, and returns those that are refused from now on.
+    pub fn refresh(&mut self, now: Moment) -> Vec<Subject> {
+        let is_settled = self.next_settled.is_some_and(|at| at <= now.boot);
+        if !self.is_changed && !is_settled {
+            return Vec::new();
+        }
+        self.is_changed = false;
+        self.next_settled = None;
+        let before = std::mem::take(&mut self.refused);
+        let suspects = self.table.iter();
+        let mut ranked: Vec<(&Subject, &Suspect)> = suspects
+            .filter(|(subject, s)| {
+                s.lost.len() >= s.limits(**subject).crashes && !s.is_expired(now)
+            })
+            .collect();
+        // A part explains more than one request does. Of several parts, the one that no engine has responded to is the
+        // likelier cause, and a deeper one is in fewer requests.
+        ranked.sort_unstable_by_key(|(subject, s)| {
+            let is_request = matches!(subject, Subject::Request(_));
+            (
+                is_request,
+                s.proven,
+                Reverse(s.depth),
+                Reverse(s.lost.len()),
+                **subject,
+            )
+        });
+        let mut explained: HashSet<&Process> = HashSet::new();
+        for (subject, suspect) in ranked {
+            let limits = suspect.limits(*subject);
+            if suspect.is_refused(limits, &explained, now) {
+                self.refused.insert(*subject);
+                explained.extend(suspect.lost.keys());
+            }
+            let settled = suspect.lost.values().map(|loss| loss.known + limits.settle);
+            let next = settled.filter(|at| *at > now.boot).min();
+            self.next_settled = [self.next_settled, next].into_iter().flatten().min();
         }
-        match suspect.lost.len() {
-            0 => Verdict::Allow,
-            n if n < MAX_CRASHED_UPSTREAMS => Verdict::Probation,
-            _ => Verdict::Refuse,
+        let new = self.refused.difference(&before);
+        new.copied().collect()
+    }
+
+    /// Returns how a request may be run.
+    pub fn verdict(&self, fingerprint: u64, now: Moment) -> Verdict {
+        let subject = Subject::Request(fingerprint);
+        match self.table.get(&subject) {
+            Some(s) if s.lost.is_empty() || s.is_expired(now) => Verdict::Allow,
+            Some(_) if self.refused.contains(&subject) => Verdict::Refuse,
+            Some(_) => Verdict::Probation,
+            None => Verdict::Allow,
         }
     }
 
-    /// Returns for how long a request is still refused; `None` if it may be run.
-    pub fn refused_for(&self, fingerprint: u64, now_ms: u64) -> Option<Duration> {
-        if self.verdict(fingerprint, now_ms) != Verdict::Refuse {
+    /// Returns for how long a subject is still refused, or until when it is not worth trying; `None` if it is not refused.
+    pub fn refused_for(&self, subject: Subject, now: Moment) -> Option<Duration> {
+        if !self.refused.contains(&subject) {
             return None;
         }
-        let suspect = self.table.get(&fingerprint)?;
-        let expires_ms = suspect.last_ms + STRIKE_TTL_MS;
-        Some(Duration::from_millis(expires_ms.saturating_sub(now_ms)))
+        let suspect = self.table.get(&subject).filter(|s| !s.is_expired(now))?;
+        let end_ms = match subject {
+            Subject::Request(_) => suspect.last_ms + STRIKE_TTL_MS,
+            Subject::Part(_) => suspect.trial_ms(),
+        };
+        let left = Duration::from_millis(end_ms.saturating_sub(now.unix_ms));
+        Some(match subject {
+            Subject::Request(_) => left,
+            Subject::Part(_) => left.max(TRIAL_RETRY),
+        })
     }
 
-    /// Returns the requests that are refused at `now_ms`, the latest ones if there are many.
-    pub fn refused(&self, now_ms: u64) -> Vec<RefusedRequest> {
-        let suspects = self.table.iter();
-        let refused = suspects.filter(|(f, _)| self.verdict(**f, now_ms) == Verdict::Refuse);
-        let mut refused: Vec<RefusedRequest> = refused
-            .map(|(fingerprint, suspect)| RefusedRequest {
-                fingerprint: format!("{fingerprint:016x}"),
-                lost: suspect.lost.iter().cloned().collect(),
-                at_ms: suspect.last_ms,
-            })
+    /// Returns whether the request with `ticket` is the trial of a refused part, and begins the trial if one is due.
+    pub fn begin_trial(&mut self, subject: Subject, ticket: u64, now: Moment) -> TrialState {
+        let Some(suspect) = self.table.get_mut(&subject) else {
+            return TrialState::NotDue;
+        };
+        match suspect.trial.filter(|trial| now.boot < trial.ends) {
+            Some(trial) if trial.ticket == ticket => return TrialState::Running,
+            Some(_other) => return TrialState::NotDue,
+            None => {}
+        }
+        let is_part = matches!(subject, Subject::Part(_));
+        if !is_part || now.unix_ms < suspect.trial_ms() {
+            return TrialState::NotDue;
+        }
+        suspect.trial = Some(Trial {
+            ticket,
+            ends: now.boot + TRIAL_TIME,
+        });
+        TrialState::Begun
+    }
+
+    /// Returns what is refused, the latest ones if there is much, for a record in the store.
+    pub fn refused(&self, now: Moment) -> Vec<RefusedSubject> {
+        let subjects = self.refused.iter();
+        let refused = subjects.filter_map(|s| Some((*s, self.table.get(s)?)));
+        let mut refused: Vec<RefusedSubject> = refused
+            .filter(|(_, suspect)| !suspect.is_expired(now))
+            .map(|(subject, suspect)| RefusedSubject::new(subject, suspect.runs(subject)))
             .collect();
-        refused.sort_unstable_by_key(|r| std::cmp::Reverse(r.at_ms));
+        refused.sort_unstable_by_key(|r| Reverse(r.at_ms));
         refused.truncate(MAX_STORED);
         refused
     }
 
     /// Returns every known strike, for a process that has just connected.
     pub fn all(&self) -> Vec<Strike> {
-        let strikes = self.table.iter().flat_map(|(fingerprint, suspect)| {
-            suspect.lost.iter().map(|(upstream, boot)| Strike {
-                fingerprint: *fingerprint,
-                event: StrikeEvent::Lost {
+        let suspects = self.table.iter();
+        suspects.flat_map(|(subject, s)| s.runs(*subject)).collect()
+    }
+}
+
+impl Suspect {
+    /// Returns the strikes that were recorded.
+    fn runs(&self, subject: Subject) -> impl Iterator<Item = Strike> {
+        self.lost
+            .iter()
+            .map(move |((upstream, boot), loss)| Strike {
+                subject,
+                event: StrikeEvent::Lost(LostRun {
                     upstream: Arc::clone(upstream),
                     boot: *boot,
-                },
-                at_ms: suspect.last_ms,
+                    request: loss.request,
+                    depth: self.depth,
+                    proven: self.proven,
+                }),
+                at_ms: loss.at_ms,
             })
-        });
-        strikes.collect()
     }
 }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,24 +1,34 @@
-//! Requests that are suspected of crashing upstreams, shared by all processes: each sends its new strikes to the
-//! others.
+//! Requests and parts of prompts that are suspected of crashing upstreams, shared by all processes: each sends its new
+//! strikes to the others.
 
 use crate::{
-    clock,
+    clock::Moment,
     holding::lock,
     ident::UpstreamId,
-    poison::{RefusedRequest, Suspects, Verdict},
-    wire::{Strike, StrikeEvent},
+    poison::{Suspects, TrialState, Verdict},
+    recent_set::RecentSet,
+    refused_subject::RefusedSubject,
+    wire::{LostRun, Strike, StrikeEvent, Subject},
+};
+use log::{info, warn};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
 };
-use log::info;
-use std::{sync::Mutex, time::Duration};
 use tokio::sync::broadcast;
 
 /// Strikes buffered for each feed; one that is further behind starts again with all known strikes.
 const STRIKE_BUFFER: usize = 1_024;
 
-/// Suspected requests, and the channel of new strikes.
+/// Parts remembered as responded to.
+const PROVEN_PARTS: usize = 8_192;
+
+/// Suspected subjects, and the channel of new strikes.
 #[derive(Debug)]
 pub struct Quarantine {
     suspects: Mutex<Suspects>,
+    /// Parts of prompts to which upstreams have responded.
+    proven: Mutex<RecentSet<u64>>,
     strikes: broadcast::Sender<Strike>,
 }
 
@@ -26,6 +36,7 @@
     fn default() -> Self {
         Self {
             suspects: Mutex::default(),
+            proven: Mutex::new(RecentSet::new(PROVEN_PARTS)),
             strikes: broadcast::Sender::new(STRIKE_BUFFER),
         }
     }
@@ -34,51 +45,124 @@
 impl Quarantine {
     /// Returns how a request may be run.
     pub fn verdict(&self, fingerprint: u64) -> Verdict {
-        lock(&self.suspects).verdict(fingerprint, clock::unix_ms())
+        let now = Moment::now();
+        self.with_current(now, |suspects| suspects.verdict(fingerprint, now))
+    }
+
+    /// Returns for how long a request with `subjects` is still refused; `None` if it may be run. `ticket` names the
+    /// request, and `may_try` says whether this process tries a refused part when it is time.
+    pub fn refused_for(
+        &self,
+        subjects: impl Iterator<Item = Subject>,
+        ticket: u64,
+        may_try: impl Fn(Subject) -> bool,
+    ) -> Option<Duration> {
+        let now = Moment::now();
+        let refused: Vec<(Subject, Duration)> = self.with_current(now, |suspects| {
+            let refused = subjects.filter_map(|s| Some((s, suspects.refused_for(s, now)?)));
+            refused.collect()
+        });
+        let held = refused
+            .into_iter()
+            .filter(|(subject, _)| !may_try(*subject) || !self.is_trial(*subject, ticket, now));
+        held.map(|(_, left)| left).max()
+    }
+
+    /// Returns whether the request with `ticket` may be sent although it has the refused part `subject`.
+    fn is_trial(&self, subject: Subject, ticket: u64, now: Moment) -> bool {
+        let state = lock(&self.suspects).begin_trial(subject, ticket, now);
+        if state == TrialState::Begun {
+            info!(subject:% = subject; "routing: trial of a refused part");
+        }
+        state != TrialState::NotDue
     }
 
-    /// Returns for how long a request is still refused; `None` if it may be run.
-    pub fn refused_for(&self, fingerprint: u64) -> Option<Duration> {
-        lock(&self.suspects).refused_for(fingerprint, clock::unix_ms())
+    /// Runs `read` on the suspects after their refusals were brought up to date.
+    fn with_current<T>(&self, now: Moment, read: impl FnOnce(&Suspects) -> T) -> T {
+        let mut suspects = lock(&self.suspects);
+        let new = suspects.refresh(now);
+        let result = read(&suspects);
+        drop(suspects);
+        for subject in new {
+            warn!(subject:% = subject; "routing: refused from now on, upstreams crash under it");
+        }
+        result
     }
 
     /// Records a strike and publishes it if it is new; returns whether it is.
     pub fn record(&self, strike: &Strike) -> bool {
-        let is_new = lock(&self.suspects).record(strike);
+        let is_new = lock(&self.suspects).record(strike, Moment::now());
         if is_new {
-            info!(fingerprint:% = format!("{:016x}", strike.fingerprint), event:? = strike.event; "routing: strike");
+            info!(subject:% = strike.subject, event:? = strike.event; "routing: strike");
             // Without feeds nobody needs it yet: a new feed starts with all known strikes.
             let _feeds = self.strikes.send(strike.clone());
         }
         is_new
     }
 
-    /// Records that the process of `upstream` that started at `boot` ended while it ran the request.
-    pub fn record_lost(&self, fingerprint: u64, upstream: UpstreamId, boot: u64) -> bool {
-        self.observe(fingerprint, StrikeEvent::Lost { upstream, boot })
+    /// Records that the process of `upstream` that started at `boot` ended while it ran the request, and that any of
+    /// `parts` of its prompt may have caused that; returns whether it is new.
+    pub fn record_lost(
+        &self,
+        fingerprint: u64,
+        parts: &[u64],
+        upstream: &UpstreamId,
+        boot: u64,
+    ) -> bool {
+        let lost = |subject, depth, proven| {
+            let run = LostRun {
+                upstream: Arc::clone(upstream),
+                boot,
+                request: fingerprint,
+                depth,
+                proven,
+            };
+            self.observe(subject, StrikeEvent::Lost(run))
+        };
+        let mut is_new = lost(Subject::Request(fingerprint), 0, false);
+        for (depth, part) in (0..).zip(parts) {
+            let proven = lock(&self.proven).contains(part);
+            is_new |= lost(Subject::Part(*part), depth, proven);
+        }
+        is_new
     }
 
     /// Clears the strikes of a request that has completed; returns whether it had any.
     pub fn clear(&self, fingerprint: u64) -> bool {
-        if self.verdict(fingerprint) == Verdict::Allow {
-            return false;
+        self.clear_subject(Subject::Request(fingerprint))
+    }
+
+    /// Remembers that an upstream responded to `parts` and clears their strikes; returns whether they had any.
+    pub fn clear_parts(&self, parts: &[u64]) -> bool {
+        let mut proven = lock(&self.proven);
+        for part in parts {
+            proven.insert(*part);
         }
-        self.observe(fingerprint, StrikeEvent::Cleared)
+        drop(proven);
+        let cleared = parts
+            .iter()
+            .filter(|p| self.clear_subject(Subject::Part(**p)));
+        cleared.count() > 0
+    }
+
+    fn clear_subject(&self, subject: Subject) -> bool {
+        lock(&self.suspects).has_strikes(subject) && self.observe(subject, StrikeEvent::Cleared)
     }
 
     /// Records an event that this process observes now.
-    fn observe(&self, fingerprint: u64, event: StrikeEvent) -> bool {
-        let at_ms = lock(&self.suspects).event_time(fingerprint, clock::unix_ms());
+    fn observe(&self, subject: Subject, event: StrikeEvent) -> bool {
+        let at_ms = lock(&self.suspects).event_time(subject, Moment::now().unix_ms);
         self.record(&Strike {
-            fingerprint,
+            subject,
             event,
             at_ms,
         })
     }
 
-    /// Returns the requests that are refused now, for a record in the store.
-    pub fn refused(&self) -> Vec<RefusedRequest> {
-        lock(&self.suspects).refused(clock::unix_ms())
+    /// Returns what is refused now, for a record in the store.
+    pub fn refused(&self) -> Vec<RefusedSubject> {
+        let now = Moment::now();
+        self.with_current(now, |suspects| suspects.refused(now))
     }
 
     /// Returns all known strikes.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -265,25 +265,53 @@
     pub residents: Vec<Resident>,
 }
 
-/// Event of a request that is suspected of crashing upstreams.
+/// What is suspected of crashing upstreams.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Subject {
+    /// A part of prompts, by the hash of its identifier.
+    Part(u64),
+    /// A whole request, by the hash of what stays the same when a caller repeats it.
+    Request(u64),
+}
+
+impl Display for Subject {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Part(id) => write!(f, "part {id:016x}"),
+            Self::Request(fingerprint) => write!(f, "request {fingerprint:016x}"),
+        }
+    }
+}
+
+/// Run during which an upstream's process ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LostRun {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Start time of the process that ended.
+    pub boot: u64,
+    /// Fingerprint of the request.
+    pub request: u64,
+    /// Position of the subject in the request's prompt; 0 for a whole request.
+    pub depth: u8,
+    /// Whether the sender has seen an upstream respond to the subject before.
+    pub proven: bool,
+}
+
+/// Event of a subject that is suspected of crashing upstreams.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StrikeEvent {
-    /// The upstream's process ended while it ran the request.
-    Lost {
-        /// Upstream.
-        upstream: UpstreamId,
-        /// Start time of the process that ended.
-        boot: u64,
-    },
-    /// The request completed.
+    /// An upstream's process ended while it ran a request with the subject.
+    Lost(LostRun),
+    /// An upstream responded to the subject.
     Cleared,
 }
 
-/// An event about one suspected request.
+/// An event about one suspected subject.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Strike {
-    /// Hash of caller, model and body.
-    pub fingerprint: u64,
+    /// Subject.
+    pub subject: Subject,
     /// What happened.
     pub event: StrikeEvent,
     /// Time of the event, in milliseconds since the Unix epoch.
