fix: engines that end at the same moment are one piece of evidence against a part

Crashes within 60 ms of each other now count once. Where the entry that is to try a refused part gets no request with it, the next one does after five seconds, and so on.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -266,15 +266,15 @@
         }
     }
 
-    /// Returns whether this entry is the one that tries a refused part, of all entries that take requests.
-    pub fn tries(&self, subject: Subject) -> bool {
+    /// Returns how many of the entries that take requests try a refused part before this one.
+    pub fn trial_rank(&self, subject: Subject) -> usize {
         let peers = lock(&self.peers);
         let live = peers.live(BootInstant::now());
         let ready = live.into_iter().filter(|info| info.ready && !info.leaving);
         let own = self.config.id.as_str();
         let names: Vec<&str> = ready.map(|info| &*info.name).chain([own]).collect();
         let ranked = rendezvous(&subject.to_string(), &names, |name| name);
-        ranked.first().is_none_or(|name| **name == own)
+        ranked.iter().position(|name| **name == own).unwrap_or(0)
     }
 
     /// Returns this entry's description for its peers.
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -119,7 +119,8 @@
         let subjects = parts.chain([Subject::Request(self.fingerprint)]);
         let ticket = pair_hash(&self.head.id, "");
         let quarantine = &self.entry.quarantine;
-        let left = quarantine.refused_for(subjects, ticket, |subject| self.entry.tries(subject));
+        let left =
+            quarantine.refused_for(subjects, ticket, |subject| self.entry.trial_rank(subject));
         left.map_or(Ok(()), |left| Err(RefusalReason::Poison(left)))
     }
 
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -4,11 +4,11 @@
 //! | load pattern | response |
 //! |---|---|
 //! | a caller repeats a request that crashes each upstream | refused after two crashes |
-//! | requests of which no two are alike share a part that crashes each engine that begins to respond to it | the part is refused once three engines crashed under at least two requests with it and none has responded to it since |
-//! | the same with a part that was served before | after five crashes over more than a second |
-//! | many engines crash at once | parts that other engines respond to are cleared within [`SETTLE_TIME`], before the crashes count; parts served before need crashes over a longer time |
+//! | requests of which no two are alike share a part that crashes each engine that begins to respond to it | the part is refused once three engines crashed at different moments under at least two requests with it and none has responded to it since |
+//! | the same with a part that was served before | after five crashes over 0.8 s |
+//! | many engines crash at once | they count as one crash; parts that other engines respond to are cleared within [`SETTLE_TIME`], before it counts |
 //! | sound requests are in flight beside such crashes | a crash that a refused part explains counts against nothing else |
-//! | a sound part is refused all the same | one request with it is tried after ten seconds, and clears it; a crash makes the next wait longer |
+//! | a sound part is refused all the same | one entry tries it with one request after ten seconds, the next one five seconds later if the first got no such request; a response clears the part, a crash makes the next wait longer |
 
 use crate::{
     clock::{BootInstant, Moment},
@@ -41,6 +41,10 @@
 /// the part have cleared it.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 
+/// Time between two crashes that shows that they have different causes: engines that end together, as with their rack, are
+/// one piece of evidence against a part.
+const CRASH_GAP_MS: u64 = 60;
+
 /// Time from the last crash under a refused part to the first trial.
 const FIRST_TRIAL_MS: u64 = 10_000;
 
@@ -78,8 +82,10 @@
 /// Evidence that leads to a refusal.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
-    /// Crashes of different processes.
+    /// Crashes of different processes, at different moments.
     crashes: usize,
+    /// Time between two crashes that makes them two moments, in milliseconds.
+    gap_ms: u64,
     /// Different requests among them.
     requests: usize,
     /// Time from the first to the last of them, in milliseconds.
@@ -90,6 +96,7 @@
 
 const REQUEST_LIMITS: Limits = Limits {
     crashes: 2,
+    gap_ms: 0,
     requests: 1,
     spread_ms: 0,
     settle: Duration::ZERO,
@@ -97,6 +104,7 @@
 
 const NEW_PART_LIMITS: Limits = Limits {
     crashes: 3,
+    gap_ms: CRASH_GAP_MS,
     // One request that is resumed and sent again may crash three by itself.
     requests: 2,
     spread_ms: 0,
@@ -105,8 +113,9 @@
 
 const PROVEN_PART_LIMITS: Limits = Limits {
     crashes: 5,
+    gap_ms: CRASH_GAP_MS,
     requests: 3,
-    spread_ms: 1_000,
+    spread_ms: 800,
     settle: SETTLE_TIME,
 };
 
@@ -208,13 +217,22 @@
         let counted = self.lost.iter().filter(|(process, loss)| {
             !explained.contains(process) && loss.known + limits.settle <= now.boot
         });
-        let counted: Vec<&Loss> = counted.map(|(_, loss)| loss).collect();
+        let mut counted: Vec<&Loss> = counted.map(|(_, loss)| loss).collect();
+        counted.sort_unstable_by_key(|loss| loss.at_ms);
+        let (Some(first), Some(last)) = (counted.first(), counted.last()) else {
+            return false;
+        };
         let requests: HashSet<u64> = counted.iter().map(|loss| loss.request).collect();
-        let times = || counted.iter().map(|loss| loss.at_ms);
-        let spread_ms = times().max().unwrap_or(0) - times().min().unwrap_or(0);
-        counted.len() >= limits.crashes
+        let (mut crashes, mut moment_ms) = (1, first.at_ms);
+        for loss in &counted[1..] {
+            if loss.at_ms - moment_ms >= limits.gap_ms {
+                crashes += 1;
+                moment_ms = loss.at_ms;
+            }
+        }
+        crashes >= limits.crashes
             && requests.len() >= limits.requests
-            && spread_ms >= limits.spread_ms
+            && last.at_ms - first.at_ms >= limits.spread_ms
     }
 
     /// Returns when a request with the refused part may be tried, in milliseconds since the Unix epoch.
@@ -346,8 +364,15 @@
         })
     }
 
-    /// Returns whether the request with `ticket` is the trial of a refused part, and begins the trial if one is due.
-    pub fn begin_trial(&mut self, subject: Subject, ticket: u64, now: Moment) -> TrialState {
+    /// Returns whether the request with `ticket` is the trial of a refused part, and begins the trial if one is due. This
+    /// process tries it after `rank` others that may have had no request with the part.
+    pub fn begin_trial(
+        &mut self,
+        subject: Subject,
+        ticket: u64,
+        rank: usize,
+        now: Moment,
+    ) -> TrialState {
         let Some(suspect) = self.table.get_mut(&subject) else {
             return TrialState::NotDue;
         };
@@ -357,7 +382,8 @@
             None => {}
         }
         let is_part = matches!(subject, Subject::Part(_));
-        if !is_part || now.unix_ms < suspect.trial_ms() {
+        let others_ms = TRIAL_TIME.as_millis() as u64 * rank as u64;
+        if !is_part || now.unix_ms < suspect.trial_ms().saturating_add(others_ms) {
             return TrialState::NotDue;
         }
         suspect.trial = Some(Trial {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -50,12 +50,12 @@
     }
 
     /// Returns for how long a request with `subjects` is still refused; `None` if it may be run. `ticket` names the
-    /// request, and `may_try` says whether this process tries a refused part when it is time.
+    /// request, and `rank` returns how many other processes try a refused part before this one.
     pub fn refused_for(
         &self,
         subjects: impl Iterator<Item = Subject>,
         ticket: u64,
-        may_try: impl Fn(Subject) -> bool,
+        rank: impl Fn(Subject) -> usize,
     ) -> Option<Duration> {
         let now = Moment::now();
         let refused: Vec<(Subject, Duration)> = self.with_current(now, |suspects| {
@@ -64,13 +64,13 @@
         });
         let held = refused
             .into_iter()
-            .filter(|(subject, _)| !may_try(*subject) || !self.is_trial(*subject, ticket, now));
+            .filter(|(subject, _)| !self.is_trial(*subject, ticket, rank(*subject), now));
         held.map(|(_, left)| left).max()
     }
 
     /// Returns whether the request with `ticket` may be sent although it has the refused part `subject`.
-    fn is_trial(&self, subject: Subject, ticket: u64, now: Moment) -> bool {
-        let state = lock(&self.suspects).begin_trial(subject, ticket, now);
+    fn is_trial(&self, subject: Subject, ticket: u64, rank: usize, now: Moment) -> bool {
+        let state = lock(&self.suspects).begin_trial(subject, ticket, rank, now);
         if state == TrialState::Begun {
             info!(subject:% = subject; "routing: trial of a refused part");
         }
