fix: a resumed stream without framing or further events is not complete

A stream that had broken off inside an event was resumed; the second upstream ended its response, without a length or chunks, before its first event, and the caller got the last chunk: events of the first upstream counted as evidence that the second one's response was whole. Each upstream has to send an event of its own now where only the end of the connection ends its response; a response without a body by its head (204) is framed by that.

--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -17,6 +17,7 @@
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::{info, warn};
@@ -80,7 +81,7 @@
 /// What ends the body of a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
-    /// The number of bytes in `Content-Length`.
+    /// The number of bytes in `Content-Length`, or the head, if it allows no body.
     Length,
     /// The last chunk.
     Chunks,
@@ -89,11 +90,12 @@
 }
 
 impl Framing {
-    /// Returns the framing of a response with these headers.
-    fn of(headers: &HeaderMap) -> Self {
+    /// Returns the framing of a response whose body was not read yet.
+    fn of(response: &Response<Incoming>) -> Self {
+        let headers = response.headers();
         if headers.contains_key(header::TRANSFER_ENCODING) {
             Self::Chunks
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
+        } else if headers.contains_key(header::CONTENT_LENGTH) || response.body().is_end_stream() {
             Self::Length
         } else {
             Self::Close
@@ -245,7 +247,7 @@
         }
         lock(&self.entry.outliers).record_success(&upstream.id);
         let keep_alive = pool::keep_alive_time(response.headers());
-        let framing = Framing::of(response.headers());
+        let framing = Framing::of(&response);
         remove_hop_by_hop_headers(response.headers_mut());
         AttemptOutcome::Response(Box::new(UpstreamResponse {
             response,
--- a/src/path/event_buffer.rs
+++ b/src/path/event_buffer.rs
@@ -62,6 +62,7 @@
     buffer: BytesMut,
     /// Size of the incomplete event, in bytes.
     partial: usize,
+    /// Whether the current upstream has sent a complete event.
     has_events: bool,
     last: Option<u64>,
 }
@@ -74,7 +75,7 @@
             scanner: EventScanner::default(),
             buffer: BytesMut::new(),
             partial: 0,
-            has_events: last.is_some(),
+            has_events: false,
             last,
         }
     }
@@ -113,16 +114,14 @@
         self.partial > 0
     }
 
-    /// Returns whether there was a complete event, in the stream or in the part of it before a resumption.
+    /// Returns whether the current upstream has sent a complete event.
     pub fn has_events(&self) -> bool {
         self.has_events
     }
 
-    /// Discards an incomplete event, which another upstream will send again.
+    /// Discards an incomplete event, which another upstream will send again, and goes on with that one's bytes.
     pub fn discard_partial(&mut self) {
-        self.buffer.clear();
-        self.scanner = EventScanner::default();
-        self.partial = 0;
+        *self = Self::new(self.buffering, self.last);
     }
 
     /// Returns the ID of the last complete event.
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -174,7 +174,7 @@
     }
 
     /// Returns whether a stream whose body has ended regularly is incomplete all the same: inside an event, or before the
-    /// first one if only the end of the connection ends the body.
+    /// upstream's first one if only the end of the connection ends the body.
     fn is_cut_short(&self) -> bool {
         let Some(events) = &self.events else {
             return false;
