--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -47,10 +47,8 @@
 const CALLER: Subject = Subject::Part(2);
 const DEADLY: Subject = Subject::Part(3);
 
-/// Time of the first crash.
+/// Time of the first crash, and time by which it counts against a part.
 const START_MS: u64 = 1_000;
-
-/// Time by which a crash counts against a part.
 const SETTLED_MS: u64 = 250;
 
 fn at(ms: u64) -> Moment {
