--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -36,8 +36,8 @@
     pub prompt_tokens: u32,
     /// Largest number of tokens to generate.
     pub output_tokens: u32,
-    /// Segments of the prompt in order: hash of the segment's identifier, and its number of tokens.
-    pub prompt_segments: Vec<(u64, u32)>,
+    /// Parts of the prompt in order: hash of the part's identifier, and its number of tokens.
+    pub prompt_parts: Vec<(u64, u32)>,
 }
 
 /// Values set in the headers of a request to an upstream.
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -85,10 +85,8 @@
     /// Returns the parts of the prompt that other requests may share: all but the last, and at most [`MAX_PARTS`].
     pub fn prompt_parts(&self) -> impl Iterator<Item = u64> {
         let work = self.head.work.as_ref();
-        let segments = work.map_or(&[][..], |w| &w.prompt_segments);
-        let shared = segments
-            .split_last()
-            .map_or(&[][..], |(_own, shared)| shared);
+        let parts = work.map_or(&[][..], |w| &w.prompt_parts);
+        let shared = parts.split_last().map_or(&[][..], |(_own, shared)| shared);
         shared.iter().take(MAX_PARTS).map(|(id, _tokens)| *id)
     }
 
