--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -23,6 +23,20 @@
     pub work: Option<InferenceWork>,
     /// Last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Where the response begins.
+    pub beginning: StreamBeginning,
+}
+
+/// Where the stream begins that a request asks for.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum StreamBeginning {
+    /// With this request.
+    #[default]
+    Here,
+    /// With the earlier request that has this identifier.
+    Earlier(Arc<str>),
+    /// With an earlier request that the caller doesn't name.
+    Unnamed,
 }
 
 /// Inference work that a request asks of an engine.
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -59,6 +59,33 @@
     },
 }
 
+/// Software of an upstream. A stream that one build began can't go on at another: what they write doesn't fit together.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Build {
+    /// Service.
+    pub service: Arc<str>,
+    /// Version of the software, without an order.
+    pub version: BuildVersion,
+}
+
+/// Version of an upstream's software.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum BuildVersion {
+    /// The upstream names it.
+    Named(Arc<str>),
+    /// The upstream names none, so that no other one is known to have the same.
+    OnlyAt(UpstreamId),
+}
+
+impl std::fmt::Display for Build {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.version {
+            BuildVersion::Named(version) => write!(f, "{}:{version}", self.service),
+            BuildVersion::OnlyAt(upstream) => write!(f, "{}:only-at-{upstream}", self.service),
+        }
+    }
+}
+
 /// An upstream's own description of itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Registration {
@@ -78,6 +105,8 @@
     pub born: Option<u64>,
     /// Number of this process's heartbeats; a lower number is stale.
     pub beat: u64,
+    /// Version of its software, if it names one.
+    pub software: Option<Arc<str>>,
     /// Loaded base models; empty for a plain service.
     pub models: Vec<HeldModel>,
 }
@@ -88,6 +117,16 @@
         self.id == other.id && self.born == other.born && self.address == other.address
     }
 
+    /// Returns its build.
+    pub fn build(&self) -> Build {
+        let named = self.software.clone().map(BuildVersion::Named);
+        let version = named.unwrap_or_else(|| BuildVersion::OnlyAt(Arc::clone(&self.id)));
+        Build {
+            service: Arc::clone(&self.service),
+            version,
+        }
+    }
+
     /// Returns whether it takes new requests.
     pub fn is_serving(&self) -> bool {
         self.phase == Phase::Serving
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::BootInstant,
     edge::{
-        codec::{ForwardParams, RunState},
+        codec::{ForwardParams, RunState, StreamBeginning},
         deployment::Route,
         registration::Registration,
     },
@@ -161,6 +161,13 @@
             expected,
             _usage: usage,
         };
+        if let StreamBeginning::Earlier(begun) = &self.head.beginning {
+            info!(
+                request = &*self.head.id, begun = &**begun, upstream = &*upstream.id, build:% = upstream.build(),
+                last_event = last_event.unwrap_or(0);
+                "routing: stream of an earlier request resumed"
+            );
+        }
         let response = self.entry.pool.send(upstream, request);
         let response = match tokio::time::timeout(remaining, response).await {
             Ok(response) => response,
@@ -290,7 +297,7 @@
             let listener = http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await;
             info!(
                 request = &*request, fingerprint:% = format!("{fingerprint:016x}"), method:% = method, target = target,
-                upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), listener:? = listener,
+                upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), build:% = upstream.build(), listener:? = listener,
                 started = ran.is_some(), ran_ms = ran.unwrap_or_default().as_millis() as u64, parts = logged.join(" ");
                 "routing: connection broke under a request"
             );
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -297,7 +297,11 @@
             self.resumes += 1;
             let events = self.events.as_ref();
             let last = events.and_then(EventBuffer::last_event_id);
-            info!(request = &*self.request.head.id, upstream = &*placement.upstream.id, last_event = last.unwrap_or(0); "routing: stream resumed");
+            info!(
+                request = &*self.request.head.id, upstream = &*placement.upstream.id, build:% = placement.upstream.build(),
+                last_event = last.unwrap_or(0);
+                "routing: stream resumed"
+            );
             match self.request.attempt(&placement, last, prefill_time).await {
                 AttemptOutcome::Response(received) if received.response.status().is_success() => {
                     if let Some(events) = &mut self.events {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -87,6 +87,7 @@
         phase: Phase::Serving,
         born: Some(born),
         beat,
+        software: None,
         models: Vec::new(),
     }
 }
