fix: streams go on only at the build that began them

Class of fault: what must stay the same over several attempts was not part of the request's constraints, and nobody kept it beyond the attempt.

A stream is bound to the build that brings its first event; the entry's resume chooses among upstreams of it. An entry that doesn't know asks its peers. Otherwise the resume is refused at once, not run, and the caller can begin anew.

--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -26,6 +26,8 @@
     pub data_centre: String,
     /// Address at which callers request the list of entries.
     pub directory: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Time from a stop signal until the platform kills the process.
     pub grace: Duration,
     /// Name of the VM.
@@ -59,6 +61,7 @@
             control_entries: control_set::MIN_MEMBERS,
             data_centre: String::from("local"),
             directory: local(8082),
+            first_start: false,
             grace: Duration::from_secs(8),
             id: String::from("entry-1"),
             key: String::from("carobfield"),
@@ -89,6 +92,7 @@
         section.read("peers", &mut self.peers, findings);
         section.read("control-entries", &mut self.control_entries, findings);
         section.read("processor", &mut self.processor, findings);
+        section.read("first-start", &mut self.first_start, findings);
         if self.link == self.callers {
             findings.push(section.finding("link", "the same address as `callers`"));
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,5 +1,7 @@
 //! Decision logic without I/O: plain state, with the current time passed in.
 
+pub mod begun_streams;
+pub mod build_history;
 pub mod control_set;
 pub mod load_balancing;
 pub mod order_lease;
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::build_history::BuildReport,
     edge::registration::AdapterKey,
     ident::{Generation, UpstreamId, rendezvous},
     refused_subject::RefusedSubject,
@@ -37,6 +38,18 @@
     /// What upstreams crashed under, for entries that start after all that know of them have ended.
     #[serde(default)]
     pub refused: Vec<RefusedSubject>,
+    /// Builds that have served, for the same entries.
+    #[serde(default)]
+    pub builds: Option<StoredBuilds>,
+}
+
+/// Builds that an entry had seen when it wrote its record.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StoredBuilds {
+    /// The builds.
+    pub report: BuildReport,
+    /// Time of the report, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
 }
 
 /// An order for an adapter that got no response and may be executed later.
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -114,7 +114,10 @@
 impl Registration {
     /// Returns whether both describe the same process.
     pub fn is_same_process(&self, other: &Self) -> bool {
-        self.id == other.id && self.born == other.born && self.address == other.address
+        self.id == other.id
+            && self.born == other.born
+            && self.address == other.address
+            && self.software == other.software
     }
 
     /// Returns its build.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -4,14 +4,15 @@
     clock::{self, BootInstant},
     configs::entry::EntryConfig,
     decide::{
-        load_balancing::Candidate, order_lease::OrderLease, outliers::Outliers,
-        prefill::PrefillSchedule, rate_limit::RateLimits, registry::Registry,
-        retry_budget::ServiceRetryBudget, routes::RouteTable, takeover::LateOrder,
+        begun_streams::BegunStreams, build_history::BuildHistory, load_balancing::Candidate,
+        order_lease::OrderLease, outliers::Outliers, prefill::PrefillSchedule,
+        rate_limit::RateLimits, registry::Registry, retry_budget::ServiceRetryBudget,
+        routes::RouteTable, takeover::LateOrder,
     },
     edge::{
         codec::{Codec, InferenceWork},
         deployment::{Deployment, Service},
-        registration::{AdapterKey, Registration},
+        registration::{AdapterKey, Build, Registration},
     },
     entry::{
         control::ControlView,
@@ -92,6 +93,10 @@
     pub send_log: Mutex<SendLog>,
     /// Orders of earlier holders that got no response.
     pub late_orders: Mutex<LateOrders>,
+    /// Builds that began recent streams.
+    pub begun: Mutex<BegunStreams>,
+    /// Builds that have served recently.
+    pub builds: Mutex<BuildHistory>,
     /// Connections to upstreams.
     pub pool: Arc<Pool>,
     /// Controllers of the engines that this entry holds.
@@ -118,6 +123,11 @@
     /// Creates an entry without a configuration, upstreams or peers.
     pub fn new(config: EntryConfig, codec: Arc<dyn Codec>) -> Arc<Self> {
         let budget = ServiceRetryBudget::new(config.budget);
+        let complete_since = if config.first_start {
+            BootInstant::default()
+        } else {
+            BootInstant::now()
+        };
         Arc::new(Self {
             incarnation: clock::unix_ms(),
             codec,
@@ -138,6 +148,8 @@
             rate_limits: Mutex::default(),
             send_log: Mutex::default(),
             late_orders: Mutex::default(),
+            begun: Mutex::default(),
+            builds: Mutex::new(BuildHistory::new(complete_since)),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             order_lease: Mutex::default(),
@@ -383,9 +395,14 @@
         live.iter().any(|info| info.follows)
     }
 
-    /// Returns upstreams of `service` that take a request now, without `excluded`. Ejected outliers are left out
-    /// unless all are ejected.
-    pub fn serving_upstreams(&self, service: &str, excluded: &[UpstreamId]) -> ServingUpstreams {
+    /// Returns upstreams of `service` that take a request now, without `excluded`, and only those of `build` if there is one.
+    /// Ejected outliers are left out unless all are ejected.
+    pub fn serving_upstreams(
+        &self,
+        service: &str,
+        build: Option<&Build>,
+        excluded: &[UpstreamId],
+    ) -> ServingUpstreams {
         let now = BootInstant::now();
         self.refresh_limits(now);
         let registry = lock(&self.registry);
@@ -393,6 +410,7 @@
         let limits = lock(&self.rate_limits);
         let wanted = registry
             .serving(service)
+            .filter(|r| build.is_none_or(|b| r.build() == *b))
             .filter(|r| !excluded.contains(&r.id));
         let (mut available, limited): (Vec<_>, Vec<_>) = wanted
             .cloned()
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -121,6 +121,7 @@
                         self.apply_change(change);
                     }
                     self.expire_registrations();
+                    self.confirm_builds();
                 }
                 Err(StoreError::RevisionExpired) => {
                     info!(kind:? = self.kind, revision = revision; "the store has dropped the history of this revision; listing again");
@@ -172,9 +173,20 @@
             self.apply_object(object);
         }
         self.expire_registrations();
+        self.confirm_builds();
+    }
+
+    fn confirm_builds(&self) {
+        if self.kind == ObjectKind::Upstreams {
+            self.entry.observe_builds();
+            lock(&self.entry.builds).confirm(BootInstant::now());
+        }
     }
 
     fn apply_change(&self, change: &Change) {
+        if self.kind == ObjectKind::Upstreams {
+            self.entry.observe_builds();
+        }
         if !change.removed {
             self.apply_object(&change.object);
         } else if self.kind == ObjectKind::Upstreams {
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -1,8 +1,9 @@
 //! Messages between entries, encoded with bincode.
 
 use crate::{
-    edge::registration::AdapterKey,
-    ident::{Generation, Revision, UpstreamId},
+    decide::build_history::BuildReport,
+    edge::registration::{AdapterKey, Build},
+    ident::{Generation, Revision, StreamId, UpstreamId},
     wire::Strike,
 };
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,9 @@
 /// Path of requests for the registered upstreams while the store is unavailable.
 pub const REGISTRATIONS_PATH: &str = "/registrations";
 
+/// Path of requests for the build that began a stream.
+pub const BEGUN_PATH: &str = "/begun";
+
 /// Description of an entry for its peers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerInfo {
@@ -77,6 +81,19 @@
     pub limits: Vec<LimitUpdate>,
     /// Requests to upstreams with a limit since the last update, of the sender and the entries that it passes on.
     pub limited_sends: Vec<(UpstreamId, u32)>,
+    /// Streams that have begun, not sent to the receiver before; sent only while a service has several builds.
+    pub begun: Vec<BegunBatch>,
+    /// Builds that the sender has seen; in the first update, and whenever their number changes.
+    pub builds: Option<BuildReport>,
+}
+
+/// Streams that one build began.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BegunBatch {
+    /// Build of the upstreams that began them.
+    pub build: Build,
+    /// The streams.
+    pub streams: Vec<StreamId>,
 }
 
 /// Observation of an upstream's limit.
@@ -132,7 +149,7 @@
 }
 
 /// Acknowledgement of an update.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct PeerAck {
     /// Number of the update.
     pub sequence: u64,
@@ -141,6 +158,10 @@
     /// Known strikes against requests; only in the first acknowledgement of a stream, so that a restarted entry has
     /// them before its peers connect to it again.
     pub strikes: Vec<Strike>,
+    /// Streams that have begun; only in the first acknowledgement of a stream, while a service has several builds.
+    pub begun: Vec<BegunBatch>,
+    /// Builds that the sender has seen; only in the first acknowledgement of a stream.
+    pub builds: Option<BuildReport>,
 }
 
 /// Request for an adapter at an engine, or report that the engine lacks it.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,5 +18,6 @@
 pub mod renew;
 pub mod run;
 pub mod send_log;
+pub mod streams;
 pub mod update;
 pub mod usage;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -8,11 +8,12 @@
         control,
         controller::Command,
         messages::{
-            DEPLOYMENT_PATH, ENSURE_PATH, EnsureRequest, EnsureResult, MISSING_PATH, PEER_PATH,
-            PeerAck, PeerUpdate, REGISTRATIONS_PATH,
+            BEGUN_PATH, DEPLOYMENT_PATH, ENSURE_PATH, EnsureRequest, EnsureResult, MISSING_PATH,
+            PEER_PATH, PeerAck, PeerUpdate, REGISTRATIONS_PATH,
         },
         registrations,
         send_log::SendRecord,
+        streams,
         update::UpdateBuilder,
     },
     holding::lock,
@@ -168,6 +169,11 @@
                 for strike in &ack.strikes {
                     self.entry.record_strike(strike);
                 }
+                let name = lock(&self.entry.peers)
+                    .by_link(self.address)
+                    .map(|p| Arc::clone(&p.info.name));
+                self.entry
+                    .apply_begun(name.as_ref(), &ack.begun, ack.builds.as_ref());
                 Ok(())
             }
             Ok(Ok(None)) | Err(_) => Err(LinkError::Broken),
@@ -201,9 +207,8 @@
 pub async fn serve_stream(entry: Arc<Entry>, incoming: IncomingStream) {
     let path = incoming.path.clone();
     let accepted = match path.as_str() {
-        PEER_PATH | ENSURE_PATH | MISSING_PATH | DEPLOYMENT_PATH | REGISTRATIONS_PATH => {
-            incoming.accept()
-        }
+        PEER_PATH | ENSURE_PATH | MISSING_PATH | DEPLOYMENT_PATH | REGISTRATIONS_PATH
+        | BEGUN_PATH => incoming.accept(),
         _ => return incoming.refuse(),
     };
     let Ok((sender, receiver)) = accepted else {
@@ -213,6 +218,7 @@
         PEER_PATH => receive_updates(&entry, sender, receiver).await,
         ENSURE_PATH => serve_ensure(&entry, sender, receiver).await,
         MISSING_PATH => receive_missing(&entry, sender, receiver).await,
+        BEGUN_PATH => streams::serve(&entry, sender, receiver).await,
         REGISTRATIONS_PATH => registrations::serve(&entry, sender, receiver).await,
         _ => serve_deployment(&entry, sender, receiver).await,
     };
@@ -229,20 +235,30 @@
 ) -> Result<(), LinkError> {
     while let Some(update) = receiver.next::<PeerUpdate>().await? {
         apply_update(entry, &update);
-        let (control, strikes) = match update.sequence {
-            0 => (entry.control_links(), entry.quarantine.known()),
-            _ => (Vec::new(), Vec::new()),
-        };
-        let ack = PeerAck {
-            sequence: update.sequence,
-            control,
-            strikes,
+        let ack = if update.sequence == 0 {
+            first_ack(entry)
+        } else {
+            PeerAck {
+                sequence: update.sequence,
+                ..PeerAck::default()
+            }
         };
         sender.send(&ack).await?;
     }
     Ok(())
 }
 
+/// Returns the acknowledgement of a first update, with what a peer that has just started needs to know at once.
+fn first_ack(entry: &Entry) -> PeerAck {
+    PeerAck {
+        sequence: 0,
+        control: entry.control_links(),
+        strikes: entry.quarantine.known(),
+        begun: entry.known_begun(),
+        builds: Some(lock(&entry.builds).report(BootInstant::now())),
+    }
+}
+
 fn apply_update(entry: &Arc<Entry>, update: &PeerUpdate) {
     let now = BootInstant::now();
     let info = &update.info;
@@ -271,6 +287,7 @@
     for strike in &update.strikes {
         entry.record_strike(strike);
     }
+    entry.apply_begun(Some(&info.name), &update.begun, update.builds.as_ref());
     for used in update.uses.iter().filter(|u| u.asked > 0) {
         let command = Command::Requested(used.key.clone(), used.asked);
         if !entry.send_to_controller(&used.upstream, command) && update.homed {
@@ -285,6 +302,7 @@
     let has_changes = !update.prompts.is_empty()
         || !update.limited_sends.is_empty()
         || !update.held.is_empty()
+        || !update.begun.is_empty()
         || !update.others.is_empty();
     if is_relay && has_changes {
         entry.notify_peers();
--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -93,15 +93,20 @@
 }
 
 fn apply(entry: &Entry, address: SocketAddr, response: Response) {
+    if response.follows {
+        lock(&entry.builds).confirm(BootInstant::now());
+    }
     let Some(registrations) = response.registrations else {
         return;
     };
+    entry.observe_builds();
     let (before, after, gone) = {
         let mut registry = lock(&entry.registry);
         let before = registry.all().count();
         let gone = registry.apply_peer_view(registrations, response.follows, BootInstant::now());
         (before, registry.all().count(), gone)
     };
+    entry.observe_builds();
     if before != after {
         info!(peer:% = address, before = before, after = after; "upstreams as another entry knows them");
         entry.registry_changed.notify_one();
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -45,6 +45,7 @@
             stopped: false,
             late: Vec::new(),
             refused: Vec::new(),
+            builds: None,
         },
         entry,
         store,
@@ -75,6 +76,7 @@
         self.record.counter += 1;
         self.record.late = self.entry.late_orders();
         self.record.refused = self.entry.quarantine.refused();
+        self.record.builds = Some(self.entry.stored_builds());
         let sent = BootInstant::now();
         let written = self.write().await;
         match &written {
@@ -120,6 +122,9 @@
             self.record.late = self.entry.late_orders();
             self.entry.restore_refused(&earlier.refused);
             self.record.refused = self.entry.quarantine.refused();
+            if let Some(builds) = &earlier.builds {
+                self.entry.restore_builds(builds);
+            }
         }
     }
 
--- /dev/null
+++ b/src/entry/streams.rs
@@ -0,0 +1,149 @@
+//! Shares with the other entries which build began a stream, and which builds have served.
+
+use crate::{
+    clock::{self, BootInstant},
+    decide::{
+        begun_streams::{AddResult, BegunStream, CAPACITY},
+        build_history::BuildReport,
+        takeover::StoredBuilds,
+    },
+    edge::registration::Build,
+    entry::{
+        context::Entry,
+        messages::{BEGUN_PATH, BegunBatch},
+        peer_link,
+    },
+    holding::lock,
+    ident::StreamId,
+    link::{LinkError, Receiver, Sender},
+};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use log::warn;
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+/// Timeout of a request to the peers for the build that began a stream; a round trip between data centres takes a few
+/// milliseconds.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Entry {
+    /// Remembers that `build` sent the first event of the stream of `request`.
+    pub fn record_begun(&self, request: &str, build: &Build) {
+        self.add_begun(StreamId::of(request), build, None);
+        if lock(&self.builds).has_several() {
+            self.notify_peers();
+        }
+    }
+
+    fn add_begun(&self, stream: StreamId, build: &Build, source: Option<Arc<str>>) {
+        let added = lock(&self.begun).add(stream, build, source, BootInstant::now());
+        if added == AddResult::Displaced {
+            warn!(capacity = CAPACITY; "routing: too many streams begin to remember the build of each");
+        }
+    }
+
+    /// Adds the streams and the builds that a peer has reported.
+    pub fn apply_begun(
+        &self,
+        peer: Option<&Arc<str>>,
+        begun: &[BegunBatch],
+        builds: Option<&BuildReport>,
+    ) {
+        for batch in begun {
+            for stream in &batch.streams {
+                self.add_begun(*stream, &batch.build, peer.cloned());
+            }
+        }
+        if let Some(report) = builds {
+            lock(&self.builds).merge(report, Duration::ZERO, BootInstant::now());
+        }
+    }
+
+    /// Records the builds of the registered upstreams.
+    pub fn observe_builds(&self) {
+        let registered: Vec<Build> = lock(&self.registry).all().map(|r| r.build()).collect();
+        lock(&self.builds).observe(registered.into_iter(), BootInstant::now());
+    }
+
+    /// Returns all streams that are remembered, if a service has several builds.
+    pub fn known_begun(&self) -> Vec<BegunBatch> {
+        if lock(&self.builds).has_several() {
+            batches(lock(&self.begun).since(0))
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Returns the builds that have served, for this entry's record in the store.
+    pub fn stored_builds(&self) -> StoredBuilds {
+        self.observe_builds();
+        StoredBuilds {
+            report: lock(&self.builds).report(BootInstant::now()),
+            at_ms: clock::unix_ms(),
+        }
+    }
+
+    /// Adds the builds that an earlier process has stored.
+    pub fn restore_builds(&self, stored: &StoredBuilds) {
+        let age = Duration::from_millis(clock::unix_ms().saturating_sub(stored.at_ms));
+        lock(&self.builds).merge(&stored.report, age, BootInstant::now());
+    }
+
+    /// Returns the build that began a stream, from this entry's memory or a peer's.
+    pub async fn find_begun(self: &Arc<Self>, stream: StreamId) -> Option<Build> {
+        if let Some(build) = self.begun_build(stream) {
+            return Some(build);
+        }
+        let peers: Vec<SocketAddr> = {
+            let peers = lock(&self.peers);
+            let live = peers.direct(BootInstant::now());
+            live.map(|p| p.info.link).collect()
+        };
+        let lookups = peers.into_iter().map(|address| async move {
+            let found: Option<Option<Build>> =
+                peer_link::request(self, address, BEGUN_PATH, &stream, LOOKUP_TIMEOUT).await;
+            found.flatten()
+        });
+        let mut lookups: FuturesUnordered<_> = lookups.collect();
+        while let Some(found) = lookups.next().await {
+            if found.is_some() {
+                return found;
+            }
+        }
+        // An update may have come meanwhile.
+        self.begun_build(stream)
+    }
+
+    fn begun_build(&self, stream: StreamId) -> Option<Build> {
+        let begun = lock(&self.begun);
+        begun.build_of(stream).map(|build| Build::clone(build))
+    }
+}
+
+/// Groups streams by build.
+pub fn batches<'a>(streams: impl Iterator<Item = &'a BegunStream>) -> Vec<BegunBatch> {
+    let mut by_build: HashMap<&Build, Vec<StreamId>> = HashMap::new();
+    for stream in streams {
+        by_build.entry(&stream.build).or_default().push(stream.id);
+    }
+    let batches = by_build.into_iter().map(|(build, streams)| BegunBatch {
+        build: build.clone(),
+        streams,
+    });
+    batches.collect()
+}
+
+/// Serves a peer's request for the build that began a stream.
+///
+/// # Errors
+/// The stream of messages broke.
+pub async fn serve(
+    entry: &Entry,
+    mut sender: Sender,
+    mut receiver: Receiver,
+) -> Result<(), LinkError> {
+    if let Some(stream) = receiver.next::<StreamId>().await? {
+        sender.send(&entry.begun_build(stream)).await?;
+    }
+    sender.finish();
+    Ok(())
+}
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -6,12 +6,15 @@
 
 use crate::{
     clock::BootInstant,
-    decide::rate_limit,
+    decide::{build_history::BuildReport, rate_limit},
     edge::registration::AdapterKey,
     entry::{
         context::Entry,
-        messages::{AdapterUse, EntryChange, HeldChange, LimitUpdate, PeerInfo, PeerUpdate},
+        messages::{
+            AdapterUse, BegunBatch, EntryChange, HeldChange, LimitUpdate, PeerInfo, PeerUpdate,
+        },
         peers::{EngineWithHolder, HeldEngine, Peer, Peers},
+        streams,
     },
     holding::lock,
     ident::UpstreamId,
@@ -50,6 +53,10 @@
     /// Limits as last sent, with the times at which they were observed.
     limits: HashMap<UpstreamId, (Option<f64>, BootInstant)>,
     strikes: StrikeFeed,
+    /// Number of the next begun stream to send.
+    next_begun: u64,
+    /// Number of builds as last sent.
+    sent_builds: Option<usize>,
 }
 
 /// State of an engine as last sent to the peer.
@@ -98,6 +105,8 @@
             first_prompt,
             limits: HashMap::new(),
             strikes: entry.quarantine.feed(),
+            next_begun: 0,
+            sent_builds: None,
         }
     }
 
@@ -130,9 +139,36 @@
             strikes: self.strikes.take(&entry.quarantine),
             limits: self.limit_changes(),
             limited_sends,
+            begun: self.new_begun(&peers, &scope),
+            builds: self.new_builds(now),
         }
     }
 
+    /// Returns the streams that have begun since the last update; the first one has all, as the peer may have missed them.
+    /// They wait while each service has one build.
+    fn new_begun(&mut self, peers: &Peers, scope: &Scope) -> Vec<BegunBatch> {
+        if !lock(&self.entry.builds).has_several() {
+            return Vec::new();
+        }
+        let begun = lock(&self.entry.begun);
+        let is_first = self.next_begun == 0;
+        let is_included = |source: &Option<Arc<str>>| {
+            let source = source.as_ref().map(|name| peers.by_name(name));
+            is_first || source.is_none_or(|peer| peer.is_some_and(|p| scope.includes(p)))
+        };
+        let new = begun.since(self.next_begun);
+        let batches = streams::batches(new.filter(|s| is_included(&s.source)));
+        self.next_begun = begun.next();
+        batches
+    }
+
+    fn new_builds(&mut self, now: BootInstant) -> Option<BuildReport> {
+        let report = lock(&self.entry.builds).report(now);
+        let count = Some(report.builds.len());
+        let is_new = std::mem::replace(&mut self.sent_builds, count) != count;
+        is_new.then_some(report)
+    }
+
     fn new_links(&mut self, peers: &Peers, now: BootInstant) -> Vec<SocketAddr> {
         let live = peers.live(now).into_iter().map(|info| info.link);
         live.filter(|link| self.known.insert(*link)).collect()
--- a/src/ident.rs
+++ b/src/ident.rs
@@ -23,6 +23,17 @@
 /// Fencing number of an upstream; increases with every change of holder.
 pub type Generation = u64;
 
+/// Hash of the request that brought the first event of a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the ID of the stream that the request `id` began.
+    pub fn of(id: &str) -> Self {
+        Self(rapidhash_v3(id.as_bytes()))
+    }
+}
+
 /// An adapter and one of its versions, written `adapter@version`.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ModelRef {
--- /dev/null
+++ b/src/path/beginning.rs
@@ -0,0 +1,45 @@
+//! Finds the build that must go on with a stream which a caller resumes.
+
+use crate::{
+    clock::BootInstant,
+    edge::{codec::StreamBeginning, registration::Build},
+    holding::lock,
+    ident::StreamId,
+    path::{job::ProxyRequest, refusal::RefusalReason},
+};
+use log::info;
+use std::sync::Arc;
+
+impl ProxyRequest {
+    /// Binds a request that resumes a stream to the build and the service that began it.
+    ///
+    /// # Errors
+    /// The beginning is unknown and not certain, or the route no longer leads to its service.
+    pub async fn find_build(&mut self) -> Result<(), RefusalReason> {
+        let begun = match &self.head.beginning {
+            StreamBeginning::Here => return Ok(()),
+            StreamBeginning::Earlier(id) => self.entry.find_begun(StreamId::of(id)).await,
+            StreamBeginning::Unnamed => None,
+        };
+        let is_known = begun.is_some();
+        let Some(build) = begun.or_else(|| self.only_build()) else {
+            return Err(RefusalReason::UnknownBeginning);
+        };
+        info!(request = &*self.head.id, build:% = build, known = is_known; "routing: resumed stream bound to a build");
+        let mut targets = self.route.targets.iter();
+        if !targets.any(|t| t.service == build.service) {
+            return Err(RefusalReason::NoSameBuild);
+        }
+        self.service = Arc::clone(&build.service);
+        self.build = Some(build);
+        Ok(())
+    }
+
+    /// Returns the only build that can have begun a stream of this route.
+    fn only_build(&self) -> Option<Build> {
+        let targets = self.route.targets.iter();
+        let services: Vec<&Arc<str>> = targets.map(|t| &t.service).collect();
+        let history = lock(&self.entry.builds);
+        history.only_build(&services, BootInstant::now()).cloned()
+    }
+}
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -131,6 +131,7 @@
         arrived,
         deadline,
         fingerprint,
+        build: None,
         head,
     })
 }
@@ -163,7 +164,10 @@
 }
 
 /// Attempts upstreams until one responds or no further attempt is allowed.
-async fn proxy_request(request: ProxyRequest) -> Response<Body> {
+async fn proxy_request(mut request: ProxyRequest) -> Response<Body> {
+    if let Err(reason) = request.find_build().await {
+        return refuse(&request.head.id, request.route.kind.as_str(), reason);
+    }
     lock(&request.entry.retry_budget).record_request(&request.service, BootInstant::now());
     let mut excluded: Vec<UpstreamId> = Vec::new();
     let mut attempts = 0;
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -9,7 +9,7 @@
     edge::{
         codec::RequestHead,
         deployment::Route,
-        registration::{AdapterKey, Registration},
+        registration::{AdapterKey, Build, Registration},
     },
     entry::{
         context::{Entry, ServingUpstreams},
@@ -65,6 +65,8 @@
     pub deadline: BootInstant,
     /// Hash of host, method, path, query and body, which are the same when a caller repeats the request.
     pub fingerprint: u64,
+    /// Build that the upstream must have, as it goes on with what this build began.
+    pub build: Option<Build>,
 }
 
 /// Upstream selected for the next attempt.
@@ -138,7 +140,9 @@
             if self.time_left().is_zero() {
                 return Err(RefusalReason::DeadlineExpired);
             }
-            let serving = self.entry.serving_upstreams(&self.service, &excluded);
+            let serving =
+                self.entry
+                    .serving_upstreams(&self.service, self.build.as_ref(), &excluded);
             let upstreams = &serving.available;
             let (chosen, needs_load) = match self.choose(&serving, max_wait) {
                 Choice::Send(i) => (i, false),
@@ -154,7 +158,12 @@
                     return Err(unavailable(reason, &serving));
                 }
                 Choice::NoUpstream => {
-                    return Err(unavailable(RefusalReason::NoUpstream, &serving));
+                    let reason = if self.build.is_some() {
+                        RefusalReason::NoSameBuild
+                    } else {
+                        RefusalReason::NoUpstream
+                    };
+                    return Err(unavailable(reason, &serving));
                 }
             };
             let upstream = upstreams.get(chosen).ok_or(RefusalReason::NoUpstream)?;
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -1,6 +1,7 @@
 //! Proxying of a caller's request to an upstream, and of the response back to the caller.
 
 pub mod attempt;
+pub mod beginning;
 pub mod event_buffer;
 pub mod front;
 pub mod job;
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -31,6 +31,10 @@
     SlowBody,
     /// No upstream of the service can take the request.
     NoUpstream,
+    /// The stream that is to go on began at a build that no upstream of the service has.
+    NoSameBuild,
+    /// It is not known at which build the stream that is to go on began, and there are several.
+    UnknownBeginning,
     /// Every suitable upstream is full.
     Full,
     /// The adapter could not be loaded in time.
@@ -62,6 +66,8 @@
             Self::BrokenBody => "broken-body",
             Self::SlowBody => "slow-body",
             Self::NoUpstream => "no-upstream",
+            Self::NoSameBuild => "no-same-build",
+            Self::UnknownBeginning => "unknown-beginning",
             Self::Full => "full",
             Self::NoAdapter => "no-adapter",
             Self::Backlog(_) => "backlog",
@@ -83,6 +89,8 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::Starting
             | Self::NoUpstream
+            | Self::NoSameBuild
+            | Self::UnknownBeginning
             | Self::Full
             | Self::NoAdapter
             | Self::Backlog(_)
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -194,6 +194,7 @@
         let now = BootInstant::now();
         if self.timings.first.is_none() {
             self.record_prefill(now);
+            self.record_beginning();
             let taken = now.since(self.request.arrived);
             metrics::first_chunk(self.request.route.kind.as_str(), taken.as_secs_f64());
         }
@@ -217,6 +218,17 @@
         self.request.entry.clear_part_strikes(&parts);
     }
 
+    /// Binds a stream that may be resumed to the build that brings its first event.
+    fn record_beginning(&mut self) {
+        if let Some(source) = self.source.as_ref().filter(|_| self.resumable) {
+            let build = source.upstream.build();
+            self.request
+                .entry
+                .record_begun(&self.request.head.id, &build);
+            self.request.build = Some(build);
+        }
+    }
+
     /// Reports the actual time to the first chunk to the prefill schedule, next to the expected time.
     fn record_prefill(&self, now: BootInstant) {
         if let Some(source) = &self.source {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -448,6 +448,7 @@
             key: AdapterKey::new("base", "a1"),
         };
         let record = MemberRecord {
+            builds: None,
             incarnation: 1,
             counter: 4,
             link: SocketAddr::from(([10, 0, 0, 1], 80)),
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -62,6 +62,8 @@
         strikes: Vec::new(),
         limits: Vec::new(),
         limited_sends: Vec::new(),
+        begun: Vec::new(),
+        builds: None,
     }
 }
 
