--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -131,6 +131,14 @@
 /// # Errors
 /// The address was still in use after the last attempt.
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    bind_with_backlog(address, BACKLOG).await
+}
+
+/// Like [`bind`], with a listen backlog of `backlog` connections.
+///
+/// # Errors
+/// The address was still in use after the last attempt.
+pub async fn bind_with_backlog(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let mut attempts = 0;
     loop {
         attempts += 1;
@@ -140,7 +148,7 @@
             TcpSocket::new_v6()?
         };
         socket.set_reuseaddr(true)?;
-        match socket.bind(address).and_then(|()| socket.listen(BACKLOG)) {
+        match socket.bind(address).and_then(|()| socket.listen(backlog)) {
             Ok(listener) => return Ok(listener),
             Err(e) if attempts >= MAX_BIND_ATTEMPTS => return Err(e),
             Err(_in_use) => tokio::time::sleep(RETRY_DELAY).await,
