fix: entries that reach no upstream send attempts through entries that do

Cause: an entry had only its own path to an upstream. Where that was down each attempt spent a second on a connection (or its retry budget, where connections were refused), one upstream after the other. Class of fault: one process's view of reachability taken for the state of the upstream.

Change: an attempt that could not be sent directly (no connection within 200 ms) goes through another entry, which only sends it and returns the upstream's bytes. The entry that has the caller's request still decides everything: upstream, deadline, retries and their budget, at most once, resumes, limits, strikes; so no second hop and nothing is counted twice. Each upstream has its own path state: direct, detour, or down when three entries don't reach it either; probes end a detour, and a new one lets the upstreams be probed that idle connections lead to. A broken detour is a lost response, not a crash; crashes are checked by the entry that has the connection. An entry that stops finishes what it passes on.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod order_lease;
 pub mod order_sequence;
 pub mod outliers;
+pub mod paths;
 pub mod prefill;
 pub mod rate_limit;
 pub mod registry;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,7 +5,7 @@
     configs::entry::EntryConfig,
     decide::{
         begun_streams::BegunStreams, build_history::BuildHistory, load_balancing::Candidate,
-        order_lease::OrderLease, outliers::Outliers, prefill::PrefillSchedule,
+        order_lease::OrderLease, outliers::Outliers, paths::Paths, prefill::PrefillSchedule,
         rate_limit::RateLimits, registry::Registry, retry_budget::ServiceRetryBudget,
         routes::RouteTable, takeover::LateOrder,
     },
@@ -43,6 +43,7 @@
     time::Duration,
 };
 use tokio::sync::{Notify, watch};
+use tokio_util::task::TaskTracker;
 
 /// Version of an adapter for which no newer one was announced.
 pub const FIRST_VERSION: u32 = 1;
@@ -97,6 +98,12 @@
     pub begun: Mutex<BegunStreams>,
     /// Builds that have served recently.
     pub builds: Mutex<BuildHistory>,
+    /// How upstreams are reached.
+    pub paths: Mutex<Paths>,
+    /// Start of the last round of probes over the upstreams with idle connections.
+    pub last_round: Mutex<Option<BootInstant>>,
+    /// Attempts that this entry passes on for others.
+    pub detours: TaskTracker,
     /// Connections to upstreams.
     pub pool: Arc<Pool>,
     /// Controllers of the engines that this entry holds.
@@ -150,6 +157,9 @@
             late_orders: Mutex::default(),
             begun: Mutex::default(),
             builds: Mutex::new(BuildHistory::new(complete_since)),
+            paths: Mutex::default(),
+            last_round: Mutex::default(),
+            detours: TaskTracker::new(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             order_lease: Mutex::default(),
@@ -357,6 +367,7 @@
         info!(upstream = id, reason = reason; "upstream gone");
         lock(&self.outliers).forget(id);
         lock(&self.rate_limits).forget(id);
+        lock(&self.paths).forget(id);
         self.usage.forget(id);
         lock(&self.prefill).forget(id);
         self.pool.close_idle(id);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod context;
 pub mod control;
 pub mod controller;
+pub mod detour;
 pub mod directory;
 pub mod ensure;
 pub mod follow;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -7,6 +7,7 @@
         context::Entry,
         control,
         controller::Command,
+        detour::{self, DETOUR_PATH},
         messages::{
             BEGUN_PATH, DEPLOYMENT_PATH, ENSURE_PATH, EnsureRequest, EnsureResult, MISSING_PATH,
             PEER_PATH, PeerAck, PeerUpdate, REGISTRATIONS_PATH,
@@ -206,6 +207,12 @@
 /// Serves one stream of a peer.
 pub async fn serve_stream(entry: Arc<Entry>, incoming: IncomingStream) {
     let path = incoming.path.clone();
+    if path == DETOUR_PATH {
+        if let Err(e) = detour::serve(&entry, incoming).await {
+            debug!("passing on a request failed: {e}");
+        }
+        return;
+    }
     let accepted = match path.as_str() {
         PEER_PATH | ENSURE_PATH | MISSING_PATH | DEPLOYMENT_PATH | REGISTRATIONS_PATH
         | BEGUN_PATH => incoming.accept(),
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,7 +12,7 @@
     http_server::{self, ServeOptions},
     link,
     operator_routes::{self, Probe},
-    path::front::ProxyHandler,
+    path::{front::ProxyHandler, transport},
     supervisor::{ChildError, supervise},
 };
 use futures_util::future::BoxFuture;
@@ -123,7 +123,9 @@
     serving.cancel();
     let limit = entry.config.grace.saturating_sub(EXIT_MARGIN);
     let left = limit.saturating_sub(BootInstant::now().since(requested));
-    if tokio::time::timeout(left, front).await.is_err() {
+    entry.detours.close();
+    let in_flight = async { tokio::join!(front, entry.detours.wait()) };
+    if tokio::time::timeout(left, in_flight).await.is_err() {
         warn!(id = entry.config.id; "requests were still in flight at the end of the grace period");
     }
     entry.stop_orders();
@@ -169,13 +171,21 @@
             stop,
         ))
     });
-    let others: [(&'static str, Task); 3] = [
+    let others: [(&'static str, Task); 4] = [
         ("peers", |e, stop| {
             Box::pin(peer_link::connect_peers(e, stop))
         }),
         ("registrations", |e, stop| {
             Box::pin(registrations::follow_peers(e, stop))
         }),
+        ("paths", |e, stop| {
+            Box::pin(async move {
+                let _stopped = stop
+                    .run_until_cancelled(transport::probe_unreached(e))
+                    .await;
+                Ok(())
+            })
+        }),
         ("settings", |e, stop| Box::pin(reload::follow(e, stop))),
     ];
     for (name, run) in others {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -6,6 +6,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioIo},
 };
+use serde::{Deserialize, Serialize};
 use std::{
     fmt::{Display, Formatter},
     io,
@@ -77,7 +78,7 @@
 }
 
 /// Whether something accepts connections at an address.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ListenerState {
     /// A connection was accepted.
     Open,
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -13,14 +13,15 @@
     path::{
         job::{Placement, ProxyRequest},
         pool::{self, Connection, SendError},
+        transport::{Exchange, UpstreamBody},
     },
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body::Body;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use log::{info, warn};
+use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 use tokio::task::JoinHandle;
 
@@ -79,7 +80,7 @@
 }
 
 /// What ends the body of a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Framing {
     /// The number of bytes in `Content-Length`, or the head, if it allows no body.
     Length,
@@ -91,7 +92,7 @@
 
 impl Framing {
     /// Returns the framing of a response whose body was not read yet.
-    fn of(response: &Response<Incoming>) -> Self {
+    pub fn of(response: &Response<Incoming>) -> Self {
         let headers = response.headers();
         if headers.contains_key(header::TRANSFER_ENCODING) {
             Self::Chunks
@@ -117,8 +118,8 @@
 pub struct ResponseSource {
     /// The upstream.
     pub upstream: Arc<Registration>,
-    /// The connection.
-    pub connection: Connection,
+    /// The connection; `None` if another entry has it.
+    pub connection: Option<Connection>,
     /// Time for which the connection may be reused afterwards; `None` if it must be closed.
     pub keep_alive: Option<Duration>,
     /// The request.
@@ -129,7 +130,7 @@
 #[derive(Debug)]
 pub struct UpstreamResponse {
     /// Head and body, without hop-by-hop headers.
-    pub response: Response<Incoming>,
+    pub response: Response<UpstreamBody>,
     /// What ends the body.
     pub framing: Framing,
     /// Upstream and connection that it comes from.
@@ -168,21 +169,21 @@
                 "routing: stream of an earlier request resumed"
             );
         }
-        let response = self.entry.pool.send(upstream, request);
+        let entry = &self.entry;
+        let response = entry.send_to_upstream(upstream, request, &self.head.id, remaining);
         let response = match tokio::time::timeout(remaining, response).await {
             Ok(response) => response,
             Err(_elapsed) => return AttemptOutcome::Timeout,
         };
         match response {
-            Ok((response, connection)) => {
-                self.classify_response(placement, response, connection, sent)
-            }
+            Ok(exchange) => self.classify_response(placement, exchange, sent),
             Err(SendError::NotSent) => {
                 self.record_failure(upstream, "no connection");
                 AttemptOutcome::NotRun
             }
-            Err(SendError::Broken) => {
-                let check = self.record_broken_connection(upstream, "connection broke", None);
+            Err(SendError::Broken(listener)) => {
+                let check =
+                    self.record_broken_connection(upstream, "connection broke", None, listener);
                 AttemptOutcome::Uncertain(Some(check))
             }
         }
@@ -193,7 +194,7 @@
         placement: &Placement,
         last_event: Option<u64>,
         remaining: Duration,
-    ) -> Option<Request<Full<Bytes>>> {
+    ) -> Option<Request<Bytes>> {
         let mut headers = self.headers.clone();
         remove_hop_by_hop_headers(&mut headers);
         headers.remove(header::EXPECT);
@@ -212,7 +213,7 @@
         self.entry
             .codec
             .set_upstream_headers(&mut headers, &forwarding);
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.path_and_query.parse().ok()?;
         *request.headers_mut() = headers;
@@ -223,10 +224,14 @@
     fn classify_response(
         &self,
         placement: &Placement,
-        mut response: Response<Incoming>,
-        connection: Connection,
+        exchange: Exchange,
         sent: SentRequest,
     ) -> AttemptOutcome {
+        let Exchange {
+            mut response,
+            framing,
+            connection,
+        } = exchange;
         let upstream = &placement.upstream;
         let status = response.status();
         let codec = &self.entry.codec;
@@ -248,13 +253,12 @@
             return AttemptOutcome::NotRun;
         }
         if !head.id_matches {
-            let reused = connection.is_reused();
+            let reused = connection.as_ref().is_some_and(Connection::is_reused);
             info!(request = &*self.head.id, upstream = &*upstream.id, reused = reused; "routing: response to another request");
             return AttemptOutcome::Uncertain(None);
         }
         lock(&self.entry.outliers).record_success(&upstream.id);
         let keep_alive = pool::keep_alive_time(response.headers());
-        let framing = Framing::of(&response);
         remove_hop_by_hop_headers(response.headers_mut());
         AttemptOutcome::Response(Box::new(UpstreamResponse {
             response,
@@ -280,12 +284,14 @@
     }
 
     /// Records that the connection broke under the request, and checks in the background whether the upstream crashed.
-    /// `ran` is the time since the first chunk of the response, if there was one.
+    /// `ran` is the time since the first chunk of the response, if there was one; `listener` is what another entry has
+    /// found, if the request went through it.
     pub fn record_broken_connection(
         &self,
         upstream: &Arc<Registration>,
         problem: &str,
         ran: Option<Duration>,
+        listener: Option<ListenerState>,
     ) -> CrashCheck {
         self.record_failure(upstream, problem);
         let (entry, request) = (Arc::clone(&self.entry), Arc::clone(&self.head.id));
@@ -294,7 +300,10 @@
         let parts: Vec<u64> = self.prompt_parts().collect();
         tokio::spawn(async move {
             let logged: Vec<String> = parts.iter().map(|id| format!("{id:016x}")).collect();
-            let listener = http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await;
+            let listener = match listener {
+                Some(listener) => listener,
+                None => http_client::probe_listener(upstream.address, PROBE_TIMEOUT).await,
+            };
             info!(
                 request = &*request, fingerprint:% = format!("{fingerprint:016x}"), method:% = method, target = target,
                 upstream = &*upstream.id, born = upstream.born.unwrap_or_default(), build:% = upstream.build(), listener:? = listener,
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -8,3 +8,4 @@
 pub mod pool;
 pub mod refusal;
 pub mod relay;
+pub mod transport;
--- a/src/path/pool.rs
+++ b/src/path/pool.rs
@@ -4,7 +4,7 @@
     clock::BootInstant,
     edge::registration::Registration,
     holding::lock,
-    http_client::{self, Connector},
+    http_client::{self, Connector, ListenerState},
     ident::UpstreamId,
     metrics,
 };
@@ -54,8 +54,9 @@
 pub enum SendError {
     /// No connection could be made, or none accepted the request.
     NotSent,
-    /// The connection broke after the request was sent; it may have run.
-    Broken,
+    /// The connection broke after the request was sent; it may have run. Whether something listens at the upstream's
+    /// address, where another entry has checked that.
+    Broken(Option<ListenerState>),
 }
 
 /// Idle connections, keyed by upstream.
@@ -74,7 +75,8 @@
         }
     }
 
-    /// Sends `request` to `upstream` on an idle connection, or on a new one.
+    /// Sends `request` to `upstream` on an idle connection, or on a new one that is made within `patience`, if that is
+    /// given.
     ///
     /// # Errors
     /// See [`SendError`].
@@ -82,6 +84,7 @@
         &self,
         upstream: &Registration,
         mut request: Request<Full<Bytes>>,
+        patience: Option<Duration>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut connection) = self.take_idle(&upstream.id) {
             match connection.sender.try_send_request(request).await {
@@ -89,11 +92,16 @@
                 Err(mut e) => match e.take_message() {
                     // The upstream closed the connection before the request was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Broken),
+                    None => return Err(SendError::Broken(None)),
                 },
             }
         }
-        let mut connection = self.connect(upstream).await?;
+        let mut connection = match patience {
+            Some(patience) => tokio::time::timeout(patience, self.connect(upstream))
+                .await
+                .map_err(|_elapsed| SendError::NotSent)??,
+            None => self.connect(upstream).await?,
+        };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut e) => {
@@ -102,7 +110,7 @@
                 Err(if unsent {
                     SendError::NotSent
                 } else {
-                    SendError::Broken
+                    SendError::Broken(None)
                 })
             }
         }
@@ -163,6 +171,13 @@
         });
     }
 
+    /// Returns the upstreams that idle connections lead to.
+    pub fn idle_upstreams(&self) -> Vec<UpstreamId> {
+        let idle = lock(&self.idle);
+        let used = idle.iter().filter(|(_, kept)| !kept.is_empty());
+        used.map(|(id, _)| Arc::clone(id)).collect()
+    }
+
     /// Closes the idle connections of an upstream.
     pub fn close_idle(&self, upstream: &str) {
         lock(&self.idle).remove(upstream);
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::BootInstant,
     holding::lock,
+    http_client::ListenerState,
     metrics,
     path::{
         attempt::{
@@ -10,6 +11,7 @@
         },
         event_buffer::{Buffering, EventBuffer},
         job::ProxyRequest,
+        transport::{BrokenBody, UpstreamBody},
     },
 };
 use bytes::Bytes;
@@ -18,7 +20,6 @@
 use http::{Response, header};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use log::{info, warn};
 use std::{io, time::Duration};
 
@@ -28,7 +29,7 @@
 /// State of a response body that is being relayed.
 struct Relay {
     request: ProxyRequest,
-    body: Option<Incoming>,
+    body: Option<UpstreamBody>,
     /// The current upstream; `None` once its response ended.
     source: Option<ResponseSource>,
     /// Time of the current upstream's first chunk.
@@ -72,6 +73,23 @@
     }
 }
 
+/// Why an upstream's response can't be read further.
+#[derive(Clone, Copy, Debug)]
+struct Break {
+    problem: &'static str,
+    /// Whether something listens at the upstream's address, where another entry has checked that.
+    listener: Option<ListenerState>,
+}
+
+impl Break {
+    fn new(problem: &'static str) -> Self {
+        Self {
+            problem,
+            listener: None,
+        }
+    }
+}
+
 /// Next item of the relayed body.
 enum RelayStep {
     Data(Bytes),
@@ -147,14 +165,18 @@
                     self.finish_upstream_body();
                     return self.finish();
                 }
-                None | Some(Err(_)) => Err("answer broke off"),
+                None => Err(Break::new("answer broke off")),
+                Some(Err(BrokenBody(listener))) => Err(Break {
+                    problem: "answer broke off",
+                    listener,
+                }),
             };
             match received {
                 Ok(Some(data)) => return self.forward_chunk(data),
                 Ok(None) => {}
-                Err(problem) => {
-                    if !self.recover(problem).await {
-                        return self.fail(problem);
+                Err(broken) => {
+                    if !self.recover(broken).await {
+                        return self.fail(broken.problem);
                     }
                 }
             }
@@ -162,13 +184,13 @@
     }
 
     /// Gives up the current upstream and resumes the stream at another one; false if that is not possible.
-    async fn recover(&mut self, problem: &str) -> bool {
+    async fn recover(&mut self, broken: Break) -> bool {
         self.body = None;
         let source = self.source.take();
         let ran = self.started.map(|t| BootInstant::now().since(t));
         let check = source.map(|s| {
             self.request
-                .record_broken_connection(&s.upstream, problem, ran)
+                .record_broken_connection(&s.upstream, broken.problem, ran, broken.listener)
         });
         self.resume(check).await
     }
@@ -183,9 +205,11 @@
     }
 
     /// Returns only complete events of a resumable stream, and buffers the rest; other bodies are not buffered.
-    fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, &'static str> {
+    fn complete_events(&mut self, data: Bytes) -> Result<Option<Bytes>, Break> {
         match &mut self.events {
-            Some(events) => events.push(data).map_err(|_e| "event too large"),
+            Some(events) => events
+                .push(data)
+                .map_err(|_e| Break::new("event too large")),
             None => Ok(Some(data)),
         }
     }
@@ -203,7 +227,7 @@
         if !self.proven && now.since(started) >= PROVEN_AFTER {
             self.clear_parts();
         }
-        let has_ended = self.body.as_ref().is_some_and(Incoming::is_end_stream);
+        let has_ended = self.body.as_ref().is_some_and(UpstreamBody::is_end_stream);
         if has_ended && !self.is_cut_short() {
             // The server does not poll the body again once `Content-Length` bytes were sent.
             self.finish_upstream_body();
@@ -246,8 +270,10 @@
             if self.events.is_some() && !self.proven {
                 self.clear_parts();
             }
-            let pool = &self.request.entry.pool;
-            pool.release(source.connection, source.keep_alive);
+            if let Some(connection) = source.connection {
+                let pool = &self.request.entry.pool;
+                pool.release(connection, source.keep_alive);
+            }
         }
     }
 
--- /dev/null
+++ b/src/path/transport.rs
@@ -0,0 +1,218 @@
+//! Sends a request to an upstream, directly or through another entry.
+
+use crate::{
+    clock::BootInstant,
+    decide::paths::Path,
+    edge::registration::Registration,
+    entry::{context::Entry, detour, messages::PeerInfo},
+    holding::lock,
+    http_client::{self, ListenerState},
+    path::{
+        attempt::Framing,
+        pool::{Connection, SendError},
+    },
+};
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use log::info;
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+/// Time for a direct connection while another entry could pass the request on; connecting takes a few milliseconds.
+const DETOUR_AFTER: Duration = Duration::from_millis(200);
+
+/// Interval between checks for upstreams that are due for a probe.
+const PROBE_TICK: Duration = Duration::from_millis(100);
+
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Minimum time between two rounds of probes of the upstreams that idle connections lead to.
+const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Largest number of upstreams in such a round.
+const MAX_ROUND: usize = 32;
+
+/// The connection that carried a body broke; whether something listened at the upstream's address, where another entry has
+/// checked that.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BrokenBody(pub Option<ListenerState>);
+
+impl Display for BrokenBody {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection to the upstream broke")
+    }
+}
+
+impl std::error::Error for BrokenBody {}
+
+/// Body of an upstream's response.
+pub type UpstreamBody = UnsyncBoxBody<Bytes, BrokenBody>;
+
+/// An upstream's response, and the connection that carries its body.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Head and body.
+    pub response: Response<UpstreamBody>,
+    /// What ends the body.
+    pub framing: Framing,
+    /// The connection; `None` if another entry has it.
+    pub connection: Option<Connection>,
+}
+
+impl Entry {
+    /// Sends `request` to `upstream`, through another entry if this one does not reach it; `id` names it and `left` is the
+    /// time until its deadline.
+    ///
+    /// # Errors
+    /// See [`SendError`].
+    pub async fn send_to_upstream(
+        self: &Arc<Self>,
+        upstream: &Arc<Registration>,
+        request: Request<Bytes>,
+        id: &Arc<str>,
+        left: Duration,
+    ) -> Result<Exchange, SendError> {
+        let started = BootInstant::now();
+        let path = lock(&self.paths).path(&upstream.id, started);
+        match path {
+            Path::Direct => {
+                let direct = request.clone().map(Full::new);
+                match self.send_directly(upstream, direct).await {
+                    Err(SendError::NotSent) => {}
+                    sent => return sent,
+                }
+            }
+            Path::Detour => {}
+            Path::Down => return Err(SendError::NotSent),
+        }
+        let left = left.saturating_sub(BootInstant::now().since(started));
+        self.send_by_detour(upstream, &request, id, left).await
+    }
+
+    /// Sends `request` to `upstream` by a connection of this entry.
+    ///
+    /// # Errors
+    /// See [`SendError`].
+    pub async fn send_directly(
+        self: &Arc<Self>,
+        upstream: &Arc<Registration>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
+        let patience = (!self.detour_peers().is_empty()).then_some(DETOUR_AFTER);
+        let sent = self.pool.send(upstream, request, patience).await;
+        match sent {
+            Ok((response, connection)) => {
+                self.record_reached(&upstream.id);
+                let framing = Framing::of(&response);
+                Ok(Exchange {
+                    response: response.map(|b| b.map_err(|_e| BrokenBody(None)).boxed_unsync()),
+                    framing,
+                    connection: Some(connection),
+                })
+            }
+            Err(e) => {
+                if matches!(e, SendError::NotSent) {
+                    self.record_unreached(upstream);
+                }
+                Err(e)
+            }
+        }
+    }
+
+    async fn send_by_detour(
+        &self,
+        upstream: &Registration,
+        request: &Request<Bytes>,
+        id: &Arc<str>,
+        left: Duration,
+    ) -> Result<Exchange, SendError> {
+        let peers = self.detour_peers();
+        let ranked: Vec<&PeerInfo> = {
+            let paths = lock(&self.paths);
+            paths.rank_peers(id, peers.iter().collect(), |p| &p.name, BootInstant::now())
+        };
+        for peer in ranked {
+            let sent = detour::send_through(self, peer.link, upstream, request, id, left).await;
+            info!(request = &**id, upstream = &*upstream.id, through = &*peer.name, sent = sent.is_ok(); "routing: sent through another entry");
+            if !matches!(sent, Err(SendError::NotSent)) {
+                return sent;
+            }
+            lock(&self.paths).record_refusal(&peer.name, BootInstant::now());
+        }
+        lock(&self.paths).record_down(&upstream.id);
+        Err(SendError::NotSent)
+    }
+
+    /// Returns the entries that may pass requests on.
+    fn detour_peers(&self) -> Vec<PeerInfo> {
+        let peers = lock(&self.peers);
+        let live = peers.live(BootInstant::now()).into_iter();
+        live.filter(|p| p.ready && !p.leaving).cloned().collect()
+    }
+
+    fn record_reached(&self, upstream: &str) {
+        if lock(&self.paths).record_reached(upstream) {
+            info!(upstream = upstream; "routing: upstream reached directly again");
+            self.notify_peers();
+        }
+    }
+
+    /// Records that no connection to `upstream` could be made, and probes the others that idle connections lead to: where
+    /// the cause is this entry's network, they are dead too.
+    fn record_unreached(self: &Arc<Self>, upstream: &Arc<Registration>) {
+        let now = BootInstant::now();
+        if !lock(&self.paths).record_unreached(&upstream.id, now) {
+            return;
+        }
+        info!(upstream = &*upstream.id; "routing: upstream not reached directly");
+        self.pool.close_idle(&upstream.id);
+        self.notify_peers();
+        let is_due = {
+            let mut last = lock(&self.last_round);
+            let is_due = last.is_none_or(|at| now.since(at) >= ROUND_INTERVAL);
+            if is_due {
+                *last = Some(now);
+            }
+            is_due
+        };
+        if is_due {
+            for other in self.pool.idle_upstreams().into_iter().take(MAX_ROUND) {
+                tokio::spawn(probe(Arc::clone(self), other));
+            }
+        }
+    }
+}
+
+/// Probes the upstreams that are not reached directly, until the task is dropped.
+pub async fn probe_unreached(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(PROBE_TICK).await;
+        let due = {
+            let mut paths = lock(&entry.paths);
+            paths.due_probes(BootInstant::now(), rand::random_range(0.0..1.0))
+        };
+        for upstream in due {
+            tokio::spawn(probe(Arc::clone(&entry), upstream));
+        }
+    }
+}
+
+/// Connects to an upstream and records whether it was reached.
+async fn probe(entry: Arc<Entry>, upstream: Arc<str>) {
+    let registered = lock(&entry.registry).get(&upstream).cloned();
+    let Some(registered) = registered else {
+        lock(&entry.paths).forget(&upstream);
+        return;
+    };
+    let address: SocketAddr = registered.address;
+    match http_client::probe_listener(address, PROBE_TIMEOUT).await {
+        ListenerState::Open => entry.record_reached(&upstream),
+        ListenerState::Closed | ListenerState::Silent => entry.record_unreached(&registered),
+    }
+}
