fix: an entry learns that an upstream is not reached also when the caller leaves; unsent attempts draw no retry

Found by the further tests of cut entries: with callers that leave within 100 ms no connection attempt got to its end, so every request started anew; and attempts that reached nothing drew on the retry budget. Connections are made in tasks of their own now, and an attempt that was not sent is no retry.

--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -60,6 +60,8 @@
 pub enum AttemptOutcome {
     /// The upstream sent a response head.
     Response(Box<UpstreamResponse>),
+    /// The request reached no upstream.
+    NotSent,
     /// The upstream did not run the request.
     NotRun,
     /// The upstream may have run the request. If the connection broke, the check whether it crashed is under way.
@@ -179,7 +181,7 @@
             Ok(exchange) => self.classify_response(placement, exchange, sent),
             Err(SendError::NotSent) => {
                 self.record_failure(upstream, "no connection");
-                AttemptOutcome::NotRun
+                AttemptOutcome::NotSent
             }
             Err(SendError::Broken(listener)) => {
                 let check =
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -172,6 +172,8 @@
     let mut excluded: Vec<UpstreamId> = Vec::new();
     let mut attempts = 0;
     let mut may_have_run = false;
+    // Whether the last attempt reached an upstream, so that a further one is a retry there.
+    let mut has_arrived = false;
     // Response of a failed run, for the caller if no other attempt follows it.
     let mut failed = None;
     let reason = loop {
@@ -182,10 +184,11 @@
             Ok(ready) => ready,
             Err(reason) => break reason,
         };
-        if attempts > 0 && !request.take_retry() {
+        if has_arrived && !request.take_retry() {
             break RefusalReason::Refused;
         }
         attempts += 1;
+        has_arrived = true;
         match request
             .attempt(&placement, request.head.last_event, prefill_time)
             .await
@@ -201,8 +204,12 @@
                 may_have_run = true;
                 failed = Some(received);
             }
-            AttemptOutcome::NotRun if attempts < request.route.attempts + MAX_EXTRA_ATTEMPTS => {}
-            AttemptOutcome::NotRun => break RefusalReason::Refused,
+            outcome @ (AttemptOutcome::NotSent | AttemptOutcome::NotRun)
+                if attempts < request.route.attempts + MAX_EXTRA_ATTEMPTS =>
+            {
+                has_arrived &= !matches!(outcome, AttemptOutcome::NotSent);
+            }
+            AttemptOutcome::NotSent | AttemptOutcome::NotRun => break RefusalReason::Refused,
             AttemptOutcome::Uncertain(check) => {
                 may_have_run = true;
                 if !request.route.kind.is_repeatable() || attempts >= request.route.attempts {
--- a/src/path/pool.rs
+++ b/src/path/pool.rs
@@ -59,6 +59,15 @@
     Broken(Option<ListenerState>),
 }
 
+/// Reason why no response head was received on an idle connection.
+#[derive(Debug)]
+pub enum IdleError {
+    /// There is none that accepted the request.
+    NoConnection(Box<Request<Full<Bytes>>>),
+    /// The connection broke after the request was sent; it may have run.
+    Broken,
+}
+
 /// Idle connections, keyed by upstream.
 #[derive(Debug)]
 pub struct Pool {
@@ -75,45 +84,26 @@
         }
     }
 
-    /// Sends `request` to `upstream` on an idle connection, or on a new one that is made within `patience`, if that is
-    /// given.
+    /// Sends `request` to `upstream` on an idle connection.
     ///
     /// # Errors
-    /// See [`SendError`].
-    pub async fn send(
+    /// The connection broke, or there is none; the request is returned then.
+    pub async fn send_on_idle(
         &self,
-        upstream: &Registration,
+        upstream: &UpstreamId,
         mut request: Request<Full<Bytes>>,
-        patience: Option<Duration>,
-    ) -> Result<(Response<Incoming>, Connection), SendError> {
-        while let Some(mut connection) = self.take_idle(&upstream.id) {
+    ) -> Result<(Response<Incoming>, Connection), IdleError> {
+        while let Some(mut connection) = self.take_idle(upstream) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut e) => match e.take_message() {
                     // The upstream closed the connection before the request was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Broken(None)),
+                    None => return Err(IdleError::Broken),
                 },
             }
         }
-        let mut connection = match patience {
-            Some(patience) => tokio::time::timeout(patience, self.connect(upstream))
-                .await
-                .map_err(|_elapsed| SendError::NotSent)??,
-            None => self.connect(upstream).await?,
-        };
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
-            Err(mut e) => {
-                let unsent = e.take_message().is_some();
-                debug!("request to {} failed: {}", upstream.id, e.into_error());
-                Err(if unsent {
-                    SendError::NotSent
-                } else {
-                    SendError::Broken(None)
-                })
-            }
-        }
+        Err(IdleError::NoConnection(Box::new(request)))
     }
 
     fn take_idle(&self, upstream: &UpstreamId) -> Option<Connection> {
@@ -130,7 +120,11 @@
         })
     }
 
-    async fn connect(&self, upstream: &Registration) -> Result<Connection, SendError> {
+    /// Makes a new connection to `upstream`.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`].
+    pub async fn connect(&self, upstream: &Registration) -> Result<Connection, SendError> {
         let stream = http_client::connect(&self.connector, upstream.address).await;
         let Ok(stream) = stream else {
             return Err(SendError::NotSent);
@@ -185,6 +179,28 @@
 }
 
 impl Connection {
+    /// Sends `request`.
+    ///
+    /// # Errors
+    /// See [`SendError`].
+    pub async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Self), SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, self)),
+            Err(mut e) => {
+                let unsent = e.take_message().is_some();
+                debug!("request to {} failed: {}", self.upstream, e.into_error());
+                Err(if unsent {
+                    SendError::NotSent
+                } else {
+                    SendError::Broken(None)
+                })
+            }
+        }
+    }
+
     /// Returns whether it carried a request before this one.
     pub fn is_reused(&self) -> bool {
         self.reused
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -9,7 +9,7 @@
     http_client::{self, ListenerState},
     path::{
         attempt::Framing,
-        pool::{Connection, SendError},
+        pool::{Connection, IdleError, SendError},
     },
 };
 use bytes::Bytes;
@@ -104,25 +104,45 @@
         upstream: &Arc<Registration>,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendError> {
-        let patience = (!self.detour_peers().is_empty()).then_some(DETOUR_AFTER);
-        let sent = self.pool.send(upstream, request, patience).await;
-        match sent {
-            Ok((response, connection)) => {
-                self.record_reached(&upstream.id);
-                let framing = Framing::of(&response);
-                Ok(Exchange {
-                    response: response.map(|b| b.map_err(|_e| BrokenBody(None)).boxed_unsync()),
-                    framing,
-                    connection: Some(connection),
-                })
+        let (response, connection) = match self.pool.send_on_idle(&upstream.id, request).await {
+            Ok(sent) => sent,
+            Err(IdleError::Broken) => return Err(SendError::Broken(None)),
+            Err(IdleError::NoConnection(request)) => {
+                let connection = self.connect(upstream).await?;
+                connection.send(*request).await?
             }
-            Err(e) => {
-                if matches!(e, SendError::NotSent) {
-                    self.record_unreached(upstream);
-                }
-                Err(e)
+        };
+        self.record_reached(&upstream.id);
+        let framing = Framing::of(&response);
+        Ok(Exchange {
+            response: response.map(|b| b.map_err(|_e| BrokenBody(None)).boxed_unsync()),
+            framing,
+            connection: Some(connection),
+        })
+    }
+
+    /// Connects to `upstream` in a task of its own, so that the entry learns whether it is reached also if the caller leaves
+    /// meanwhile.
+    async fn connect(
+        self: &Arc<Self>,
+        upstream: &Arc<Registration>,
+    ) -> Result<Connection, SendError> {
+        let may_detour = !self.detour_peers().is_empty();
+        let (entry, upstream) = (Arc::clone(self), Arc::clone(upstream));
+        let connecting = tokio::spawn(async move {
+            let connecting = entry.pool.connect(&upstream);
+            let connected = if may_detour {
+                let limited = tokio::time::timeout(DETOUR_AFTER, connecting).await;
+                limited.unwrap_or(Err(SendError::NotSent))
+            } else {
+                connecting.await
+            };
+            if connected.is_err() {
+                entry.record_unreached(&upstream);
             }
-        }
+            connected
+        });
+        connecting.await.unwrap_or(Err(SendError::NotSent))
     }
 
     async fn send_by_detour(
