--- a/src/decide/paths.rs
+++ b/src/decide/paths.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | this entry's connections to an upstream hang or are refused, those of other entries don't | requests go through another entry until a probe reaches the upstream again |
 //! | the upstream is down for all entries | the entries that were asked say so; no other one is asked until the next probe |
+//! | callers pick entries that are cut off | these say so to the others, and directories name them only where few others are left |
 //! | many entries are cut off at once | one that doesn't reach the upstream either says so at once, and is asked last for a while |
 //! | the paths come back | each upstream is probed by itself, so that connections return one after the other |
 
@@ -19,6 +20,12 @@
 /// Time for which an entry that did not reach an upstream is asked last.
 const PEER_REFUSAL: Duration = Duration::from_secs(1);
 
+/// Upstreams reached only through other entries from which on an entry may be cut off.
+const CUT_OFF_UPSTREAMS: usize = 2;
+
+/// Time without a direct connection or response after which an entry counts as cut off.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(1);
+
 /// Largest number of entries that are asked to pass on one attempt.
 const MAX_PEERS: usize = 3;
 
@@ -39,6 +46,8 @@
     next_probe: BootInstant,
     /// Until when it counts as down, as no other entry has reached it either.
     down_until: BootInstant,
+    /// Whether another entry has reached it meanwhile.
+    is_detoured: bool,
 }
 
 /// Paths to all upstreams.
@@ -47,6 +56,8 @@
     unreached: HashMap<UpstreamId, Unreached>,
     /// Entries that did not reach an upstream for this one, and when they last said so.
     refusals: HashMap<Arc<str>, BootInstant>,
+    /// When an upstream was last reached directly.
+    last_reached: BootInstant,
 }
 
 impl Paths {
@@ -67,16 +78,31 @@
         let state = Unreached {
             next_probe: now + PROBE_INTERVAL,
             down_until: now,
+            is_detoured: false,
         };
         self.unreached.insert(Arc::clone(upstream), state);
         true
     }
 
-    /// Records that a connection to `upstream` was made; returns whether it was not reached before.
-    pub fn record_reached(&mut self, upstream: &str) -> bool {
+    /// Records that `upstream` was reached directly; returns whether it was not reached before.
+    pub fn record_reached(&mut self, upstream: &str, now: BootInstant) -> bool {
+        self.last_reached = now;
         self.unreached.remove(upstream).is_some()
     }
 
+    /// Records that another entry has reached `upstream`.
+    pub fn record_detour(&mut self, upstream: &str) {
+        if let Some(state) = self.unreached.get_mut(upstream) {
+            state.is_detoured = true;
+        }
+    }
+
+    /// Returns whether this entry reaches no upstream while other entries reach several of them.
+    pub fn is_cut_off(&self, now: BootInstant) -> bool {
+        let detoured = self.unreached.values().filter(|state| state.is_detoured);
+        detoured.count() >= CUT_OFF_UPSTREAMS && now.since(self.last_reached) > CUT_OFF_AFTER
+    }
+
     /// Records that no entry that was asked reaches `upstream`: it is down until the next probe.
     pub fn record_down(&mut self, upstream: &str) {
         if let Some(state) = self.unreached.get_mut(upstream) {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -4,10 +4,18 @@
     clock::{self, BootInstant},
     configs::entry::EntryConfig,
     decide::{
-        begun_streams::BegunStreams, build_history::BuildHistory, load_balancing::Candidate,
-        order_lease::OrderLease, outliers::Outliers, paths::Paths, prefill::PrefillSchedule,
-        rate_limit::RateLimits, registry::Registry, retry_budget::ServiceRetryBudget,
-        routes::RouteTable, takeover::LateOrder,
+        begun_streams::BegunStreams,
+        build_history::BuildHistory,
+        load_balancing::Candidate,
+        order_lease::OrderLease,
+        outliers::Outliers,
+        paths::{Path, Paths},
+        prefill::PrefillSchedule,
+        rate_limit::RateLimits,
+        registry::Registry,
+        retry_budget::ServiceRetryBudget,
+        routes::RouteTable,
+        takeover::LateOrder,
     },
     edge::{
         codec::{Codec, InferenceWork},
@@ -18,7 +26,7 @@
         control::ControlView,
         controller::{Command, ControllerHandle},
         late_orders::LateOrders,
-        messages::PeerInfo,
+        messages::{PeerInfo, Reach},
         peers::Peers,
         send_log::SendLog,
         usage::Usage,
@@ -312,9 +320,24 @@
             processor: (self.config.processor * 1_000.0) as u32,
             revision: self.revision(),
             follows: lock(&self.registry).follows_store(),
+            reach: self.reach(),
         }
     }
 
+    /// Returns how this entry reaches upstreams.
+    pub fn reach(&self) -> Reach {
+        if lock(&self.paths).is_cut_off(BootInstant::now()) {
+            Reach::CutOff
+        } else {
+            Reach::Direct
+        }
+    }
+
+    /// Returns whether this entry reaches `upstream` by its own connections.
+    pub fn reaches(&self, upstream: &str) -> bool {
+        lock(&self.paths).path(upstream, BootInstant::now()) == Path::Direct
+    }
+
     /// Returns the link to the entry at `address`, and creates it if needed.
     pub fn link(&self, address: SocketAddr) -> Arc<Link> {
         let mut links = lock(&self.links);
@@ -497,7 +520,8 @@
     ) -> (Option<u32>, bool) {
         if let Some(controller) = lock(&self.controllers).get(&upstream.id) {
             let (version, active) = controller.lookup(key);
-            return (version, active && self.may_send_orders());
+            let may_order = self.may_send_orders() && self.reaches(&upstream.id);
+            return (version, active && may_order);
         }
         if let Some(held) = peers.held_engine(&upstream.id, now) {
             let active = held.engine.active && held.is_live;
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -1,6 +1,15 @@
 //! Serves the addresses of entries to callers, and this entry's readiness to the platform.
 
-use crate::{clock::BootInstant, entry::context::Entry, handler_state, holding::lock, http_server};
+use crate::{
+    clock::BootInstant,
+    entry::{
+        context::Entry,
+        messages::{PeerInfo, Reach},
+    },
+    handler_state,
+    holding::lock,
+    http_server,
+};
 use gotham::{
     helpers::http::Body,
     middleware::state::StateMiddleware,
@@ -52,20 +61,20 @@
     (state, response)
 }
 
-/// Returns the addresses of live and ready entries, those of the caller's data centre first.
+/// Returns the addresses of live and ready entries, those of the caller's data centre first. Entries that are cut off from
+/// upstreams are left out while at least half of the entries are not.
 fn addresses(entry: &Entry, data_centre: &str, now: BootInstant) -> Vec<SocketAddr> {
+    let is_cut_off = |info: &&&PeerInfo| info.reach == Reach::CutOff;
+    let own = entry.peer_info();
     let peers = lock(&entry.peers);
-    let live = peers.live(now).into_iter();
-    let ready = live.filter(|info| info.ready && !info.leaving);
-    let mut listed: Vec<(bool, SocketAddr)> = ready
-        .map(|info| (*info.data_centre != *data_centre, info.callers))
-        .collect();
-    if entry.is_ready() {
-        let remote = entry.config.data_centre != data_centre;
-        listed.push((remote, entry.config.callers));
+    let live = peers.live(now).into_iter().chain([&own]);
+    let mut listed: Vec<&PeerInfo> = live.filter(|info| info.ready && !info.leaving).collect();
+    let cut_off = listed.iter().filter(is_cut_off).count();
+    if cut_off * 2 <= listed.len() {
+        listed.retain(|info| !is_cut_off(&info));
     }
-    listed.sort_unstable();
-    let addresses = listed.into_iter().map(|(_, address)| address);
+    listed.sort_unstable_by_key(|info| (*info.data_centre != *data_centre, info.callers));
+    let addresses = listed.into_iter().map(|info| info.callers);
     addresses.take(MAX_ENTRIES).collect()
 }
 
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -50,6 +50,17 @@
     pub revision: Revision,
     /// Whether it learns every change of the registered upstreams from the store.
     pub follows: bool,
+    /// How it reaches upstreams.
+    pub reach: Reach,
+}
+
+/// How an entry reaches upstreams.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Reach {
+    /// By its own connections, most of them at least.
+    Direct,
+    /// Only through other entries.
+    CutOff,
 }
 
 /// Update of an entry to a peer, sent several times a second.
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -342,7 +342,7 @@
         let held = controllers.iter().map(|(upstream, controller)| {
             let engine = controller.engine();
             let sent = SentEngine {
-                active: engine.active && may_order,
+                active: engine.active && may_order && self.entry.reaches(upstream),
                 held: EngineWithHolder {
                     holder: Arc::clone(&holder),
                     engine,
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -160,6 +160,9 @@
         for peer in ranked {
             let sent = detour::send_through(self, peer.link, upstream, request, id, left).await;
             info!(request = &**id, upstream = &*upstream.id, through = &*peer.name, sent = sent.is_ok(); "routing: sent through another entry");
+            if sent.is_ok() {
+                lock(&self.paths).record_detour(&upstream.id);
+            }
             if !matches!(sent, Err(SendError::NotSent)) {
                 return sent;
             }
@@ -177,7 +180,7 @@
     }
 
     fn record_reached(&self, upstream: &str) {
-        if lock(&self.paths).record_reached(upstream) {
+        if lock(&self.paths).record_reached(upstream, BootInstant::now()) {
             info!(upstream = upstream; "routing: upstream reached directly again");
             self.notify_peers();
         }
--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -20,6 +20,7 @@
     probes_of_one_upstream_are_spread,
     a_peer_that_is_cut_off_too_is_asked_last,
     most_entries_that_are_cut_off_leave_a_way,
+    an_entry_is_cut_off_only_if_others_reach_what_it_does_not,
 }
 
 const START: BootInstant = BootInstant(1_000_000_000_000);
@@ -51,12 +52,12 @@
     pub(super) fn a_cut_upstream_is_reached_by_detour_until_a_probe_succeeds() {
         let (mut paths, upstream) = (Paths::default(), UpstreamId::from("u"));
         assert_eq!(paths.path("u", START), Path::Direct);
-        assert!(!paths.record_reached("u"));
+        assert!(!paths.record_reached("u", START));
         assert!(paths.record_unreached(&upstream, START));
         assert!(!paths.record_unreached(&upstream, START), "known");
         assert_eq!(paths.path("u", at(60_000)), Path::Detour);
         assert_eq!(paths.path("v", START), Path::Direct, "each by itself");
-        assert!(paths.record_reached("u"));
+        assert!(paths.record_reached("u", START));
         assert_eq!(paths.path("u", START), Path::Direct);
     }
 
@@ -123,4 +124,22 @@
         }
         assert!(unserved <= 1, "{unserved} of 1000 requests found no way");
     }
+
+    pub(super) fn an_entry_is_cut_off_only_if_others_reach_what_it_does_not() {
+        let mut paths = Paths::default();
+        paths.record_reached("u", START);
+        for name in ["u", "v"] {
+            paths.record_unreached(&UpstreamId::from(name), START);
+        }
+        assert!(!paths.is_cut_off(at(5_000)), "they may be down for all");
+        paths.record_detour("u");
+        assert!(!paths.is_cut_off(at(5_000)), "one upstream");
+        paths.record_detour("v");
+        assert!(!paths.is_cut_off(at(900)), "reached a moment ago");
+        assert!(paths.is_cut_off(at(5_000)));
+        paths.record_reached("w", at(5_000));
+        assert!(!paths.is_cut_off(at(5_500)), "another one is reached");
+        paths.record_reached("u", at(8_000));
+        assert!(!paths.is_cut_off(at(20_000)));
+    }
 }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -4,7 +4,7 @@
     clock::BootInstant,
     edge::registration::AdapterKey,
     entry::{
-        messages::{EntryChange, HeldChange, PeerInfo, PeerUpdate},
+        messages::{EntryChange, HeldChange, PeerInfo, PeerUpdate, Reach},
         peers::Peers,
         send_log::{SendLog, SendRecord},
     },
@@ -44,6 +44,7 @@
         processor: 250,
         revision: 1,
         follows: true,
+        reach: Reach::Direct,
     }
 }
 
