fix: connections to upstreams outlive a silence of a second and a half

Requests that were sent or being sent then were lost: on Linux `TCP_USER_TIMEOUT` aborts a connection once sent bytes stay unacknowledged for that long, probes and the last retransmission included, and it was 1.5 s. Connections to upstreams have 3.2 s now, past the retransmission at 3 s; those to the store and for orders keep 1.5 s, as takeovers rely on it. Test: silence of 1.5 s on idle connections, before a response, under a stream, and under an upload, which failed before with 502.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -46,16 +46,17 @@
 pub fn build_bound_to(local: Option<IpAddr>) -> HttpClient {
     Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(IDLE_CONNECTIONS)
-        .build(connector(local))
+        .build(connector(local, USER_TIMEOUT))
 }
 
-/// Returns a connector whose connections originate from the address `local` and fail fast when the network is down.
-pub fn connector(local: Option<IpAddr>) -> Connector {
+/// Returns a connector whose connections originate from the address `local`, and fail when sent bytes stay unacknowledged for
+/// `user_timeout`.
+pub fn connector(local: Option<IpAddr>, user_timeout: Duration) -> Connector {
     let mut connector = HttpConnector::new();
     connector.set_local_address(local);
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    connector.set_tcp_user_timeout(Some(user_timeout));
     connector
 }
 
--- a/src/path/pool.rs
+++ b/src/path/pool.rs
@@ -27,6 +27,10 @@
 /// upstream closes it.
 const KEEP_ALIVE_FACTOR: f64 = 0.7;
 
+/// `TCP_USER_TIMEOUT` of connections to upstreams. A sound upstream may be silent for 1.5 s; the retransmission that follows
+/// may come up to 3 s after the first transmission, as the intervals double.
+const USER_TIMEOUT: Duration = Duration::from_millis(3_200);
+
 /// Largest number of idle connections per upstream; an upstream limits its connections across all entries.
 const MAX_IDLE: usize = 24;
 
@@ -80,7 +84,7 @@
     pub fn new(local: IpAddr) -> Self {
         Self {
             idle: Mutex::default(),
-            connector: http_client::connector(Some(local)),
+            connector: http_client::connector(Some(local), USER_TIMEOUT),
         }
     }
 
--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -131,14 +131,32 @@
 /// # Errors
 /// The address was still in use after the last attempt.
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    bind_with_backlog(address, BACKLOG).await
+    bind_with(address, ListenOptions::default()).await
 }
 
-/// Like [`bind`], with a listen backlog of `backlog` connections.
+/// Options of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenOptions {
+    /// Connections that can wait to be accepted.
+    pub backlog: u32,
+    /// Receive buffer of each connection, in bytes; `None` for that of the system.
+    pub receive_buffer: Option<u32>,
+}
+
+impl Default for ListenOptions {
+    fn default() -> Self {
+        Self {
+            backlog: BACKLOG,
+            receive_buffer: None,
+        }
+    }
+}
+
+/// Like [`bind`], with `options`.
 ///
 /// # Errors
 /// The address was still in use after the last attempt.
-pub async fn bind_with_backlog(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+pub async fn bind_with(address: SocketAddr, options: ListenOptions) -> io::Result<TcpListener> {
     let mut attempts = 0;
     loop {
         attempts += 1;
@@ -148,7 +166,11 @@
             TcpSocket::new_v6()?
         };
         socket.set_reuseaddr(true)?;
-        match socket.bind(address).and_then(|()| socket.listen(backlog)) {
+        if let Some(bytes) = options.receive_buffer {
+            socket.set_recv_buffer_size(bytes)?;
+        }
+        let bound = socket.bind(address);
+        match bound.and_then(|()| socket.listen(options.backlog)) {
             Ok(listener) => return Ok(listener),
             Err(e) if attempts >= MAX_BIND_ATTEMPTS => return Err(e),
             Err(_in_use) => tokio::time::sleep(RETRY_DELAY).await,
