fix: brittle upstreams get no more than they bear

Entries did not know the header: with bursts at three entries, 4 of 4 engines and 2 of 2 plain services fell over.

Change: decide::brittle keeps for each such upstream the room that is assumed (its slots, halved by a rejection, one more a second), of which each entry has a part, and closes it for as long as a quarter of N rejections, of all entries together, lie within a second. Rejections and bounds go with the updates; detours count at the entry that decides.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! Decision logic without I/O: plain state, with the current time passed in.
 
 pub mod begun_streams;
+pub mod brittle;
 pub mod build_history;
 pub mod control_set;
 pub mod load_balancing;
--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -78,6 +78,8 @@
     pub run: RunState,
     /// Limit on requests that the upstream names.
     pub limit: NamedLimit,
+    /// Requests turned away in a second beyond which the upstream falls over, if it is brittle.
+    pub brittle: Option<u32>,
 }
 
 /// Limit on requests that an upstream names in a response.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,8 +5,8 @@
     configs::entry::EntryConfig,
     decide::{
         begun_streams::BegunStreams,
+        brittle::BrittleUpstreams,
         build_history::BuildHistory,
-        load_balancing::Candidate,
         order_lease::OrderLease,
         outliers::Outliers,
         paths::{Path, Paths},
@@ -18,9 +18,9 @@
         takeover::LateOrder,
     },
     edge::{
-        codec::{Codec, InferenceWork},
+        codec::Codec,
         deployment::{Deployment, Service},
-        registration::{AdapterKey, Build, Registration},
+        registration::{AdapterKey, Registration},
     },
     entry::{
         control::ControlView,
@@ -48,7 +48,6 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
 };
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
@@ -56,17 +55,6 @@
 /// Version of an adapter for which no newer one was announced.
 pub const FIRST_VERSION: u32 = 1;
 
-/// Upstreams of a service, as seen by one request.
-#[derive(Debug)]
-pub struct ServingUpstreams {
-    /// Those that take a request now.
-    pub available: Vec<Arc<Registration>>,
-    /// Number of those that have named a limit which is used up.
-    pub limited_count: usize,
-    /// Time until the first of these takes another request.
-    pub limited_for: Option<Duration>,
-}
-
 /// Shared state of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -98,6 +86,8 @@
     pub control: ArcSwap<ControlView>,
     /// Limits that upstreams have named.
     pub rate_limits: Mutex<RateLimits>,
+    /// Upstreams that are brittle.
+    pub brittle: Mutex<BrittleUpstreams>,
     /// Recent requests, to be passed on to peers.
     pub send_log: Mutex<SendLog>,
     /// Orders of earlier holders that got no response.
@@ -161,6 +151,7 @@
                 ..ControlView::default()
             }),
             rate_limits: Mutex::default(),
+            brittle: Mutex::default(),
             send_log: Mutex::default(),
             late_orders: Mutex::default(),
             begun: Mutex::default(),
@@ -390,6 +381,7 @@
         info!(upstream = id, reason = reason; "upstream gone");
         lock(&self.outliers).forget(id);
         lock(&self.rate_limits).forget(id);
+        lock(&self.brittle).forget(id);
         lock(&self.paths).forget(id);
         self.usage.forget(id);
         lock(&self.prefill).forget(id);
@@ -428,107 +420,4 @@
         let live = peers.live(BootInstant::now());
         live.iter().any(|info| info.follows)
     }
-
-    /// Returns upstreams of `service` that take a request now, without `excluded`, and only those of `build` if there is one.
-    /// Ejected outliers are left out unless all are ejected.
-    pub fn serving_upstreams(
-        &self,
-        service: &str,
-        build: Option<&Build>,
-        excluded: &[UpstreamId],
-    ) -> ServingUpstreams {
-        let now = BootInstant::now();
-        self.refresh_limits(now);
-        let registry = lock(&self.registry);
-        let outliers = lock(&self.outliers);
-        let limits = lock(&self.rate_limits);
-        let wanted = registry
-            .serving(service)
-            .filter(|r| build.is_none_or(|b| r.build() == *b))
-            .filter(|r| !excluded.contains(&r.id));
-        let (mut available, limited): (Vec<_>, Vec<_>) = wanted
-            .cloned()
-            .partition(|r| limits.wait(&r.id, now).is_zero());
-        if available.iter().any(|r| !outliers.is_ejected(&r.id, now)) {
-            available.retain(|r| !outliers.is_ejected(&r.id, now));
-        }
-        ServingUpstreams {
-            available,
-            limited_count: limited.len(),
-            limited_for: limited.iter().map(|r| limits.wait(&r.id, now)).min(),
-        }
-    }
-
-    /// Returns whether the process that `upstream` describes still accepts new requests.
-    pub fn is_still_serving(&self, upstream: &Registration) -> bool {
-        let registry = lock(&self.registry);
-        let now = registry.get(&upstream.id);
-        now.is_some_and(|r| r.is_serving() && r.is_same_process(upstream))
-    }
-
-    /// Describes `upstream` as a candidate for a request with `work` that waits at most `max_wait` for earlier prompts.
-    pub fn candidate<'a>(
-        &self,
-        upstream: &'a Registration,
-        work: Option<&InferenceWork>,
-        max_wait: Duration,
-    ) -> Candidate<'a> {
-        let key = work.and_then(|w| w.adapter.as_ref());
-        let model = work.map(|w| &*w.model);
-        let tokens = work.map_or(0, |w| w.prompt_tokens);
-        let now = BootInstant::now();
-        let peers = lock(&self.peers);
-        let in_flight = self.usage.in_flight(&upstream.id) + peers.in_flight(&upstream.id, now);
-        let holds_model = model.is_none_or(|m| upstream.models.iter().any(|h| &*h.name == m));
-        let (resident, loadable) = match key {
-            None => (holds_model, false),
-            Some(key) => {
-                let (version, active) = self.held_version(upstream, key, &peers, now);
-                let wanted = self.newest_version(key);
-                let resident = version.is_some_and(|v| v >= wanted);
-                (resident && holds_model, active && holds_model)
-            }
-        };
-        Candidate {
-            id: &upstream.id,
-            slots: upstream.slots,
-            in_flight,
-            wait: lock(&self.prefill).wait(&upstream.id, tokens, now),
-            max_wait,
-            resident,
-            loadable,
-            limited: lock(&self.rate_limits).is_limited(&upstream.id, now),
-        }
-    }
-
-    /// Returns the newest version of `key`, or the one that `upstream` holds if that is newer still.
-    pub fn usable_version(&self, upstream: &Registration, key: &AdapterKey) -> u32 {
-        let wanted = self.newest_version(key);
-        let peers = lock(&self.peers);
-        let (held, _) = self.held_version(upstream, key, &peers, BootInstant::now());
-        held.map_or(wanted, |v| v.max(wanted))
-    }
-
-    /// Returns the version of `key` at `upstream`, and whether its holder may send orders: from the holder's state, or
-    /// from the registration where there is no holder.
-    fn held_version(
-        &self,
-        upstream: &Registration,
-        key: &AdapterKey,
-        peers: &Peers,
-        now: BootInstant,
-    ) -> (Option<u32>, bool) {
-        if let Some(controller) = lock(&self.controllers).get(&upstream.id) {
-            let (version, active) = controller.lookup(key);
-            let may_order = self.may_send_orders() && self.reaches(&upstream.id);
-            return (version, active && may_order);
-        }
-        if let Some(held) = peers.held_engine(&upstream.id, now) {
-            let active = held.engine.active && held.is_live;
-            return (held.engine.adapters.get(key).copied(), active);
-        }
-        let listed = upstream.models.iter().flat_map(|m| &m.adapters);
-        let mut matching = listed.filter(|a| a.key == *key);
-        (matching.next().map(|a| a.version), false)
-    }
 }
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -6,7 +6,7 @@
     edge::codec::NamedLimit,
     entry::{
         context::Entry,
-        messages::{LimitUpdate, PeerUpdate},
+        messages::{BrittleUpdate, LimitUpdate, PeerUpdate},
         send_log::SendRecord,
     },
     holding::lock,
@@ -44,8 +44,8 @@
                 at: now,
                 source: Some(Arc::clone(&update.info.name)),
                 upstream: Arc::clone(upstream),
-                prompt_tokens: 0,
                 limited_sends: *requests,
+                ..SendRecord::default()
             });
         }
     }
@@ -104,13 +104,70 @@
             at: now,
             source: None,
             upstream: Arc::clone(upstream),
-            prompt_tokens: 0,
             limited_sends: 1,
+            ..SendRecord::default()
         });
         self.notify_peers();
         true
     }
 
+    /// Records what a response said of its upstream's brittleness.
+    pub fn observe_brittle(&self, upstream: &UpstreamId, bound: Option<u32>) {
+        self.apply_brittle(upstream, bound, BootInstant::now());
+    }
+
+    fn apply_brittle(&self, upstream: &UpstreamId, bound: Option<u32>, seen: BootInstant) {
+        if lock(&self.brittle).observe(upstream, bound, seen) {
+            info!(upstream = &**upstream, brittle = bound.is_some(), bound = bound.unwrap_or_default(); "routing: upstream said whether it is brittle");
+            self.notify_peers();
+        }
+    }
+
+    /// Counts a request that `upstream` turned away.
+    pub fn record_rejection(&self, upstream: &UpstreamId) {
+        self.count_rejections(upstream, 1, None);
+        self.notify_peers();
+    }
+
+    fn count_rejections(&self, upstream: &UpstreamId, count: u32, source: Option<Arc<str>>) {
+        let now = BootInstant::now();
+        let in_flight = self.usage.in_flight(upstream) + lock(&self.peers).in_flight(upstream, now);
+        lock(&self.brittle).record_rejections(upstream, count, in_flight, now);
+        lock(&self.send_log).add(SendRecord {
+            at: now,
+            source,
+            upstream: Arc::clone(upstream),
+            rejections: count,
+            ..SendRecord::default()
+        });
+    }
+
+    /// Applies what a peer's update says of brittle upstreams.
+    pub fn apply_peer_brittle(&self, update: &PeerUpdate) {
+        let now = BootInstant::now();
+        for brittle in &update.brittle {
+            let seen = now - Duration::from_millis(brittle.age_ms);
+            self.apply_brittle(&brittle.upstream, Some(brittle.bound), seen);
+        }
+        for (upstream, count) in &update.rejections {
+            self.count_rejections(upstream, *count, Some(Arc::clone(&update.info.name)));
+        }
+    }
+
+    /// Returns the upstreams that are brittle, for an update to a peer.
+    pub fn brittle_updates(&self) -> Vec<BrittleUpdate> {
+        let now = BootInstant::now();
+        let brittle = lock(&self.brittle);
+        let all = brittle
+            .observed(now)
+            .map(|(id, bound, seen)| BrittleUpdate {
+                upstream: Arc::clone(id),
+                bound,
+                age_ms: now.since(seen).as_millis() as u64,
+            });
+        all.collect()
+    }
+
     /// Returns the limits for an update to a peer.
     pub fn limit_updates(&self) -> Vec<(BootInstant, LimitUpdate)> {
         let now = BootInstant::now();
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -92,6 +92,10 @@
     pub limits: Vec<LimitUpdate>,
     /// Requests to upstreams with a limit since the last update, of the sender and the entries that it passes on.
     pub limited_sends: Vec<(UpstreamId, u32)>,
+    /// Upstreams that are brittle; repeated at intervals.
+    pub brittle: Vec<BrittleUpdate>,
+    /// Requests that upstreams turned away since the last update, of the same entries as `limited_sends`.
+    pub rejections: Vec<(UpstreamId, u32)>,
     /// Streams that have begun, not sent to the receiver before; sent only while a service has several builds.
     pub begun: Vec<BegunBatch>,
     /// Builds that the sender has seen; in the first update, and whenever their number changes.
@@ -118,6 +122,17 @@
     pub age_ms: u64,
 }
 
+/// Observation of a brittle upstream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BrittleUpdate {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Rejections in a second that it bears.
+    pub bound: u32,
+    /// Age of the observation, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Change of an entry that the sender of an update passes on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EntryChange {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: callers' listener, directory, readiness, peers, and the orders to the engines it holds.
 
+pub mod candidates;
 pub mod context;
 pub mod control;
 pub mod controller;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -284,10 +284,11 @@
             source: Some(Arc::clone(&info.name)),
             upstream: Arc::clone(upstream),
             prompt_tokens: *tokens,
-            limited_sends: 0,
+            ..SendRecord::default()
         });
     }
     entry.apply_peer_limits(update);
+    entry.apply_peer_brittle(update);
     for (key, version) in &update.versions {
         entry.update_version(key, *version);
     }
@@ -308,6 +309,7 @@
     }
     let has_changes = !update.prompts.is_empty()
         || !update.limited_sends.is_empty()
+        || !update.rejections.is_empty()
         || !update.held.is_empty()
         || !update.begun.is_empty()
         || !update.others.is_empty();
--- a/src/entry/send_log.rs
+++ b/src/entry/send_log.rs
@@ -8,7 +8,7 @@
 const CAPACITY: usize = 512;
 
 /// Request that an entry is about to send, or several that a peer reported together.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SendRecord {
     /// When it became known here.
     pub at: BootInstant,
@@ -20,6 +20,8 @@
     pub prompt_tokens: u32,
     /// Number of requests that count towards the upstream's limit.
     pub limited_sends: u32,
+    /// Number of requests that the upstream turned away.
+    pub rejections: u32,
 }
 
 /// Log of requests, in the order in which they became known.
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -11,7 +11,8 @@
     entry::{
         context::Entry,
         messages::{
-            AdapterUse, BegunBatch, EntryChange, HeldChange, LimitUpdate, PeerInfo, PeerUpdate,
+            AdapterUse, BegunBatch, BrittleUpdate, EntryChange, HeldChange, LimitUpdate, PeerInfo,
+            PeerUpdate,
         },
         peers::{EngineWithHolder, HeldEngine, Peer, Peers},
         streams,
@@ -52,6 +53,8 @@
     first_prompt: u64,
     /// Limits as last sent, with the times at which they were observed.
     limits: HashMap<UpstreamId, (Option<f64>, BootInstant)>,
+    /// Number of brittle upstreams as last sent, and when.
+    sent_brittle: (usize, BootInstant),
     strikes: StrikeFeed,
     /// Number of the next begun stream to send.
     next_begun: u64,
@@ -59,6 +62,17 @@
     sent_builds: Option<usize>,
 }
 
+/// What was sent to upstreams since the last update.
+#[derive(Debug)]
+struct NewSends {
+    /// Prompt tokens.
+    prompts: Counts,
+    /// Requests to limited upstreams.
+    limited: Counts,
+    /// Requests that upstreams turned away.
+    rejections: Counts,
+}
+
 /// State of an engine as last sent to the peer.
 #[derive(Clone, Debug)]
 struct SentEngine {
@@ -104,6 +118,7 @@
             next_send,
             first_prompt,
             limits: HashMap::new(),
+            sent_brittle: (0, BootInstant::default()),
             strikes: entry.quarantine.feed(),
             next_begun: 0,
             sent_builds: None,
@@ -124,7 +139,7 @@
             receiver: receiver.map(|p| Arc::clone(&p.info.name)),
             relays_for_receiver: receiver.is_some_and(|p| p.is_relayed),
         };
-        let (prompts, limited_sends) = self.new_sends(&peers, &scope);
+        let sends = self.new_sends(&peers, &scope);
         PeerUpdate {
             sequence,
             info: entry.peer_info(),
@@ -132,13 +147,15 @@
             known: self.new_links(&peers, now),
             others: self.other_changes(&peers, &scope, now),
             loads: self.in_flight_changes(&peers, &scope, now),
-            prompts,
+            prompts: sends.prompts,
             uses: self.adapter_uses(&peers, &scope, homed),
             held: self.held_changes(own_engines, &peers, &scope),
             versions: self.new_versions(),
             strikes: self.strikes.take(&entry.quarantine),
             limits: self.limit_changes(),
-            limited_sends,
+            limited_sends: sends.limited,
+            brittle: self.brittle_changes(now),
+            rejections: sends.rejections,
             begun: self.new_begun(&peers, &scope),
             builds: self.new_builds(now),
         }
@@ -243,11 +260,23 @@
         changes
     }
 
-    /// Returns the prompt tokens reserved and the requests to limited upstreams since the last update, by upstream. The
-    /// first update has the latest requests as well: the peer may have missed them while no stream was open.
-    fn new_sends(&mut self, peers: &Peers, scope: &Scope) -> (Counts, Counts) {
+    /// Returns the brittle upstreams at intervals, and at once if their number changes.
+    fn brittle_changes(&mut self, now: BootInstant) -> Vec<BrittleUpdate> {
+        let updates = self.entry.brittle_updates();
+        let (count, sent_at) = self.sent_brittle;
+        if updates.len() == count && now < sent_at + LIMIT_REFRESH {
+            return Vec::new();
+        }
+        self.sent_brittle = (updates.len(), now);
+        updates
+    }
+
+    /// Returns the prompt tokens reserved, the requests to limited upstreams and the rejections since the last update, by
+    /// upstream. The first update has the latest requests as well: the peer may have missed them while no stream was open.
+    fn new_sends(&mut self, peers: &Peers, scope: &Scope) -> NewSends {
         let log = lock(&self.entry.send_log);
         let (mut prompts, mut sends) = (HashMap::new(), HashMap::new());
+        let mut rejections = HashMap::new();
         for (number, record) in log.since(self.next_send) {
             let source = record.source.as_ref().map(|name| peers.by_name(name));
             let is_included = source.is_none_or(|peer| peer.is_some_and(|p| scope.includes(p)));
@@ -256,10 +285,15 @@
                     *prompts.entry(&record.upstream).or_default() += record.prompt_tokens;
                 }
                 *sends.entry(&record.upstream).or_default() += record.limited_sends;
+                *rejections.entry(&record.upstream).or_default() += record.rejections;
             }
         }
         self.next_send = log.next();
-        (nonzero_counts(prompts), nonzero_counts(sends))
+        NewSends {
+            prompts: nonzero_counts(prompts),
+            limited: nonzero_counts(sends),
+            rejections: nonzero_counts(rejections),
+        }
     }
 
     /// Returns limits that changed, or that were observed again long enough after the last time they were sent.
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -242,6 +242,10 @@
         if head.run != RunState::Misdirected {
             self.entry
                 .observe_limit(&upstream.id, head.limit, &self.head.id);
+            self.entry.observe_brittle(&upstream.id, head.brittle);
+        }
+        if head.run == RunState::NotRun {
+            self.entry.record_rejection(&upstream.id);
         }
         if head.run != RunState::Run {
             let misdirected = head.run == RunState::Misdirected;
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -12,9 +12,7 @@
         registration::{AdapterKey, Build, Registration},
     },
     entry::{
-        context::{Entry, ServingUpstreams},
-        ensure,
-        messages::EnsureResult,
+        candidates::ServingUpstreams, context::Entry, ensure, messages::EnsureResult,
         send_log::SendRecord,
     },
     holding::lock,
@@ -232,11 +230,14 @@
                 continue;
             };
             self.check_quarantine()?;
-            // The upstream may have started to leave during the adapter load or the wait for earlier prefills.
-            if self.entry.is_still_serving(&placement.upstream) {
+            // The upstream may have started to leave, or got other requests, during the adapter load or the wait for earlier
+            // prefills.
+            let upstream = &placement.upstream;
+            let is_serving = self.entry.is_still_serving(upstream);
+            if is_serving && self.entry.is_within_allowance(upstream) {
                 return Ok((placement, prefill_time));
             }
-            info!(request = &*self.head.id, upstream = &*placement.upstream.id; "routing: the chosen upstream started to leave");
+            info!(request = &*self.head.id, upstream = &*upstream.id, serving = is_serving; "routing: the chosen upstream takes no request any more");
             excluded.push(Arc::clone(&placement.upstream.id));
         }
     }
@@ -284,7 +285,7 @@
             source: None,
             upstream: Arc::clone(upstream),
             prompt_tokens: work.prompt_tokens,
-            limited_sends: 0,
+            ..SendRecord::default()
         });
         self.entry.notify_peers();
         if !wait.is_zero() {
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -63,6 +63,8 @@
         strikes: Vec::new(),
         limits: Vec::new(),
         limited_sends: Vec::new(),
+        brittle: Vec::new(),
+        rejections: Vec::new(),
         begun: Vec::new(),
         builds: None,
     }
@@ -224,6 +226,7 @@
                 upstream: Arc::from("e"),
                 prompt_tokens: 0,
                 limited_sends: 1,
+                rejections: 0,
             });
         }
         let sent = |from| log.since(from).count();
