perf: brittle upstreams and builds cost nothing for requests and heartbeats that don't need them

For each candidate of each request the live entries were listed anew, and each heartbeat of an upstream went through all registrations: both grow with the square of the deployment. Found by reading the diff, not measured.

--- a/src/decide/brittle.rs
+++ b/src/decide/brittle.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Returns whether `id` is brittle.
+    pub fn is_brittle(&self, id: &str, now: BootInstant) -> bool {
+        self.upstreams.get(id).is_some_and(|b| b.is_fresh(now))
+    }
+
     /// Returns how many requests `id`, with this number of slots, may get if `entries` entries send to it; `None` if it isn't
     /// brittle.
     pub fn allowance(
--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::load_balancing::Candidate,
+    decide::{brittle::Allowance, load_balancing::Candidate},
     edge::{
         codec::InferenceWork,
         registration::{AdapterKey, Build, Registration},
@@ -63,11 +63,24 @@
         now.is_some_and(|r| r.is_serving() && r.is_same_process(upstream))
     }
 
+    /// Returns how many requests `upstream` may get; `None` if it is not brittle.
+    fn allowance(
+        &self,
+        upstream: &Registration,
+        peers: &Peers,
+        now: BootInstant,
+    ) -> Option<Allowance> {
+        let brittle = lock(&self.brittle);
+        if !brittle.is_brittle(&upstream.id, now) {
+            return None;
+        }
+        let entries = peers.live(now).len() + 1;
+        brittle.allowance(&upstream.id, upstream.slots, entries, now)
+    }
+
     /// Returns how many requests `upstream` takes at once from all entries; none if it is brittle and has this entry's part.
     fn usable_slots(&self, upstream: &Registration, peers: &Peers, now: BootInstant) -> u32 {
-        let entries = peers.live(now).len() + 1;
-        let brittle = lock(&self.brittle);
-        match brittle.allowance(&upstream.id, upstream.slots, entries, now) {
+        match self.allowance(upstream, peers, now) {
             None => upstream.slots,
             Some(part) if self.usage.in_flight(&upstream.id) >= part.own => 0,
             Some(part) => part.total,
@@ -78,13 +91,13 @@
     pub fn is_within_allowance(&self, upstream: &Registration) -> bool {
         let now = BootInstant::now();
         let peers = lock(&self.peers);
-        let entries = peers.live(now).len() + 1;
-        let in_flight = self.usage.in_flight(&upstream.id);
-        let total = in_flight + peers.in_flight(&upstream.id, now);
-        let brittle = lock(&self.brittle);
-        let allowance = brittle.allowance(&upstream.id, upstream.slots, entries, now);
-        let is_open = brittle.wait(&upstream.id, now).is_zero();
-        is_open && allowance.is_none_or(|a| in_flight < a.own && total < a.total)
+        let Some(allowance) = self.allowance(upstream, &peers, now) else {
+            return true;
+        };
+        let own = self.usage.in_flight(&upstream.id);
+        let total = own + peers.in_flight(&upstream.id, now);
+        let is_open = lock(&self.brittle).wait(&upstream.id, now).is_zero();
+        is_open && own < allowance.own && total < allowance.total
     }
 
     /// Describes `upstream` as a candidate for a request with `work` that waits at most `max_wait` for earlier prompts.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -184,9 +184,6 @@
     }
 
     fn apply_change(&self, change: &Change) {
-        if self.kind == ObjectKind::Upstreams {
-            self.entry.observe_builds();
-        }
         if !change.removed {
             self.apply_object(&change.object);
         } else if self.kind == ObjectKind::Upstreams {
@@ -207,6 +204,8 @@
             ObjectKind::Upstreams => codec.registration(object).map(|r| {
                 let (id, service) = (Arc::clone(&r.id), Arc::clone(&r.service));
                 self.report_to_controller(&r);
+                let build = std::iter::once(r.build());
+                lock(&self.entry.builds).observe(build, BootInstant::now());
                 let change = lock(&self.entry.registry).register(r);
                 if change != RegistryChange::Unchanged {
                     info!(upstream = &*id, service = &*service, change:? = change; "upstream changed");
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -237,6 +237,13 @@
         all.into_values().collect()
     }
 
+    /// Returns whether some live entry meets `condition`.
+    pub fn any_live(&self, now: BootInstant, condition: impl Fn(&PeerInfo) -> bool) -> bool {
+        let relayed = self.retained(now).flat_map(|p| p.others.values());
+        let direct = self.direct(now).map(|p| &p.info);
+        direct.chain(relayed).any(condition)
+    }
+
     /// Returns the link addresses of all peers, and of the entries that they know.
     pub fn links(&self) -> impl Iterator<Item = SocketAddr> {
         let known = self.peers.values().flat_map(|p| p.known.iter().copied());
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -127,7 +127,7 @@
         self: &Arc<Self>,
         upstream: &Arc<Registration>,
     ) -> Result<Connection, SendError> {
-        let may_detour = !self.detour_peers().is_empty();
+        let may_detour = lock(&self.peers).any_live(BootInstant::now(), may_pass_on);
         let (entry, upstream) = (Arc::clone(self), Arc::clone(upstream));
         let connecting = tokio::spawn(async move {
             let connecting = entry.pool.connect(&upstream);
@@ -176,7 +176,7 @@
     fn detour_peers(&self) -> Vec<PeerInfo> {
         let peers = lock(&self.peers);
         let live = peers.live(BootInstant::now()).into_iter();
-        live.filter(|p| p.ready && !p.leaving).cloned().collect()
+        live.filter(|p| may_pass_on(p)).cloned().collect()
     }
 
     fn record_reached(&self, upstream: &str) {
@@ -212,6 +212,11 @@
     }
 }
 
+/// Returns whether an entry may pass attempts on.
+fn may_pass_on(peer: &PeerInfo) -> bool {
+    peer.ready && !peer.leaving
+}
+
 /// Probes the upstreams that are not reached directly, until the task is dropped.
 pub async fn probe_unreached(entry: Arc<Entry>) {
     loop {
