--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -9,7 +9,7 @@
     edge::{codec::RunState, registration::Registration},
     entry::context::Entry,
     holding::lock,
-    http_client::{self, ListenerState},
+    http_client::{self, ListenerState, PROBE_TIMEOUT},
     link::{IncomingStream, LinkError, Receiver, Sender},
     path::{
         attempt::Framing,
@@ -32,9 +32,6 @@
 /// Largest number of attempts that an entry passes on at once.
 const MAX_DETOURS: usize = 512;
 
-/// Timeout of the check whether an upstream still listens.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// An attempt to be passed on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct DetourRequest {
@@ -91,7 +88,7 @@
 /// Sends an attempt through the entry at `address`.
 ///
 /// # Errors
-/// See [`SendError`]; `NotSent` without the request, which the caller still has.
+/// See [`SendError`].
 pub async fn send_through(
     entry: &Entry,
     address: SocketAddr,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: callers' listener, directory, readiness, peers, and the orders to the engines it holds.
 
+pub mod begun_streams;
 pub mod candidates;
 pub mod context;
 pub mod control;
@@ -20,6 +21,5 @@
 pub mod renew;
 pub mod run;
 pub mod send_log;
-pub mod streams;
 pub mod update;
 pub mod usage;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -4,6 +4,7 @@
     clock::BootInstant,
     edge::registration::AdapterKey,
     entry::{
+        begun_streams,
         context::Entry,
         control,
         controller::Command,
@@ -14,7 +15,6 @@
         },
         registrations,
         send_log::SendRecord,
-        streams,
         update::UpdateBuilder,
     },
     holding::lock,
@@ -225,7 +225,7 @@
         PEER_PATH => receive_updates(&entry, sender, receiver).await,
         ENSURE_PATH => serve_ensure(&entry, sender, receiver).await,
         MISSING_PATH => receive_missing(&entry, sender, receiver).await,
-        BEGUN_PATH => streams::serve(&entry, sender, receiver).await,
+        BEGUN_PATH => begun_streams::serve(&entry, sender, receiver).await,
         REGISTRATIONS_PATH => registrations::serve(&entry, sender, receiver).await,
         _ => serve_deployment(&entry, sender, receiver).await,
     };
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -9,13 +9,13 @@
     decide::{build_history::BuildReport, rate_limit},
     edge::registration::AdapterKey,
     entry::{
+        begun_streams,
         context::Entry,
         messages::{
             AdapterUse, BegunBatch, BrittleUpdate, EntryChange, HeldChange, LimitUpdate, PeerInfo,
             PeerUpdate,
         },
         peers::{EngineWithHolder, HeldEngine, Peer, Peers},
-        streams,
     },
     holding::lock,
     ident::UpstreamId,
@@ -174,7 +174,7 @@
             is_first || source.is_none_or(|peer| peer.is_some_and(|p| scope.includes(p)))
         };
         let new = begun.since(self.next_begun);
-        let batches = streams::batches(new.filter(|s| is_included(&s.source)));
+        let batches = begun_streams::batches(new.filter(|s| is_included(&s.source)));
         self.next_begun = begun.next();
         batches
     }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -22,6 +22,9 @@
 /// `TCP_USER_TIMEOUT`: longest time that sent bytes may stay unacknowledged; shorter than the takeover margin.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Timeout of the check whether something listens at an upstream's address.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Largest number of idle connections per address.
 const IDLE_CONNECTIONS: usize = 64;
 
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -9,7 +9,7 @@
     },
     entry::{controller::Command, peer_link, usage::UsageGuard},
     holding::lock,
-    http_client::{self, ListenerState},
+    http_client::{self, ListenerState, PROBE_TIMEOUT},
     path::{
         job::{Placement, ProxyRequest},
         pool::{self, Connection, SendError},
@@ -31,9 +31,6 @@
 /// Engine priority that is never exceeded; a higher number is served later.
 const LOWEST_PRIORITY: u8 = 9;
 
-/// Timeout of the check whether an upstream still listens.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time from the first chunk of a response after which the parts of its prompt are not the cause of a crash: such a part
 /// crashes the upstream when it begins to respond.
 pub const PROVEN_AFTER: Duration = Duration::from_millis(100);
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -156,7 +156,7 @@
                     return Err(unavailable(reason, &serving));
                 }
                 Choice::NoUpstream => {
-                    let reason = if self.build.is_some() {
+                    let reason = if self.build.is_some() && upstreams.is_empty() {
                         RefusalReason::NoSameBuild
                     } else {
                         RefusalReason::NoUpstream
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -6,7 +6,7 @@
     edge::registration::Registration,
     entry::{context::Entry, detour, messages::PeerInfo},
     holding::lock,
-    http_client::{self, ListenerState},
+    http_client::{self, ListenerState, PROBE_TIMEOUT},
     path::{
         attempt::Framing,
         pool::{Connection, IdleError, SendError},
@@ -18,7 +18,6 @@
 use log::info;
 use std::{
     fmt::{Display, Formatter},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -29,9 +28,6 @@
 /// Interval between checks for upstreams that are due for a probe.
 const PROBE_TICK: Duration = Duration::from_millis(100);
 
-/// Timeout of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Minimum time between two rounds of probes of the upstreams that idle connections lead to.
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -238,8 +234,7 @@
         lock(&entry.paths).forget(&upstream);
         return;
     };
-    let address: SocketAddr = registered.address;
-    match http_client::probe_listener(address, PROBE_TIMEOUT).await {
+    match http_client::probe_listener(registered.address, PROBE_TIMEOUT).await {
         ListenerState::Open => entry.record_reached(&upstream),
         ListenerState::Closed | ListenerState::Silent => entry.record_unreached(&registered),
     }
