fix: entries share which build began a stream whenever others could not conclude it

Found by reading the change again. While a service had one build nothing was shared, as an unknown beginning is certain then. It is not certain without a fresh view of the upstreams: in an outage of the store the streams of an entry that ended were refused elsewhere, though one build served. Beginnings are shared now whenever they could not be concluded: several builds, a view that is not confirmed, a history that doesn't reach back far enough. And a history misses what came and went while the view was not confirmed, so it begins anew after such a gap; a report says nothing about that time either.

a_stream_of_an_ended_entry_is_refused_in_a_store_outage failed before (503, unknown-beginning) and passes; builds_that_came_and_went_unseen_make_a_beginning_uncertain is new. A resume of a resume, naming the beginning or the middle, has a test; it passed before.

--- a/src/decide/build_history.rs
+++ b/src/decide/build_history.rs
@@ -60,11 +60,28 @@
         self.seen.retain(|_, seen| now.since(*seen) <= RETENTION);
     }
 
-    /// Records that the registered upstreams are certain.
+    /// Records that the registered upstreams are certain. After a gap, builds may have come and gone meanwhile.
     pub fn confirm(&mut self, now: BootInstant) {
+        if self.confirmed.is_some_and(|at| now.since(at) > FRESHNESS) {
+            self.complete_since = now;
+        }
         self.confirmed = Some(now);
     }
 
+    fn is_fresh(&self, now: BootInstant) -> bool {
+        self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS)
+    }
+
+    /// Returns whether no build is missing that can have begun a stream.
+    fn is_certain(&self, now: BootInstant) -> bool {
+        self.is_fresh(now) && now.since(self.complete_since) >= RETENTION
+    }
+
+    /// Returns whether other entries must know which build began a stream, as they could not conclude it.
+    pub fn needs_beginnings(&self, now: BootInstant) -> bool {
+        !self.is_certain(now) || self.has_several()
+    }
+
     /// Returns what has been seen, for another entry or a later process.
     pub fn report(&self, now: BootInstant) -> BuildReport {
         let millis = |at| now.since(at).as_millis() as u64;
@@ -74,7 +91,12 @@
         });
         BuildReport {
             builds: builds.collect(),
-            complete_ms: millis(self.complete_since),
+            // Up to now only if the registered upstreams are certain now.
+            complete_ms: if self.is_fresh(now) {
+                millis(self.complete_since)
+            } else {
+                0
+            },
         }
     }
 
@@ -91,8 +113,7 @@
 
     /// Returns the only build of `services` that can have begun a stream, if that is certain.
     pub fn only_build(&self, services: &[&Arc<str>], now: BootInstant) -> Option<&Build> {
-        let is_certain = self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS);
-        if !is_certain || now.since(self.complete_since) < RETENTION {
+        if !self.is_certain(now) {
             return None;
         }
         let mut builds = self.seen.keys().filter(|b| services.contains(&&b.service));
@@ -101,7 +122,7 @@
     }
 
     /// Returns whether several builds of a service have served recently.
-    pub fn has_several(&self) -> bool {
+    fn has_several(&self) -> bool {
         let mut services: Vec<&str> = self.seen.keys().map(|b| &*b.service).collect();
         services.sort_unstable();
         services.windows(2).any(|pair| pair[0] == pair[1])
--- a/src/entry/begun_streams.rs
+++ b/src/entry/begun_streams.rs
@@ -29,7 +29,7 @@
     /// Remembers that `build` sent the first event of the stream of `request`.
     pub fn record_begun(&self, request: &str, build: &Build) {
         self.add_begun(StreamId::of(request), build, None);
-        if lock(&self.builds).has_several() {
+        if self.shares_beginnings() {
             self.notify_peers();
         }
     }
@@ -64,9 +64,14 @@
         lock(&self.builds).observe(registered.into_iter(), BootInstant::now());
     }
 
-    /// Returns all streams that are remembered, if a service has several builds.
+    /// Returns whether the other entries are told which build began a stream.
+    pub fn shares_beginnings(&self) -> bool {
+        lock(&self.builds).needs_beginnings(BootInstant::now())
+    }
+
+    /// Returns all streams that are remembered, if the other entries are told of them.
     pub fn known_begun(&self) -> Vec<BegunBatch> {
-        if lock(&self.builds).has_several() {
+        if self.shares_beginnings() {
             batches(lock(&self.begun).since(0))
         } else {
             Vec::new()
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -96,7 +96,7 @@
     pub brittle: Vec<BrittleUpdate>,
     /// Requests that upstreams turned away since the last update, of the same entries as `limited_sends`.
     pub rejections: Vec<(UpstreamId, u32)>,
-    /// Streams that have begun, not sent to the receiver before; sent only while a service has several builds.
+    /// Streams that have begun, not sent to the receiver before; sent only while it could not conclude their builds.
     pub begun: Vec<BegunBatch>,
     /// Builds that the sender has seen; in the first update, and whenever their number changes.
     pub builds: Option<BuildReport>,
@@ -184,7 +184,7 @@
     /// Known strikes against requests; only in the first acknowledgement of a stream, so that a restarted entry has
     /// them before its peers connect to it again.
     pub strikes: Vec<Strike>,
-    /// Streams that have begun; only in the first acknowledgement of a stream, while a service has several builds.
+    /// Streams that have begun; only in the first acknowledgement of a stream, under the same condition.
     pub begun: Vec<BegunBatch>,
     /// Builds that the sender has seen; only in the first acknowledgement of a stream.
     pub builds: Option<BuildReport>,
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -162,9 +162,9 @@
     }
 
     /// Returns the streams that have begun since the last update; the first one has all, as the peer may have missed them.
-    /// They wait while each service has one build.
+    /// They wait while the receiver can conclude the build.
     fn new_begun(&mut self, peers: &Peers, scope: &Scope) -> Vec<BegunBatch> {
-        if !lock(&self.entry.builds).has_several() {
+        if !self.entry.shares_beginnings() {
             return Vec::new();
         }
         let begun = lock(&self.entry.begun);
--- a/tests/build_memory.rs
+++ b/tests/build_memory.rs
@@ -30,6 +30,7 @@
     a_release_forth_and_back_is_uncertain_until_streams_have_ended,
     a_view_that_is_not_confirmed_is_uncertain,
     builds_of_any_peer_make_a_beginning_uncertain,
+    builds_that_came_and_went_unseen_make_a_beginning_uncertain,
     a_lookup_takes_less_than_a_microsecond,
     a_begun_stream_takes_few_bytes_between_entries,
 }
@@ -101,6 +102,11 @@
         started.observe([build("v1")].into_iter(), START);
         started.confirm(START);
         assert_eq!(only(&started, START), None, "a build may have left before");
+        let later = START + Duration::from_secs(6);
+        let stale = history(&["v1"]).report(later);
+        started.confirm(START + Duration::from_secs(3));
+        started.merge(&stale, Duration::ZERO, later);
+        assert_eq!(only(&started, later), None, "the peer does not know either");
         started.merge(&history(&["v1"]).report(START), Duration::ZERO, START);
         assert_eq!(only(&started, START), Some(build("v1")), "a peer knows");
     }
@@ -119,7 +125,7 @@
             history.confirm(second(n));
             let is_certain = n < 2 || n > 9 + RETENTION.as_secs();
             assert_eq!(only(&history, second(n)).is_some(), is_certain, "at {n} s");
-            assert_eq!(history.has_several(), !is_certain, "at {n} s");
+            assert_eq!(history.needs_beginnings(second(n)), !is_certain, "at {n} s");
         }
     }
 
@@ -129,6 +135,24 @@
         assert!(only(&history, START + Duration::from_secs(6)).is_none());
     }
 
+    pub(super) fn builds_that_came_and_went_unseen_make_a_beginning_uncertain() {
+        let mut history = history(&["v1"]);
+        let after = START + Duration::from_secs(10);
+        assert!(history.needs_beginnings(after), "not confirmed");
+        history.observe([build("v1")].into_iter(), after);
+        history.confirm(after);
+        assert_eq!(only(&history, after), None);
+        assert!(history.needs_beginnings(after));
+        let mut later = after;
+        for _ in 0..RETENTION.as_secs() {
+            later = later + Duration::from_secs(1);
+            history.observe([build("v1")].into_iter(), later);
+            history.confirm(later);
+        }
+        assert_eq!(only(&history, later), Some(build("v1")));
+        assert!(!history.needs_beginnings(later));
+    }
+
     pub(super) fn builds_of_any_peer_make_a_beginning_uncertain() {
         arbtest(|u| {
             let mut own = history(&["v1"]);
