fix: only streams are bound to the build that began them

Found by reading the change again: a call to a plain service with the header of a last event was refused (unknown-beginning) while that service had several software versions. Only requests on routes of streams can go on with one. a_call_with_a_last_event_is_refused failed before with 503, and passes.

--- a/src/path/beginning.rs
+++ b/src/path/beginning.rs
@@ -16,6 +16,9 @@
     /// # Errors
     /// The beginning is unknown and not certain, or the route no longer leads to its service.
     pub async fn find_build(&mut self) -> Result<(), RefusalReason> {
+        if !self.route.kind.is_stream() {
+            return Ok(());
+        }
         let begun = match &self.head.beginning {
             StreamBeginning::Here => return Ok(()),
             StreamBeginning::Earlier(id) => self.entry.find_begun(StreamId::of(id)).await,
