fix: an entry that nobody can help tries its upstreams directly

Found by reading the change again: an entry without live peers counted an upstream as down for up to 750 ms after one failed connection, and then only probes tried it again, so requests were refused although it was reached. Without an entry that could pass a request on there is no detour, and nothing counts as down. an_entry_alone_refuses_what_it_reaches_again failed before (503 a tenth of a second after the path was back) and passes.

--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -75,6 +75,9 @@
         left: Duration,
     ) -> Result<Exchange, SendError> {
         let started = BootInstant::now();
+        if !self.may_detour() {
+            return self.send_directly(upstream, request.map(Full::new)).await;
+        }
         let path = lock(&self.paths).path(&upstream.id, started);
         match path {
             Path::Direct => {
@@ -123,7 +126,7 @@
         self: &Arc<Self>,
         upstream: &Arc<Registration>,
     ) -> Result<Connection, SendError> {
-        let may_detour = lock(&self.peers).any_live(BootInstant::now(), may_pass_on);
+        let may_detour = self.may_detour();
         let (entry, upstream) = (Arc::clone(self), Arc::clone(upstream));
         let connecting = tokio::spawn(async move {
             let connecting = entry.pool.connect(&upstream);
@@ -164,10 +167,17 @@
             }
             lock(&self.paths).record_refusal(&peer.name, BootInstant::now());
         }
-        lock(&self.paths).record_down(&upstream.id);
+        if !peers.is_empty() {
+            lock(&self.paths).record_down(&upstream.id);
+        }
         Err(SendError::NotSent)
     }
 
+    /// Returns whether some other entry may pass requests on.
+    fn may_detour(&self) -> bool {
+        lock(&self.peers).any_live(BootInstant::now(), may_pass_on)
+    }
+
     /// Returns the entries that may pass requests on.
     fn detour_peers(&self) -> Vec<PeerInfo> {
         let peers = lock(&self.peers);
