fix: a request that is too large to be passed on was not sent

Found by reading the change again: a request too large for one message between entries (8 MB) was answered 502, as if it could have run. It never left the entry. No test: the stand-in's configuration takes no bodies of that size.

--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -109,8 +109,12 @@
     let link = entry.link(address);
     let mut receiver = match link.open(DETOUR_PATH, &message).await {
         Ok(receiver) => receiver,
-        Err(LinkError::NotSent) => return Err(SendError::NotSent),
-        Err(e) => {
+        // A request that is too large for a message was not sent either.
+        Err(e @ (LinkError::NotSent | LinkError::Malformed)) => {
+            debug!("a request was not passed on through {address}: {e}");
+            return Err(SendError::NotSent);
+        }
+        Err(e @ LinkError::Broken) => {
             debug!("passing a request on through {address} failed: {e}");
             return Err(SendError::Broken(Some(ListenerState::Silent)));
         }
