perf: only rejections of brittle upstreams are counted and sent

Found by reading the change again: each request that any full upstream rejected was logged and triggered an update to all entries, also where no upstream is brittle, so an overload made the links busy for nothing. The two tests of brittle upstreams pass as before.

--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -123,10 +123,12 @@
         }
     }
 
-    /// Counts a request that `upstream` turned away.
+    /// Counts a request that `upstream` rejected, if it is brittle.
     pub fn record_rejection(&self, upstream: &UpstreamId) {
-        self.count_rejections(upstream, 1, None);
-        self.notify_peers();
+        if lock(&self.brittle).is_brittle(upstream, BootInstant::now()) {
+            self.count_rejections(upstream, 1, None);
+            self.notify_peers();
+        }
     }
 
     fn count_rejections(&self, upstream: &UpstreamId, count: u32, source: Option<Arc<str>>) {
