--- a/src/decide/brittle.rs
+++ b/src/decide/brittle.rs
@@ -1,4 +1,4 @@
-//! Keeps brittle upstreams from being overrun: one that has to turn away more than a few requests in a second falls over.
+//! Keeps brittle upstreams from being overrun: one that rejects more than a few requests in a second crashes.
 //!
 //! | load pattern | response |
 //! |---|---|
@@ -13,13 +13,13 @@
     time::Duration,
 };
 
-/// Time after which the word of an upstream expires that it is brittle.
+/// Time after which a response expires that says that its upstream is brittle.
 const BRITTLE_TTL: Duration = Duration::from_secs(10);
 
-/// Window in which an upstream counts the requests that it turns away.
+/// Window in which an upstream counts the requests that it rejects.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Part of the rejections that an upstream bears after which it is closed; the rest is for requests that are on their way.
+/// Part of the tolerated rejections after which an upstream is closed; the rest is for requests that are on their way.
 const CLOSING_SHARE: f64 = 0.25;
 
 /// Room that is added in a second without a rejection, in requests.
@@ -31,7 +31,7 @@
 /// What an upstream says of itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Brittle {
-    /// Rejections in a second that it bears.
+    /// Rejections in a second that it tolerates.
     bound: u32,
     seen: BootInstant,
     /// Requests that it takes at once, as assumed at `assumed`.
@@ -90,7 +90,7 @@
         }
     }
 
-    /// Counts requests that `id` turned away while all entries had `in_flight` requests there.
+    /// Counts requests that `id` rejected while all entries had `in_flight` requests there.
     pub fn record_rejections(
         &mut self,
         id: &UpstreamId,
@@ -133,11 +133,14 @@
         let Some(brittle) = self.upstreams.get(id).filter(|b| b.is_fresh(now)) else {
             return Duration::ZERO;
         };
-        let borne = (f64::from(brittle.bound) * CLOSING_SHARE).max(1.0) as usize;
+        let tolerated = (f64::from(brittle.bound) * CLOSING_SHARE).max(1.0) as usize;
         let recent = self.rejections.get(id).into_iter().flatten();
         let recent: Vec<&BootInstant> = recent.filter(|at| now.since(**at) < WINDOW).collect();
-        // Open again once fewer than `borne` are left in the window.
-        let decisive = recent.len().checked_sub(borne).and_then(|n| recent.get(n));
+        // Open again once fewer than `tolerated` are left in the window.
+        let decisive = recent
+            .len()
+            .checked_sub(tolerated)
+            .and_then(|n| recent.get(n));
         decisive.map_or(Duration::ZERO, |at| (**at + WINDOW).since(now))
     }
 
--- a/src/decide/paths.rs
+++ b/src/decide/paths.rs
@@ -26,6 +26,9 @@
 /// Time without a direct connection or response after which an entry counts as cut off.
 const CUT_OFF_AFTER: Duration = Duration::from_secs(1);
 
+/// Minimum time between two rounds of probes of the upstreams that idle connections lead to.
+const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Largest number of entries that are asked to pass on one attempt.
 const MAX_PEERS: usize = 3;
 
@@ -58,6 +61,8 @@
     refusals: HashMap<Arc<str>, BootInstant>,
     /// When an upstream was last reached directly.
     last_reached: BootInstant,
+    /// Start of the last round of probes.
+    last_round: Option<BootInstant>,
 }
 
 impl Paths {
@@ -84,6 +89,18 @@
         true
     }
 
+    /// Returns whether the upstreams that idle connections lead to are to be probed now, as one was not reached: where the
+    /// cause is this entry's network, those connections are dead too.
+    pub fn begin_round(&mut self, now: BootInstant) -> bool {
+        let is_due = self
+            .last_round
+            .is_none_or(|at| now.since(at) >= ROUND_INTERVAL);
+        if is_due {
+            self.last_round = Some(now);
+        }
+        is_due
+    }
+
     /// Records that `upstream` was reached directly; returns whether it was not reached before.
     pub fn record_reached(&mut self, upstream: &str, now: BootInstant) -> bool {
         self.last_reached = now;
--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -78,7 +78,7 @@
     pub run: RunState,
     /// Limit on requests that the upstream names.
     pub limit: NamedLimit,
-    /// Requests turned away in a second beyond which the upstream falls over, if it is brittle.
+    /// Rejections in a second beyond which the upstream crashes, if it is brittle.
     pub brittle: Option<u32>,
 }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -98,8 +98,6 @@
     pub builds: Mutex<BuildHistory>,
     /// How upstreams are reached.
     pub paths: Mutex<Paths>,
-    /// Start of the last round of probes over the upstreams with idle connections.
-    pub last_round: Mutex<Option<BootInstant>>,
     /// Attempts that this entry passes on for others.
     pub detours: TaskTracker,
     /// Connections to upstreams.
@@ -157,7 +155,6 @@
             begun: Mutex::default(),
             builds: Mutex::new(BuildHistory::new(complete_since)),
             paths: Mutex::default(),
-            last_round: Mutex::default(),
             detours: TaskTracker::new(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -14,7 +14,7 @@
     path::{
         attempt::Framing,
         pool::{self, SendError},
-        transport::{BrokenBody, Exchange},
+        transport::{BrokenBody, Exchange, UpstreamBody},
     },
 };
 use bytes::Bytes;
@@ -142,7 +142,7 @@
 }
 
 /// Returns the body whose parts `receiver` gets.
-fn body_of(receiver: Receiver) -> http_body_util::combinators::UnsyncBoxBody<Bytes, BrokenBody> {
+fn body_of(receiver: Receiver) -> UpstreamBody {
     let frames = stream::unfold(Some(receiver), async |state| {
         let mut receiver = state?;
         match receiver.next::<DetourPart>().await {
@@ -190,9 +190,10 @@
 ) -> Result<(), LinkError> {
     let upstream = lock(&entry.registry).get(&request.upstream).cloned();
     let path = lock(&entry.paths).path(&request.upstream, BootInstant::now());
+    let id = Arc::clone(&request.id);
     let Some((upstream, forwarded)) = upstream
         .filter(|_| path == Path::Direct)
-        .and_then(|u| Some((u, forwarded_request(&request)?)))
+        .and_then(|u| Some((u, forwarded_request(request)?)))
     else {
         sender.send(&DetourPart::NotSent).await?;
         return Ok(());
@@ -201,7 +202,7 @@
         sent = entry.send_directly(&upstream, forwarded) => sent,
         () = sender.cancelled() => return Err(LinkError::Broken),
     };
-    info!(request = &*request.id, upstream = &*upstream.id, sent = sent.is_ok(); "routing: attempt passed on for another entry");
+    info!(request = &*id, upstream = &*upstream.id, sent = sent.is_ok(); "routing: attempt passed on for another entry");
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(SendError::NotSent) => {
@@ -210,11 +211,11 @@
         }
         Err(SendError::Broken(_)) => return send_broken(sender, &upstream).await,
     };
-    relay_parts(entry, sender, &upstream, &request.id, exchange).await
+    relay_parts(entry, sender, &upstream, &id, exchange).await
 }
 
-fn forwarded_request(request: &DetourRequest) -> Option<Request<Full<Bytes>>> {
-    let mut forwarded = Request::new(Full::new(Bytes::from(request.body.clone())));
+fn forwarded_request(request: DetourRequest) -> Option<Request<Full<Bytes>>> {
+    let mut forwarded = Request::new(Full::new(Bytes::from(request.body)));
     *forwarded.method_mut() = Method::from_bytes(request.method.as_bytes()).ok()?;
     *forwarded.uri_mut() = request.target.parse().ok()?;
     *forwarded.headers_mut() = decode_headers(&request.headers);
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -94,7 +94,7 @@
     pub limited_sends: Vec<(UpstreamId, u32)>,
     /// Upstreams that are brittle; repeated at intervals.
     pub brittle: Vec<BrittleUpdate>,
-    /// Requests that upstreams turned away since the last update, of the same entries as `limited_sends`.
+    /// Requests that brittle upstreams rejected since the last update, of the same entries as `limited_sends`.
     pub rejections: Vec<(UpstreamId, u32)>,
     /// Streams that have begun, not sent to the receiver before; sent only while it could not conclude their builds.
     pub begun: Vec<BegunBatch>,
@@ -127,7 +127,7 @@
 pub struct BrittleUpdate {
     /// Upstream.
     pub upstream: UpstreamId,
-    /// Rejections in a second that it bears.
+    /// Rejections in a second that it tolerates.
     pub bound: u32,
     /// Age of the observation, in milliseconds.
     pub age_ms: u64,
--- a/src/entry/send_log.rs
+++ b/src/entry/send_log.rs
@@ -20,7 +20,7 @@
     pub prompt_tokens: u32,
     /// Number of requests that count towards the upstream's limit.
     pub limited_sends: u32,
-    /// Number of requests that the upstream turned away.
+    /// Number of requests that the upstream rejected.
     pub rejections: u32,
 }
 
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -69,7 +69,7 @@
     prompts: Counts,
     /// Requests to limited upstreams.
     limited: Counts,
-    /// Requests that upstreams turned away.
+    /// Requests that brittle upstreams rejected.
     rejections: Counts,
 }
 
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -28,10 +28,7 @@
 /// Interval between checks for upstreams that are due for a probe.
 const PROBE_TICK: Duration = Duration::from_millis(100);
 
-/// Minimum time between two rounds of probes of the upstreams that idle connections lead to.
-const ROUND_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Largest number of upstreams in such a round.
+/// Largest number of upstreams in a round of probes.
 const MAX_ROUND: usize = 32;
 
 /// The connection that carried a body broke; whether something listened at the upstream's address, where another entry has
@@ -192,8 +189,7 @@
         }
     }
 
-    /// Records that no connection to `upstream` could be made, and probes the others that idle connections lead to: where
-    /// the cause is this entry's network, they are dead too.
+    /// Records that no connection to `upstream` could be made, and probes the others that idle connections lead to.
     fn record_unreached(self: &Arc<Self>, upstream: &Arc<Registration>) {
         let now = BootInstant::now();
         if !lock(&self.paths).record_unreached(&upstream.id, now) {
@@ -202,15 +198,7 @@
         info!(upstream = &*upstream.id; "routing: upstream not reached directly");
         self.pool.close_idle(&upstream.id);
         self.notify_peers();
-        let is_due = {
-            let mut last = lock(&self.last_round);
-            let is_due = last.is_none_or(|at| now.since(at) >= ROUND_INTERVAL);
-            if is_due {
-                *last = Some(now);
-            }
-            is_due
-        };
-        if is_due {
+        if lock(&self.paths).begin_round(now) {
             for other in self.pool.idle_upstreams().into_iter().take(MAX_ROUND) {
                 tokio::spawn(probe(Arc::clone(self), other));
             }
--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -20,6 +20,7 @@
     probes_of_one_upstream_are_spread,
     a_peer_that_is_cut_off_too_is_asked_last,
     most_entries_that_are_cut_off_leave_a_way,
+    rounds_of_probes_are_a_second_apart,
     an_entry_is_cut_off_only_if_others_reach_what_it_does_not,
 }
 
@@ -125,6 +126,14 @@
         assert!(unserved <= 1, "{unserved} of 1000 requests found no way");
     }
 
+    pub(super) fn rounds_of_probes_are_a_second_apart() {
+        let mut paths = Paths::default();
+        let rounds = (0..3_500)
+            .step_by(100)
+            .filter(|ms| paths.begin_round(at(*ms)));
+        assert_eq!(rounds.collect::<Vec<u64>>(), [0, 1_000, 2_000, 3_000]);
+    }
+
     pub(super) fn an_entry_is_cut_off_only_if_others_reach_what_it_does_not() {
         let mut paths = Paths::default();
         paths.record_reached("u", START);
