--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -17,6 +17,7 @@
     registry: Registry,
     object_api_calls: Counter<u64>,
     upstream_connections: Counter<u64>,
+    detours: Counter<u64>,
     dropped_log_lines: Counter<u64>,
     requests: Counter<u64>,
     first_chunks: Histogram<f64>,
@@ -51,6 +52,7 @@
             object_api_calls: meter.u64_counter("carobfield_object_api_calls").build(),
             dropped_log_lines: meter.u64_counter("carobfield_dropped_log_lines").build(),
             upstream_connections: meter.u64_counter("carobfield_upstream_connections").build(),
+            detours: meter.u64_counter("carobfield_detours").build(),
             requests: meter.u64_counter("carobfield_requests").build(),
             first_chunks: meter
                 .f64_histogram("carobfield_first_part_seconds")
@@ -95,6 +97,15 @@
     INSTRUMENTS.upstream_connections.add(1, &labels);
 }
 
+/// Counts an attempt for an upstream of `service` that this entry gave to another one.
+pub fn detour(service: &str, outcome: &'static str) {
+    let labels = [
+        KeyValue::new("service", service.to_owned()),
+        KeyValue::new("outcome", outcome),
+    ];
+    INSTRUMENTS.detours.add(1, &labels);
+}
+
 /// Counts a dropped log line.
 pub fn dropped_log_line() {
     INSTRUMENTS.dropped_log_lines.add(1, &[]);
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -7,6 +7,7 @@
     entry::{context::Entry, detour, messages::PeerInfo},
     holding::lock,
     http_client::{self, ListenerState, PROBE_TIMEOUT},
+    metrics,
     path::{
         attempt::Framing,
         pool::{Connection, IdleError, SendError},
@@ -155,7 +156,13 @@
         };
         for peer in ranked {
             let sent = detour::send_through(self, peer.link, upstream, request, id, left).await;
-            info!(request = &**id, upstream = &*upstream.id, through = &*peer.name, sent = sent.is_ok(); "routing: sent through another entry");
+            let outcome = match &sent {
+                Ok(_) => "response",
+                Err(SendError::NotSent) => "not-sent",
+                Err(SendError::Broken(_)) => "broken",
+            };
+            metrics::detour(&upstream.service, outcome);
+            info!(request = &**id, upstream = &*upstream.id, through = &*peer.name, outcome = outcome; "routing: sent through another entry");
             if sent.is_ok() {
                 lock(&self.paths).record_detour(&upstream.id);
             }
