fix: a holder counts what an engine is loading, replaces or may have loaded

Beside it: the count of orders came from a later report than the adapters; a rejection that no own order explains was guessed around; a failed replacement forgot the older version; a report that an adapter is missing freed its place though it may be older than the last load. Change: adapters and count come from one report; loads under way are followed by repeating their orders; evictions of adapters that may be loading wait for a report without them; a failed replacement keeps the older version, a late one both places; a missing adapter is evicted to be certain. The test a_missing_older_version_frees_no_slot asked for the place at once and is replaced by one that asks for the eviction first; a_count_that_stays_wrong_is_read_again now has the order without a response that explains its guesses.

--- a/src/decide/order_sequence.rs
+++ b/src/decide/order_sequence.rs
@@ -3,7 +3,8 @@
 //! | load pattern | response |
 //! |---|---|
 //! | an engine does not respond to an order and executes it seconds later | each order carries the number of orders accepted before it; the engine checks it at execution, so the next accepted order invalidates all earlier ones |
-//! | a response is lost, or the count in a report is older than the last order | after a rejection the next number is tried, then the report is read again |
+//! | a response is lost | after a rejection the next number is tried, then the report is read again |
+//! | the engine has executed an order of an earlier holder | after a rejection that no order of this holder explains, the report is read again, as that order has changed what the engine holds |
 
 use crate::edge::orders::{Order, OrderResponse};
 
@@ -76,7 +77,8 @@
 
     fn record_rejection(&mut self, expected: u64) {
         self.rejections += 1;
-        let is_guess = !self.rejections.is_multiple_of(MAX_GUESSES + 1);
+        let is_explained = self.pending.is_some();
+        let is_guess = is_explained && !self.rejections.is_multiple_of(MAX_GUESSES + 1);
         self.next = is_guess.then_some(expected + 1);
     }
 }
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -6,6 +6,9 @@
 //! | a few adapters are hot and the rest come and go | the adapter with the lowest request rate is evicted, never one in use |
 //! | a miss must not wait for an eviction first | some slots are kept free in advance |
 //! | an order without a response may be executed later | its slot stays reserved for as long as that can happen; then the adapter is evicted again, because nothing tells whether the order was executed |
+//! | an engine replaces a version | the older one keeps its slot until the load ends, also if the load fails or its order got no response |
+//! | a holder starts while loads of an earlier one are under way | they occupy slots that can't be freed before they end |
+//! | an engine lacks an adapter that it should hold | its slot stays occupied until the adapter is evicted, as the report may be older than the last load |
 //! | an engine holds an adapter that this holder did not order, from an earlier holder's late order | the engine's own list shows it, and it occupies a slot like any other |
 
 use crate::{clock::BootInstant, edge::registration::AdapterKey};
@@ -52,8 +55,8 @@
     /// State.
     pub state: SlotState,
     since: BootInstant,
-    /// Whether an older version keeps a second slot until the load ends.
-    replaces: bool,
+    /// Older version that keeps a second slot until the load ends.
+    replaces: Option<u32>,
 }
 
 impl Slot {
@@ -62,11 +65,20 @@
             version,
             state,
             since,
-            replaces: false,
+            replaces: None,
         }
     }
 }
 
+/// Reservation for orders without a response.
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    /// Time until which they may be executed.
+    until: BootInstant,
+    /// Number of slots that versions of the adapter may occupy.
+    slots: usize,
+}
+
 /// Exponentially decayed count of requests.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
@@ -102,8 +114,8 @@
     slots: usize,
     occupied: HashMap<AdapterKey, Slot>,
     demand: HashMap<AdapterKey, Demand>,
-    /// Adapters with orders that got no response, and the time until which these may be executed.
-    late_until: HashMap<AdapterKey, BootInstant>,
+    /// Adapters with orders that got no response.
+    late: HashMap<AdapterKey, Reservation>,
     /// Time of recent evictions.
     evicted: HashMap<AdapterKey, BootInstant>,
 }
@@ -115,17 +127,28 @@
             slots,
             occupied: HashMap::new(),
             demand: HashMap::new(),
-            late_until: HashMap::new(),
+            late: HashMap::new(),
             evicted: HashMap::new(),
         }
     }
 
-    /// Adds an adapter that the engine reports as resident or loading.
-    pub fn add(&mut self, key: AdapterKey, version: u32, state: SlotState, now: BootInstant) {
-        let slot = Slot::new(version, state, now);
+    /// Adds an adapter that the engine reports as resident.
+    pub fn add(&mut self, key: AdapterKey, version: u32, now: BootInstant) {
+        let slot = Slot::new(version, SlotState::Resident, now);
         self.occupied.entry(key).or_insert(slot);
     }
 
+    /// Adds an adapter that the engine reports as loading, beside any older version that it holds; returns whether the
+    /// load was not known.
+    pub fn add_loading(&mut self, key: &AdapterKey, version: u32, now: BootInstant) -> bool {
+        let before = self.occupied.get(key);
+        if before.is_some_and(|slot| slot.state != SlotState::Resident || slot.version >= version) {
+            return false;
+        }
+        self.begin_load(key, version, now);
+        true
+    }
+
     /// Merges the engine's own list, which may be seconds old: adapters not known here are added. Returns those
     /// adapters.
     pub fn merge_list<'a>(
@@ -137,10 +160,10 @@
         let mut unknown = Vec::new();
         for (key, version) in adapters {
             let is_known = self.occupied.contains_key(key)
-                || self.late_until.contains_key(key)
+                || self.late.contains_key(key)
                 || self.evicted.contains_key(key);
             if !is_known {
-                self.add(key.clone(), version, SlotState::Resident, now);
+                self.add(key.clone(), version, now);
                 unknown.push(key.clone());
             }
         }
@@ -163,7 +186,7 @@
         in_use: impl Fn(&AdapterKey) -> bool,
     ) -> Plan {
         let taken = self.used_slots();
-        let reserved = self.late_until.contains_key(key) && !self.occupied.contains_key(key);
+        let reserved = self.late.contains_key(key) && !self.occupied.contains_key(key);
         match self.occupied.get(key) {
             Some(slot) if slot.state == SlotState::Resident && slot.version >= version => {
                 Plan::Ready
@@ -193,11 +216,11 @@
 
     /// Returns adapters whose late orders can't be executed any more, to be evicted again; marks them as evicting.
     pub fn plan_late_evictions(&mut self, now: BootInstant) -> Vec<AdapterKey> {
-        let due = self.late_until.iter().filter(|(_, until)| now >= **until);
+        let due = self.late.iter().filter(|(_, late)| now >= late.until);
         let due: Vec<AdapterKey> = due.map(|(key, _)| key.clone()).collect();
         let mut absent = Vec::new();
         for key in due {
-            self.late_until.remove(&key);
+            self.late.remove(&key);
             if self.occupied.contains_key(&key) {
                 continue;
             }
@@ -210,7 +233,7 @@
 
     fn begin_load(&mut self, key: &AdapterKey, version: u32, now: BootInstant) -> Plan {
         let slot = Slot {
-            replaces: self.occupied.contains_key(key),
+            replaces: self.occupied.get(key).map(|slot| slot.version),
             ..Slot::new(version, SlotState::Loading, now)
         };
         self.occupied.insert(key.clone(), slot);
@@ -236,7 +259,7 @@
     ) -> impl Iterator<Item = (&AdapterKey, &Slot)> {
         self.occupied.iter().filter(|(key, slot)| {
             // Evicting an adapter that a late order may load again would free no slot.
-            slot.state == SlotState::Resident && !self.late_until.contains_key(*key) && !in_use(key)
+            slot.state == SlotState::Resident && !self.late.contains_key(*key) && !in_use(key)
         })
     }
 
@@ -270,22 +293,34 @@
 
     /// Records that the load of `key` was given up; `uncertain` if it may still be executed.
     pub fn load_failed(&mut self, key: &AdapterKey, uncertain: bool, now: BootInstant) {
-        self.occupied.remove(key);
-        if uncertain {
-            self.mark_late_order(key, now);
+        let slot = self.occupied.remove(key);
+        let older = slot.and_then(|slot| slot.replaces);
+        match older {
+            _ if uncertain => self.reserve(key, 1 + usize::from(older.is_some()), now),
+            Some(version) => self.add(key.clone(), version, now),
+            None => {}
         }
     }
 
     /// Records that an order for `key` got no response, even if a later one did; the first may still be executed.
     pub fn mark_late_order(&mut self, key: &AdapterKey, now: BootInstant) {
-        self.late_until.insert(key.clone(), now + LATE_ORDER_WINDOW);
+        self.reserve(key, 1, now);
+    }
+
+    fn reserve(&mut self, key: &AdapterKey, slots: usize, now: BootInstant) {
+        let reserved = self.late.get(key).map_or(0, |late| late.slots);
+        let reservation = Reservation {
+            until: now + LATE_ORDER_WINDOW,
+            slots: slots.max(reserved),
+        };
+        self.late.insert(key.clone(), reservation);
     }
 
     /// Records that late orders for `key` can't be executed any more. One may have been, so the adapter is evicted
     /// again unless it has a slot.
     pub fn end_late_orders(&mut self, key: &AdapterKey, now: BootInstant) {
-        if let Some(until) = self.late_until.get_mut(key) {
-            *until = now;
+        if let Some(late) = self.late.get_mut(key) {
+            late.until = now;
         }
     }
 
@@ -305,20 +340,22 @@
         }
     }
 
-    /// Records that the engine lacks `key` at `version`. This proves nothing about other versions: an entry that does
-    /// not know of a newer version is told that the older one is missing.
-    pub fn adapter_missing(&mut self, key: &AdapterKey, version: u32, now: BootInstant) {
+    /// Records that the engine lacks `key` at `version`; returns whether it must be evicted to be certain. This proves nothing about
+    /// other versions: an entry that does not know of a newer version is told that the older one is missing.
+    pub fn adapter_missing(&mut self, key: &AdapterKey, version: u32, now: BootInstant) -> bool {
+        let slot = self.occupied.get_mut(key);
         let is_same_version =
-            |slot: &Slot| slot.state == SlotState::Resident && slot.version == version;
-        if self.occupied.get(key).is_some_and(is_same_version) {
-            self.occupied.remove(key);
-            self.evicted.insert(key.clone(), now);
-        }
+            |slot: &&mut Slot| slot.state == SlotState::Resident && slot.version == version;
+        let Some(slot) = slot.filter(is_same_version) else {
+            return false;
+        };
+        *slot = Slot::new(version, SlotState::Evicting, now);
+        true
     }
 
     /// Returns the adapters with orders that may still be executed.
     pub fn late_orders(&self) -> impl Iterator<Item = &AdapterKey> {
-        self.late_until.keys()
+        self.late.keys()
     }
 
     /// Returns the resident adapters and their versions.
@@ -332,12 +369,12 @@
     /// Returns the number of slots in use: by adapters in any state, by versions being replaced, and reserved for late
     /// orders.
     pub fn used_slots(&self) -> usize {
-        let late = self
-            .late_until
-            .keys()
-            .filter(|k| !self.occupied.contains_key(*k));
-        let replaced = self.occupied.values().filter(|slot| slot.replaces);
-        self.occupied.len() + late.count() + replaced.count()
+        let late = self.late.iter().map(|(key, late)| {
+            let counted = usize::from(self.occupied.contains_key(key));
+            late.slots - counted
+        });
+        let replaced = self.occupied.values().filter(|s| s.replaces.is_some());
+        self.occupied.len() + late.sum::<usize>() + replaced.count()
     }
 
     fn loading_count(&self) -> usize {
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -1,7 +1,7 @@
 //! Orders to model engines, and the engines' reports.
 
 use crate::{
-    edge::registration::{AdapterKey, HeldModel, Registration},
+    edge::registration::{AdapterKey, HeldAdapter, HeldModel, Registration},
     ident::Generation,
 };
 use std::sync::Arc;
@@ -81,23 +81,33 @@
 pub struct EngineReport {
     /// Base models and adapters that are loaded.
     pub models: Vec<HeldModel>,
-    /// Adapters that are being loaded.
-    pub loading: Vec<AdapterKey>,
+    /// Adapters that are being loaded; each has a slot beside that of an older version.
+    pub loading: Vec<HeldAdapter>,
     /// Number of orders that the engine process has accepted.
     pub accepted_orders: u64,
 }
 
 impl EngineReport {
+    /// Returns the adapters that are loaded.
+    pub fn adapters(&self) -> impl Iterator<Item = &HeldAdapter> {
+        self.models.iter().flat_map(|m| &m.adapters)
+    }
+
+    /// Returns whether any version of `key` is being loaded.
+    pub fn is_loading(&self, key: &AdapterKey) -> bool {
+        self.loading.iter().any(|a| a.key == *key)
+    }
+
     /// Returns whether the engine is in the state that `order` asks for.
     pub fn satisfies(&self, order: &Order) -> bool {
-        let held = || self.models.iter().flat_map(|m| &m.adapters);
         match order {
             Order::LoadModel(model) => self.models.iter().any(|m| m.name == *model),
             Order::LoadAdapter(key, version) => {
-                held().any(|a| a.key == *key && version.is_none_or(|v| a.version >= v))
+                let is_wanted = |a: &HeldAdapter| version.is_none_or(|v| a.version >= v);
+                self.adapters().any(|a| a.key == *key && is_wanted(a))
             }
             Order::EvictAdapter(key) => {
-                !held().any(|a| a.key == *key) && !self.loading.contains(key)
+                !self.adapters().any(|a| a.key == *key) && !self.is_loading(key)
             }
         }
     }
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -4,18 +4,18 @@
     clock::BootInstant,
     decide::{
         order_sequence::OrderSequence,
-        residency::{Plan, Residency, SlotState},
+        residency::{Plan, Residency},
         takeover::LateOrder,
     },
     edge::{
         deployment::EngineSpec,
-        orders::{Order, OrderClient},
+        orders::{EngineReport, Order, OrderClient},
         registration::{AdapterKey, Registration},
     },
     entry::{
         context::Entry,
         messages::EnsureResult,
-        order_run::{EndedOrder, LateExecution, OrderOutcome, OrderRun},
+        order_run::{EndedOrder, LateExecution, OrderOutcome, OrderRun, Presence},
         peers::HeldEngine,
     },
     holding::lock,
@@ -133,6 +133,8 @@
     sequence: Arc<tokio::sync::Mutex<OrderSequence>>,
     /// Adapters whose orders got no response; the next accepted order rules them out.
     unsettled: HashSet<AdapterKey>,
+    /// Orders that show what became of loads under way and of missing adapters.
+    due: Vec<(Order, Presence)>,
 }
 
 /// Starts the controller of an engine; it ends when its handle is dropped.
@@ -163,6 +165,7 @@
         late_adapters: Arc::clone(&late_adapters),
         sequence: Arc::default(),
         unsettled: HashSet::new(),
+        due: Vec::new(),
     };
     let models = spec.models.iter().map(|m| Arc::clone(&m.name)).collect();
     tokio::spawn(controller.run(incoming, models));
@@ -197,8 +200,8 @@
                 Some(ended) = running.next() => self.order_ended(&ended),
                 _ = tick.tick() => self.expire_waiters(),
             }
-            for order in self.plan() {
-                running.push(self.execute(order));
+            for (order, presence) in self.plan() {
+                running.push(self.execute(order, presence));
             }
         }
     }
@@ -210,14 +213,10 @@
         loop {
             if let Some(report) = self.orders.fetch_report(&self.upstream).await {
                 let now = BootInstant::now();
-                let held = report.models.iter().flat_map(|m| &m.adapters);
-                for a in held {
-                    self.residency
-                        .add(a.key.clone(), a.version, SlotState::Resident, now);
-                }
-                for key in report.loading {
-                    self.residency.add(key, 0, SlotState::Resident, now);
-                }
+                // What the engine holds and its count of orders must come from one report: an order executed in between
+                // would be counted, but not its adapter.
+                self.sequence.lock().await.set_count(report.accepted_orders);
+                self.merge_report(&report, now);
                 for key in lock(&self.entry.late_orders).adapters_at(&self.upstream.id, now) {
                     self.residency.mark_late_order(&key, now);
                 }
@@ -234,10 +233,22 @@
 
     async fn load_model(&self, model: &Arc<str>) -> bool {
         let order = Order::LoadModel(Arc::clone(model));
-        let ended = self.execute(order).await;
+        let ended = self.execute(order, Presence::Loaded).await;
         ended.outcome == OrderOutcome::Done
     }
 
+    /// Adds the adapters of the engine's report. Loads that are under way are ordered again, which shows when they end.
+    fn merge_report(&mut self, report: &EngineReport, now: BootInstant) {
+        let listed = report.adapters().map(|a| (&a.key, a.version));
+        self.residency.merge_list(listed, now);
+        for a in &report.loading {
+            if self.residency.add_loading(&a.key, a.version, now) {
+                let order = Order::LoadAdapter(a.key.clone(), Some(a.version));
+                self.due.push((order, Presence::Loaded));
+            }
+        }
+    }
+
     fn handle_command(&mut self, command: Command) {
         let now = BootInstant::now();
         match command {
@@ -258,7 +269,10 @@
             }
             Command::Missing(key, version) => {
                 warn!(upstream = &*self.upstream.id, adapter:% = key, version = version; "the engine lacks an adapter that was recorded as loaded");
-                self.residency.adapter_missing(&key, version, now);
+                if self.residency.adapter_missing(&key, version, now) {
+                    let order = Order::EvictAdapter(key);
+                    self.due.push((order, Presence::Missing));
+                }
                 self.publish();
             }
         }
@@ -282,8 +296,8 @@
             .collect()
     }
 
-    /// Returns the orders that are due.
-    fn plan(&mut self) -> Vec<Order> {
+    /// Returns the orders that are due, and whether evictions find their adapters.
+    fn plan(&mut self) -> Vec<(Order, Presence)> {
         if !self.entry.may_send_orders() {
             return Vec::new();
         }
@@ -300,10 +314,13 @@
                 Plan::Evict(victim) => orders.push(Order::EvictAdapter(victim)),
             }
         }
-        let cleanup = self.residency.plan_late_evictions(now);
-        orders.extend(cleanup.into_iter().map(Order::EvictAdapter));
         let spare = self.residency.plan_spare_slot(now, in_use);
         orders.extend(spare.map(Order::EvictAdapter));
+        let cleanup = self.residency.plan_late_evictions(now).into_iter();
+        let cleanup = cleanup.map(|key| (Order::EvictAdapter(key), Presence::Uncertain));
+        let planned = orders.into_iter().map(|order| (order, Presence::Loaded));
+        let due = self.due.drain(..);
+        let orders: Vec<(Order, Presence)> = due.chain(planned).chain(cleanup).collect();
         if !orders.is_empty() {
             self.publish();
         }
@@ -348,11 +365,18 @@
             }
             (Order::LoadAdapter(key, _), _) => {
                 self.residency.load_failed(key, is_late, now);
-                self.respond(key, EnsureResult::Failed);
+                // With a report, the load was not sent and is planned again.
+                if ended.report.is_none() {
+                    self.respond(key, EnsureResult::Failed);
+                }
             }
             (Order::EvictAdapter(key), OrderOutcome::Kept) => {
                 self.residency.eviction_cancelled(key);
             }
+            // With a report, the eviction was not sent.
+            (Order::EvictAdapter(key), _) if ended.report.is_some() => {
+                self.residency.eviction_cancelled(key);
+            }
             // The engine may still execute an eviction without a response: the adapter counts as evicted, its slot
             // as occupied.
             (Order::EvictAdapter(key), outcome) => {
@@ -363,6 +387,10 @@
         }
         self.record_unsettled(ended);
         self.settle_orders(now);
+        if let Some(report) = &ended.report {
+            warn!(upstream = &*self.upstream.id, accepted = report.accepted_orders; "the engine's count of orders was unknown; its report was read again");
+            self.merge_report(report, now);
+        }
         self.publish();
     }
 
@@ -393,7 +421,7 @@
     }
 
     /// Sends an order and repeats it until it has taken effect; orders are idempotent.
-    fn execute(&self, order: Order) -> BoxFuture<'static, EndedOrder> {
+    fn execute(&self, order: Order, presence: Presence) -> BoxFuture<'static, EndedOrder> {
         let run = OrderRun {
             entry: Arc::clone(&self.entry),
             orders: self.orders.clone(),
@@ -401,7 +429,7 @@
             generation: self.generation,
             sequence: Arc::clone(&self.sequence),
         };
-        Box::pin(async move { run.execute(order).await })
+        Box::pin(async move { run.execute(order, presence).await })
     }
 
     /// Publishes to the rest of this entry, and to its peers, which adapters requests may use.
--- a/src/entry/order_run.rs
+++ b/src/entry/order_run.rs
@@ -4,8 +4,8 @@
     clock::BootInstant,
     decide::order_sequence::OrderSequence,
     edge::{
-        orders::{Order, OrderClient, OrderIssuer, OrderResponse},
-        registration::Registration,
+        orders::{EngineReport, Order, OrderClient, OrderIssuer, OrderResponse},
+        registration::{AdapterKey, Registration},
     },
     entry::context::Entry,
     ident::Generation,
@@ -36,6 +36,21 @@
 /// Delay between announcing an eviction and ordering it, so that other entries learn of it first.
 const EVICT_NOTICE: Duration = Duration::from_millis(30);
 
+/// Time after which a report shows an order; reports are a few hundred milliseconds old.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+
+/// What an eviction finds at the engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// The adapter is loaded.
+    Loaded,
+    /// The adapter may still be loading by an order without a response. The engine answers an eviction of one that is
+    /// loading as if it were absent, and loads it all the same.
+    Uncertain,
+    /// The engine has said that it lacks the adapter.
+    Missing,
+}
+
 /// Result of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderOutcome {
@@ -67,10 +82,23 @@
     pub outcome: OrderOutcome,
     /// Whether the engine may still execute it.
     pub late: LateExecution,
+    /// The engine's state, if it has executed orders that this holder does not know of.
+    pub report: Option<EngineReport>,
+}
+
+impl EndedOrder {
+    fn new(order: Order, outcome: OrderOutcome, late: LateExecution) -> Self {
+        Self {
+            order,
+            outcome,
+            late,
+            report: None,
+        }
+    }
 }
 
 /// State of the attempts at one order.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct Attempts {
     count: usize,
     /// Whether the engine accepted the order.
@@ -78,6 +106,8 @@
     /// Highest sequence number under which the order got no response.
     pending: Option<u64>,
     last: OrderResponse,
+    /// The engine's state, if its count of orders was unknown.
+    report: Option<EngineReport>,
 }
 
 impl Default for Attempts {
@@ -87,6 +117,7 @@
             accepted: false,
             pending: None,
             last: OrderResponse::NotSent,
+            report: None,
         }
     }
 }
@@ -108,16 +139,20 @@
 
 impl<O: OrderClient> OrderRun<O> {
     /// Executes `order`, or abandons it when its time runs out.
-    pub async fn execute(&self, order: Order) -> EndedOrder {
+    pub async fn execute(&self, order: Order, presence: Presence) -> EndedOrder {
         let started = BootInstant::now();
         if let Order::EvictAdapter(key) = &order {
-            tokio::time::sleep(EVICT_NOTICE).await;
-            if self.entry.is_adapter_in_use(&self.upstream.id, key) {
-                return EndedOrder {
-                    order,
-                    outcome: OrderOutcome::Kept,
-                    late: LateExecution::Never,
-                };
+            match presence {
+                Presence::Missing => {}
+                Presence::Loaded => tokio::time::sleep(EVICT_NOTICE).await,
+                Presence::Uncertain if self.wait_until_loaded(key).await => {}
+                Presence::Uncertain => {
+                    return EndedOrder::new(order, OrderOutcome::Failed, LateExecution::UnderWay);
+                }
+            }
+            if presence != Presence::Missing && self.entry.is_adapter_in_use(&self.upstream.id, key)
+            {
+                return EndedOrder::new(order, OrderOutcome::Kept, LateExecution::Never);
             }
         }
         let attempts = self.attempt_until_settled(&order, started).await;
@@ -133,9 +168,8 @@
             _ => LateExecution::Never,
         };
         let ended = EndedOrder {
-            order,
-            outcome,
-            late,
+            report: attempts.report,
+            ..EndedOrder::new(order, outcome, late)
         };
         self.log(&ended, attempts.last, started);
         ended
@@ -152,7 +186,14 @@
             let (number, response) = if attempts.accepted {
                 self.poll(order).await
             } else {
-                self.issue(order).await
+                match self.issue(order).await {
+                    Ok(issued) => issued,
+                    Err(report) => {
+                        attempts.last = OrderResponse::NotSent;
+                        attempts.report = Some(report);
+                        break;
+                    }
+                }
             };
             attempts.last = response;
             let delay = match response {
@@ -178,19 +219,37 @@
 
     /// Sends an order that was not accepted yet, under the lock that serialises orders; returns its sequence number
     /// and the response.
-    async fn issue(&self, order: &Order) -> (Option<u64>, OrderResponse) {
+    ///
+    /// # Errors
+    /// The engine's state, where the count of its orders was unknown: it may hold more than this holder knows of, so the
+    /// order must be planned anew.
+    async fn issue(&self, order: &Order) -> Result<(Option<u64>, OrderResponse), EngineReport> {
         let mut sequence = self.sequence.lock().await;
-        if sequence.expected().is_none()
-            && let Some(report) = self.orders.fetch_report(&self.upstream).await
-        {
-            sequence.set_count(report.accepted_orders);
-        }
         let Some(number) = sequence.expected() else {
-            return (None, OrderResponse::NotSent);
+            return match self.orders.fetch_report(&self.upstream).await {
+                Some(report) => {
+                    sequence.set_count(report.accepted_orders);
+                    Err(report)
+                }
+                None => Ok((None, OrderResponse::NotSent)),
+            };
         };
         let response = self.send(order, number).await;
         sequence.record_response(order, number, response);
-        (Some(number), response)
+        Ok((Some(number), response))
+    }
+
+    /// Waits until the engine is certainly not loading `key`; returns false if that takes too long.
+    async fn wait_until_loaded(&self, key: &AdapterKey) -> bool {
+        let started = BootInstant::now();
+        while BootInstant::now().since(started) < ADAPTER_TIMEOUT {
+            tokio::time::sleep(REPORT_LAG).await;
+            let report = self.orders.fetch_report(&self.upstream).await;
+            if report.is_some_and(|report| !report.is_loading(key)) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Checks whether an accepted order has taken effect. A repeat of the order shows it at once; while orders get no
--- a/standin/src/engine_state.rs
+++ b/standin/src/engine_state.rs
@@ -213,6 +213,11 @@
         lock(&self.inner).adapters.iter().cloned().collect()
     }
 
+    /// Returns the adapters that are being loaded.
+    pub fn loading(&self) -> Vec<String> {
+        lock(&self.inner).loading.iter().cloned().collect()
+    }
+
     /// Returns whether an adapter is being loaded.
     pub fn is_loading(&self, model: &str) -> bool {
         lock(&self.inner).loading.contains(model)
--- a/tests/order_sequence.rs
+++ b/tests/order_sequence.rs
@@ -18,6 +18,7 @@
     the_next_accepted_order_invalidates_a_pending_one,
     a_lost_response_advances_the_count_by_one,
     a_count_that_stays_wrong_is_read_again,
+    a_rejection_that_no_own_order_explains_is_not_guessed_around,
 }
 
 fn load() -> Order {
@@ -59,10 +60,19 @@
     pub(super) fn a_count_that_stays_wrong_is_read_again() {
         let mut sequence = OrderSequence::default();
         sequence.set_count(7);
+        sequence.record_response(&load(), 7, OrderResponse::Unknown);
         for expected in [7, 8, 9] {
             assert_eq!(sequence.expected(), Some(expected));
             sequence.record_response(&load(), expected, OrderResponse::Busy);
         }
         assert_eq!(sequence.expected(), None);
     }
+
+    /// The engine has executed an order of an earlier holder, so it may hold more than this one knows of.
+    pub(super) fn a_rejection_that_no_own_order_explains_is_not_guessed_around() {
+        let mut sequence = OrderSequence::default();
+        sequence.set_count(7);
+        sequence.record_response(&load(), 7, OrderResponse::Busy);
+        assert_eq!(sequence.expected(), None);
+    }
 }
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -28,7 +28,10 @@
     an_unknown_adapter_of_the_engines_list_takes_a_slot,
     an_outdated_list_does_not_restore_an_evicted_adapter,
     an_outdated_list_does_not_restore_a_missing_adapter,
-    a_missing_older_version_frees_no_slot,
+    a_missing_adapter_keeps_its_slot_until_it_is_evicted,
+    a_failed_replacement_leaves_the_older_version,
+    a_late_replacement_keeps_both_slots,
+    loads_of_an_earlier_holder_are_not_evicted,
     slots_are_never_exceeded,
 }
 
@@ -205,23 +208,61 @@
     pub(super) fn an_outdated_list_does_not_restore_a_missing_adapter() {
         let mut r = engine(2, 1);
         let lost = key(0);
-        r.adapter_missing(&lost, 1, at(5_000));
+        assert!(r.adapter_missing(&lost, 1, at(5_000)));
+        r.eviction_ended(&lost, false, at(5_030));
         assert!(r.merge_list([(&lost, 1)].into_iter(), at(5_400)).is_empty());
         assert_eq!(r.merge_list([(&lost, 1)].into_iter(), at(10_000)), [key(0)]);
     }
 
     /// Guards against one load too many: an entry that did not know of version 2 was refused version 1, and the holder
-    /// then counted the slot as free.
-    pub(super) fn a_missing_older_version_frees_no_slot() {
+    /// then counted the slot as free. A refusal may also be older than the last load of the adapter.
+    pub(super) fn a_missing_adapter_keeps_its_slot_until_it_is_evicted() {
         let mut r = engine(2, 1);
         assert_eq!(r.plan(&key(0), 2, at(5_000), none_in_use), Plan::Load);
         r.load_succeeded(&key(0), 2, at(5_300));
-        r.adapter_missing(&key(0), 1, at(5_400));
+        assert!(!r.adapter_missing(&key(0), 1, at(5_400)));
+        assert_eq!(r.residents().count(), 1);
+        assert!(r.adapter_missing(&key(0), 2, at(5_500)));
+        assert_eq!((r.used_slots(), r.residents().count()), (1, 0));
+        assert_eq!(r.plan(&key(0), 2, at(5_500), none_in_use), Plan::Wait);
+        r.eviction_ended(&key(0), false, at(5_600));
+        assert_eq!(r.used_slots(), 0);
+    }
+
+    pub(super) fn a_failed_replacement_leaves_the_older_version() {
+        let mut r = engine(2, 1);
+        assert_eq!(r.plan(&key(0), 2, at(5_000), none_in_use), Plan::Load);
+        r.load_failed(&key(0), false, at(5_100));
         assert_eq!(r.used_slots(), 1);
-        r.adapter_missing(&key(0), 2, at(5_500));
+        assert_eq!(r.residents().next(), Some((&key(0), 1)));
+    }
+
+    pub(super) fn a_late_replacement_keeps_both_slots() {
+        let mut r = engine(3, 1);
+        assert_eq!(r.plan(&key(0), 2, at(5_000), none_in_use), Plan::Load);
+        r.load_failed(&key(0), true, at(5_100));
+        assert_eq!(r.used_slots(), 2);
+        assert_eq!(r.plan(&key(0), 2, at(5_200), none_in_use), Plan::Load);
+        assert_eq!(r.used_slots(), 2);
+        r.load_failed(&key(0), true, at(5_300));
+        assert_eq!(r.plan_late_evictions(at(25_000)), [key(0)]);
+        r.eviction_ended(&key(0), false, at(25_050));
         assert_eq!(r.used_slots(), 0);
     }
 
+    /// An engine answers the eviction of an adapter that is loading as if it were absent.
+    pub(super) fn loads_of_an_earlier_holder_are_not_evicted() {
+        let mut r = Residency::new(3);
+        r.add(key(0), 1, at(0));
+        assert!(r.add_loading(&key(0), 2, at(0)));
+        assert!(r.add_loading(&key(1), 1, at(0)));
+        assert!(!r.add_loading(&key(1), 1, at(0)));
+        assert_eq!(r.used_slots(), 3);
+        assert_eq!(r.plan(&key(9), 1, at(5_000), none_in_use), Plan::Wait);
+        r.load_succeeded(&key(0), 2, at(5_100));
+        assert_eq!(r.plan(&key(9), 1, at(5_200), none_in_use), Plan::Load);
+    }
+
     /// An engine that executes late orders never holds more adapters than it has slots.
     pub(super) fn slots_are_never_exceeded() {
         for seed in 0..200 {
