fix: streams go on at the build that began them after all VMs have lost power

Change: two members of the control set write the streams that begin while several builds serve, each for all entries, every 200 ms, in records of four seconds that replace the oldest after a minute; entries that leave write too. Records are read only for a stream that is taken up and unknown; what is not in them is refused as before, never guessed.

--- a/src/decide/begun_streams.rs
+++ b/src/decide/begun_streams.rs
@@ -32,7 +32,7 @@
     /// Peer that reported it; `None` if it began at this entry.
     pub source: Option<Arc<str>>,
     /// Time at which it became known here.
-    at: BootInstant,
+    pub at: BootInstant,
 }
 
 /// Recent streams, in the order in which they became known.
--- a/src/decide/build_history.rs
+++ b/src/decide/build_history.rs
@@ -122,7 +122,7 @@
     }
 
     /// Returns whether several builds of a service have served recently.
-    fn has_several(&self) -> bool {
+    pub fn has_several(&self) -> bool {
         let mut services: Vec<&str> = self.seen.keys().map(|b| &*b.service).collect();
         services.sort_unstable();
         services.windows(2).any(|pair| pair[0] == pair[1])
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,4 +15,5 @@
 pub mod residency;
 pub mod retry_budget;
 pub mod routes;
+pub mod stream_record;
 pub mod takeover;
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -19,6 +19,8 @@
     Members,
     /// Holders of upstreams, one object per upstream.
     Holders,
+    /// Streams that have begun, some objects per writing entry.
+    Streams,
 }
 
 /// An object whose content is not decoded yet.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -29,6 +29,7 @@
         messages::{PeerInfo, Reach},
         peers::Peers,
         send_log::SendLog,
+        stored_streams::StoredStreams,
         usage::Usage,
     },
     holding::lock,
@@ -94,6 +95,8 @@
     pub late_orders: Mutex<LateOrders>,
     /// Builds that began recent streams.
     pub begun: Mutex<BegunStreams>,
+    /// Streams whose builds were found in the store.
+    pub stored: StoredStreams,
     /// Builds that have served recently.
     pub builds: Mutex<BuildHistory>,
     /// How upstreams are reached.
@@ -153,6 +156,7 @@
             send_log: Mutex::default(),
             late_orders: Mutex::default(),
             begun: Mutex::default(),
+            stored: StoredStreams::default(),
             builds: Mutex::new(BuildHistory::new(complete_since)),
             paths: Mutex::default(),
             detours: TaskTracker::new(),
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -218,7 +218,7 @@
             ObjectKind::Versions => codec.version(object).map(|(key, version)| {
                 self.entry.update_version(&key, version);
             }),
-            ObjectKind::Members | ObjectKind::Holders => Ok(()),
+            ObjectKind::Members | ObjectKind::Holders | ObjectKind::Streams => Ok(()),
         };
         if let Err(e) = read {
             warn!(kind:? = self.kind, name = object.name, findings:% = e; "an object can't be used");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,5 +21,6 @@
 pub mod renew;
 pub mod run;
 pub mod send_log;
+pub mod stored_streams;
 pub mod update;
 pub mod usage;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -8,7 +8,10 @@
         orders::OrderClient,
         store::{ObjectKind, Store},
     },
-    entry::{context::Entry, directory, follow, holder, peer_link, registrations, reload, renew},
+    entry::{
+        context::Entry, directory, follow, holder, peer_link, registrations, reload, renew,
+        stored_streams,
+    },
     http_server::{self, ServeOptions},
     link,
     operator_routes::{self, Probe},
@@ -162,6 +165,22 @@
     supervise(tree, "lease", orders_stop.clone(), move |stop| {
         Box::pin(renew::renew(Arc::clone(&e), store.clone(), stop))
     });
+    let (e, store) = (Arc::clone(entry), platform.store());
+    supervise(tree, "stream-records", stop.clone(), move |stop| {
+        Box::pin(stored_streams::write_records(
+            Arc::clone(&e),
+            store.clone(),
+            stop,
+        ))
+    });
+    let (e, store) = (Arc::clone(entry), platform.store());
+    supervise(tree, "stream-lookups", stop.clone(), move |stop| {
+        Box::pin(stored_streams::read_records(
+            Arc::clone(&e),
+            store.clone(),
+            stop,
+        ))
+    });
     let (e, store, orders) = (Arc::clone(entry), platform.store(), platform.orders());
     supervise(tree, "engines", orders_stop.clone(), move |stop| {
         Box::pin(holder::hold_engines(
--- /dev/null
+++ b/src/entry/stored_streams.rs
@@ -0,0 +1,225 @@
+//! Stores which build began each recent stream, and looks up streams that no entry remembers.
+//!
+//! Only two members of the control set write, each for all entries, and only while several builds serve. Records are read
+//! only for a stream that is taken up and unknown.
+
+use crate::{
+    clock::{self, BootInstant},
+    decide::stream_record::{CAPACITY, StreamRecord},
+    edge::{
+        registration::Build,
+        store::{Object, ObjectKind, Store, StoreError},
+    },
+    entry::context::Entry,
+    holding::lock,
+    ident::StreamId,
+    metrics,
+    supervisor::ChildError,
+};
+use log::{info, warn};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Members of the control set that write: one may be frozen or cut off from the store when all others end.
+const WRITERS: usize = 2;
+
+/// Interval between writes; a loss of power makes the streams begun since the last one unknown.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Age of the oldest streams that are written when a second build appears: streams end sooner.
+const MAX_AGE: Duration = Duration::from_secs(20);
+
+/// Minimum time between two reads of all records.
+const READ_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest wait of a request for a read: a read takes some ten milliseconds.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Streams found in the store.
+#[derive(Debug, Default)]
+pub struct StoredStreams {
+    known: Mutex<HashMap<StreamId, Build>>,
+    /// Number of the last read that a request waits for.
+    wanted: watch::Sender<u64>,
+    /// Number of the last read that has ended.
+    read: watch::Sender<u64>,
+}
+
+impl Entry {
+    /// Returns the build that began a stream, from the records in the store.
+    pub async fn find_stored(&self, stream: StreamId) -> Option<Build> {
+        let known = || lock(&self.stored.known).get(&stream).cloned();
+        if let Some(build) = known() {
+            return Some(build);
+        }
+        let mut read = self.stored.read.subscribe();
+        self.stored.wanted.send_modify(|n| *n += 1);
+        let wanted = *self.stored.wanted.borrow();
+        let done = read.wait_for(|n| *n >= wanted);
+        if tokio::time::timeout(READ_TIMEOUT, done).await.is_err() {
+            warn!(wait_ms = READ_TIMEOUT.as_millis() as u64; "routing: the records of begun streams were not read in time");
+        }
+        known()
+    }
+
+    /// Returns whether this entry writes the records.
+    fn writes_streams(&self) -> bool {
+        let control = self.control.load();
+        let mut writers = control.members.iter().take(WRITERS);
+        // Where all entries leave at once, none of them is a member any more.
+        let is_writer = self.is_leaving() || writers.any(|name| **name == *self.config.id);
+        is_writer && lock(&self.builds).has_several()
+    }
+}
+
+/// Reads the records of all writers whenever a request waits for that, until `stop`.
+///
+/// # Errors
+/// None; a failed read leaves the streams unknown.
+pub async fn read_records<S: Store>(
+    entry: Arc<Entry>,
+    store: S,
+    stop: CancellationToken,
+) -> Result<(), ChildError> {
+    let mut wanted = entry.stored.wanted.subscribe();
+    let read = async {
+        while wanted.changed().await.is_ok() {
+            let number = *wanted.borrow_and_update();
+            match store.list(ObjectKind::Streams).await {
+                Ok(listing) => {
+                    let known = parse_records(&listing.objects);
+                    info!(records = listing.objects.len(), streams = known.len(); "records of begun streams read");
+                    *lock(&entry.stored.known) = known;
+                }
+                Err(e) => warn!(error:% = e; "the records of begun streams can't be read"),
+            }
+            entry.stored.read.send_replace(number);
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    };
+    let _stopped = stop.run_until_cancelled(read).await;
+    Ok(())
+}
+
+fn parse_records(objects: &[Object]) -> HashMap<StreamId, Build> {
+    let mut known = HashMap::new();
+    for object in objects {
+        match StreamRecord::decode(&object.content) {
+            Ok(record) => known.extend(record.streams().map(|(s, b)| (s, b.clone()))),
+            Err(e) => {
+                warn!(name = object.name, error = e; "a record of begun streams can't be parsed");
+            }
+        }
+    }
+    known
+}
+
+/// Writer of this entry's records.
+struct RecordWriter<S> {
+    entry: Arc<Entry>,
+    store: S,
+    /// Number of the next stream to write.
+    next: u64,
+    record: StreamRecord,
+    /// Store revision of the record; `None` if this process has not written it yet.
+    revision: Option<u64>,
+    /// Whether the record has streams that are not stored.
+    is_changed: bool,
+}
+
+/// Writes the streams that begin while several builds serve, until `stop`.
+///
+/// # Errors
+/// None; a failed write is repeated.
+pub async fn write_records<S: Store>(
+    entry: Arc<Entry>,
+    store: S,
+    stop: CancellationToken,
+) -> Result<(), ChildError> {
+    let mut writer = RecordWriter {
+        record: StreamRecord::at(clock::unix_ms()),
+        entry,
+        store,
+        next: 0,
+        revision: None,
+        is_changed: false,
+    };
+    while stop
+        .run_until_cancelled(tokio::time::sleep(WRITE_INTERVAL))
+        .await
+        .is_some()
+    {
+        if writer.entry.writes_streams() {
+            writer.write().await;
+        }
+    }
+    Ok(())
+}
+
+impl<S: Store> RecordWriter<S> {
+    async fn write(&mut self) {
+        let now_ms = clock::unix_ms();
+        if !self.record.covers(now_ms) && !self.is_changed {
+            self.record = StreamRecord::at(now_ms);
+            self.revision = None;
+        }
+        self.add_new_streams();
+        if !self.is_changed {
+            return;
+        }
+        match self.store_record().await {
+            Ok(object) => {
+                self.revision = Some(object.revision);
+                self.is_changed = false;
+            }
+            Err(e) => {
+                warn!(error:% = e, period = self.record.period; "the record of begun streams was not written");
+                self.revision = None;
+            }
+        }
+    }
+
+    fn add_new_streams(&mut self) {
+        let now = BootInstant::now();
+        let begun = lock(&self.entry.begun);
+        let new = begun.since(self.next);
+        let recent = new.filter(|s| now.since(s.at) < MAX_AGE);
+        let mut dropped = 0;
+        for stream in recent {
+            self.is_changed = true;
+            dropped += u64::from(!self.record.add(&stream.build, stream.id));
+        }
+        self.next = begun.next();
+        drop(begun);
+        if dropped > 0 {
+            metrics::dropped_streams(dropped);
+            warn!(dropped = dropped, capacity = CAPACITY; "routing: too many streams begin to store the build of each");
+        }
+    }
+
+    async fn store_record(&mut self) -> Result<Object, StoreError> {
+        let name = self.record.name(&self.entry.config.id);
+        let kind = ObjectKind::Streams;
+        if self.revision.is_none() {
+            match self.store.create(kind, &name, &self.record.encode()).await {
+                Err(StoreError::Conflict(Some(stored))) => {
+                    // An earlier process of this VM may have written it within the same period.
+                    if let Ok(stored) = StreamRecord::decode(&stored.content) {
+                        self.record.merge(&stored);
+                    }
+                    self.revision = Some(stored.revision);
+                }
+                result => return result,
+            }
+        }
+        let content = self.record.encode();
+        self.store
+            .replace(kind, &name, self.revision, &content)
+            .await
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,6 +19,7 @@
     upstream_connections: Counter<u64>,
     detours: Counter<u64>,
     dropped_log_lines: Counter<u64>,
+    dropped_streams: Counter<u64>,
     requests: Counter<u64>,
     first_chunks: Histogram<f64>,
     control_bytes: Counter<u64>,
@@ -51,6 +52,7 @@
             registry,
             object_api_calls: meter.u64_counter("carobfield_object_api_calls").build(),
             dropped_log_lines: meter.u64_counter("carobfield_dropped_log_lines").build(),
+            dropped_streams: meter.u64_counter("carobfield_dropped_streams").build(),
             upstream_connections: meter.u64_counter("carobfield_upstream_connections").build(),
             detours: meter.u64_counter("carobfield_detours").build(),
             requests: meter.u64_counter("carobfield_requests").build(),
@@ -111,6 +113,11 @@
     INSTRUMENTS.dropped_log_lines.add(1, &[]);
 }
 
+/// Counts streams whose builds were not stored.
+pub fn dropped_streams(count: u64) {
+    INSTRUMENTS.dropped_streams.add(count, &[]);
+}
+
 /// Counts a request by the kind of its route (how it may be repeated) and by its outcome.
 pub fn request(kind: &'static str, outcome: &'static str) {
     let labels = [
--- a/src/path/beginning.rs
+++ b/src/path/beginning.rs
@@ -24,11 +24,12 @@
             StreamBeginning::Earlier(id) => self.entry.find_begun(StreamId::of(id)).await,
             StreamBeginning::Unnamed => None,
         };
-        let is_known = begun.is_some();
-        let Some(build) = begun.or_else(|| self.only_build()) else {
-            return Err(RefusalReason::UnknownBeginning);
+        let (source, build) = match (begun, self.only_build()) {
+            (Some(build), _) => ("entries", build),
+            (None, Some(build)) => ("only-build", build),
+            (None, None) => ("store", self.stored_build().await?),
         };
-        info!(request = &*self.head.id, build:% = build, known = is_known; "routing: resumed stream bound to a build");
+        info!(request = &*self.head.id, build:% = build, source = source; "routing: resumed stream bound to a build");
         let mut targets = self.route.targets.iter();
         if !targets.any(|t| t.service == build.service) {
             return Err(RefusalReason::NoSameBuild);
@@ -38,6 +39,15 @@
         Ok(())
     }
 
+    /// Returns the build that began the stream, from the records in the store.
+    async fn stored_build(&self) -> Result<Build, RefusalReason> {
+        let stored = match &self.head.beginning {
+            StreamBeginning::Earlier(id) => self.entry.find_stored(StreamId::of(id)).await,
+            StreamBeginning::Here | StreamBeginning::Unnamed => None,
+        };
+        stored.ok_or(RefusalReason::UnknownBeginning)
+    }
+
     /// Returns the only build that can have begun a stream of this route.
     fn only_build(&self) -> Option<Build> {
         let targets = self.route.targets.iter();
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -6,7 +6,7 @@
         load_balancing::{self, Candidate, Choice},
         outliers::Outliers,
         registry::{Registry, RegistryChange},
-        residency::{Plan, Residency, SlotState},
+        residency::{Plan, Residency},
         retry_budget::{RetryLimits, ServiceRetryBudget},
         routes::{self, RouteTable},
         takeover::{
@@ -116,9 +116,9 @@
     use super::{
         AdapterKey, Arc, Choice, Deployment, Duration, HashSet, HolderRecord, HolderState,
         LateOrder, LateOrders, MemberRecord, Outliers, OwnProcess, Phase, Plan, Registry,
-        RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget, SlotState,
-        SocketAddr, TakeoverStep, UpstreamId, at, candidates, ids, load_balancing, registration,
-        route, routes, takeover,
+        RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget, SocketAddr,
+        TakeoverStep, UpstreamId, at, candidates, ids, load_balancing, registration, route, routes,
+        takeover,
     };
 
     pub(super) fn the_longest_prefix_wins() {
@@ -466,8 +466,8 @@
         assert!(orders.adapters_at("engine-1", at(16_000)).is_empty());
         // The next holder finds the adapter resident, but does not expect its eviction to free the slot.
         let mut next = Residency::new(2);
-        next.add(order.key.clone(), 1, SlotState::Resident, at(0));
-        next.add(AdapterKey::new("base", "a2"), 1, SlotState::Resident, at(0));
+        next.add(order.key.clone(), 1, at(0));
+        next.add(AdapterKey::new("base", "a2"), 1, at(0));
         for key in orders.adapters_at("engine-1", at(0)) {
             next.mark_late_order(&key, at(0));
         }
