perf: adapter loads under way are limited over the fleet, and requests whose adapter would come too late are refused at once

Change: holders share how many loads are under way and wait; each learns from load times how many the weight store bears (TCP Vegas), always may have one under way, and begins no more than that. A request says how long it accepts to wait; the holder refuses it at once if the load would take longer, with that time as Retry-After. A load under way is not given up for another engine; replicas are made only while no load waits; adapters in an engine's host memory are not limited.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 pub mod build_history;
 pub mod control_set;
 pub mod load_balancing;
+pub mod load_limit;
 pub mod order_lease;
 pub mod order_sequence;
 pub mod outliers;
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -12,7 +12,10 @@
 //! | an engine holds an adapter that this holder did not order, from an earlier holder's late order | the engine's own list shows it, and it occupies a slot like any other |
 
 use crate::{clock::BootInstant, edge::registration::AdapterKey};
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 /// Concurrent loads that the platform allows on one engine.
 pub const MAX_CONCURRENT_LOADS: usize = 4;
@@ -36,6 +39,9 @@
 /// Half-life of an adapter's request rate.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// Adapters that an engine still has in its host memory after their eviction, at least.
+const HOST_ADAPTERS: usize = 24;
+
 /// State of an occupied slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SlotState {
@@ -116,6 +122,8 @@
     demand: HashMap<AdapterKey, Demand>,
     /// Adapters with orders that got no response.
     late: HashMap<AdapterKey, Reservation>,
+    /// Adapters that were loaded last, the latest first.
+    recent: VecDeque<AdapterKey>,
     /// Time of recent evictions.
     evicted: HashMap<AdapterKey, BootInstant>,
 }
@@ -128,6 +136,7 @@
             occupied: HashMap::new(),
             demand: HashMap::new(),
             late: HashMap::new(),
+            recent: VecDeque::new(),
             evicted: HashMap::new(),
         }
     }
@@ -285,8 +294,27 @@
         Some(key)
     }
 
+    /// Returns whether a load of `key` would use the weight store: it has no slot and is not in the engine's host memory.
+    pub fn needs_store(&self, key: &AdapterKey) -> bool {
+        !self.occupied.contains_key(key) && !self.recent.contains(key)
+    }
+
+    /// Returns the number of loads under way.
+    pub fn loading_count(&self) -> usize {
+        self.count(SlotState::Loading)
+    }
+
+    /// Returns whether `key` is being loaded.
+    pub fn is_loading(&self, key: &AdapterKey) -> bool {
+        let slot = self.occupied.get(key);
+        slot.is_some_and(|slot| slot.state == SlotState::Loading)
+    }
+
     /// Records that `key` was loaded.
     pub fn load_succeeded(&mut self, key: &AdapterKey, version: u32, now: BootInstant) {
+        self.recent.retain(|recent| recent != key);
+        self.recent.push_front(key.clone());
+        self.recent.truncate(self.slots + HOST_ADAPTERS);
         let slot = Slot::new(version, SlotState::Resident, now);
         self.occupied.insert(key.clone(), slot);
     }
@@ -377,10 +405,6 @@
         self.occupied.len() + late.sum::<usize>() + replaced.count()
     }
 
-    fn loading_count(&self) -> usize {
-        self.count(SlotState::Loading)
-    }
-
     fn count(&self, state: SlotState) -> usize {
         self.occupied
             .values()
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,6 +7,7 @@
         begun_streams::BegunStreams,
         brittle::BrittleUpstreams,
         build_history::BuildHistory,
+        load_limit::{LoadCounts, LoadLimit},
         order_lease::OrderLease,
         outliers::Outliers,
         paths::{Path, Paths},
@@ -24,7 +25,7 @@
     },
     entry::{
         control::ControlView,
-        controller::{Command, ControllerHandle},
+        controller_handle::{Command, ControllerHandle},
         late_orders::LateOrders,
         messages::{PeerInfo, Reach},
         peers::Peers,
@@ -107,6 +108,8 @@
     pub pool: Arc<Pool>,
     /// Controllers of the engines that this entry holds.
     pub controllers: Mutex<HashMap<UpstreamId, ControllerHandle>>,
+    /// Limit of the adapter loads under way at all engines.
+    pub load_limit: Mutex<LoadLimit>,
     /// Lease that allows this entry to send orders.
     pub order_lease: Mutex<OrderLease>,
     /// Counter of changes that peers must learn of at once; each increment triggers an update.
@@ -162,6 +165,7 @@
             detours: TaskTracker::new(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
+            load_limit: Mutex::default(),
             order_lease: Mutex::default(),
             update_trigger: watch::Sender::new(0),
             registry_changed: Notify::new(),
@@ -356,6 +360,15 @@
         self.usage.uses_adapter(upstream, key) || lock(&self.peers).uses_adapter(upstream, key)
     }
 
+    /// Returns the loads at the engines that this entry holds, and at all engines.
+    pub fn loads(&self) -> (LoadCounts, LoadCounts) {
+        let controllers = lock(&self.controllers);
+        let own: LoadCounts = controllers.values().map(|c| c.engine().loads).sum();
+        drop(controllers);
+        let others = lock(&self.peers).loads(BootInstant::now());
+        (own, [own, others].into_iter().sum())
+    }
+
     /// Returns orders that may still be executed, of this entry and of earlier holders of its engines.
     pub fn late_orders(&self) -> Vec<LateOrder> {
         let controllers = lock(&self.controllers);
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -3,9 +3,9 @@
 use crate::{
     clock::BootInstant,
     decide::{
+        load_limit::{LoadCounts, StartedLoad},
         order_sequence::OrderSequence,
         residency::{Plan, Residency},
-        takeover::LateOrder,
     },
     edge::{
         deployment::EngineSpec,
@@ -14,7 +14,8 @@
     },
     entry::{
         context::Entry,
-        messages::EnsureResult,
+        controller_handle::{COMMAND_QUEUE, Command, ControllerHandle},
+        messages::{EnsureRequest, EnsureResult},
         order_run::{EndedOrder, LateExecution, OrderOutcome, OrderRun, Presence},
         peers::HeldEngine,
     },
@@ -30,91 +31,24 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-/// Capacity of a controller's command channel.
-const COMMAND_QUEUE: usize = 1_024;
-
 /// Interval at which a controller checks for due evictions and for waiters past their limit.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest wait for a load; after it the request should try another engine.
-const ADAPTER_WAIT_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time beyond what a request accepts for which it still waits for a load that has not begun, as forecasts are rough.
+const WAIT_SLACK: Duration = Duration::from_millis(200);
+
+/// Longest wait for a load that is under way: another engine would have to begin it anew.
+const LOAD_WAIT_LIMIT: Duration = Duration::from_millis(1_800);
 
 /// Interval between attempts to read the engine's first report.
 const REPORT_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Command to a controller.
-#[derive(Debug)]
-pub enum Command {
-    /// Load an adapter unless it is resident, and respond with the result.
-    Ensure(AdapterKey, u32, oneshot::Sender<EnsureResult>),
-    /// This many requests for an adapter were sent.
-    Requested(AdapterKey, u32),
-    /// The engine's registration lists these adapters, with their versions.
-    Reported(Vec<(AdapterKey, u32)>),
-    /// The engine reported that it lacks an adapter at this version.
-    Missing(AdapterKey, u32),
-}
-
-/// Handle to a running controller.
-#[derive(Clone, Debug)]
-pub struct ControllerHandle {
-    /// The engine's process.
-    pub upstream: Arc<Registration>,
-    /// Fencing number.
-    pub generation: Generation,
-    commands: mpsc::Sender<Command>,
-    engine: Arc<Mutex<Arc<HeldEngine>>>,
-    late_adapters: Arc<Mutex<Vec<AdapterKey>>>,
-}
-
-impl ControllerHandle {
-    /// Returns the known state of the engine; the value is replaced at each change.
-    pub fn engine(&self) -> Arc<HeldEngine> {
-        Arc::clone(&lock(&self.engine))
-    }
-
-    /// Returns the version of `key` that requests may use, and whether orders may be sent.
-    pub fn lookup(&self, key: &AdapterKey) -> (Option<u32>, bool) {
-        let engine = lock(&self.engine);
-        (engine.adapters.get(key).copied(), engine.active)
-    }
-
-    /// Returns orders that the engine may still execute.
-    pub fn late_orders(&self) -> Vec<LateOrder> {
-        let keys = lock(&self.late_adapters).clone();
-        let orders = keys.into_iter().map(|key| LateOrder {
-            upstream: Arc::clone(&self.upstream.id),
-            key,
-        });
-        orders.collect()
-    }
-
-    /// Sends a command; it is dropped if the controller's queue is full.
-    pub fn send(&self, command: Command) {
-        if self.commands.try_send(command).is_err() {
-            warn!(upstream = &*self.upstream.id; "the controller's command queue is full; a command was dropped");
-        }
-    }
-
-    /// Loads an adapter unless it is resident, and waits for the result.
-    pub async fn ensure_adapter(&self, key: AdapterKey, version: u32) -> EnsureResult {
-        let (reply, response) = oneshot::channel();
-        if self
-            .commands
-            .try_send(Command::Ensure(key, version, reply))
-            .is_err()
-        {
-            return EnsureResult::Full;
-        }
-        response.await.unwrap_or(EnsureResult::NotHolder)
-    }
-}
-
 /// Request that waits for an adapter.
 #[derive(Debug)]
 struct Waiter {
     version: u32,
     since: BootInstant,
+    max_wait: Duration,
     reply: oneshot::Sender<EnsureResult>,
 }
 
@@ -128,6 +62,8 @@
     first_order_at: BootInstant,
     residency: Residency,
     waiting: HashMap<AdapterKey, Vec<Waiter>>,
+    /// Loads under way.
+    loads: HashMap<AdapterKey, StartedLoad>,
     engine: Arc<Mutex<Arc<HeldEngine>>>,
     late_adapters: Arc<Mutex<Vec<AdapterKey>>>,
     sequence: Arc<tokio::sync::Mutex<OrderSequence>>,
@@ -161,6 +97,7 @@
         first_order_at,
         residency: Residency::new(spec.adapter_slots as usize),
         waiting: HashMap::new(),
+        loads: HashMap::new(),
         engine: Arc::clone(&engine),
         late_adapters: Arc::clone(&late_adapters),
         sequence: Arc::default(),
@@ -252,14 +189,7 @@
     fn handle_command(&mut self, command: Command) {
         let now = BootInstant::now();
         match command {
-            Command::Ensure(key, version, reply) => {
-                let waiter = Waiter {
-                    version,
-                    since: now,
-                    reply,
-                };
-                self.waiting.entry(key).or_default().push(waiter);
-            }
+            Command::Ensure(request, reply) => self.add_waiter(request, reply, now),
             Command::Requested(key, times) => self.residency.record_requests(&key, times, now),
             Command::Reported(adapters) => {
                 let listed = adapters.iter().map(|(key, version)| (key, *version));
@@ -278,6 +208,41 @@
         }
     }
 
+    /// Adds a request that waits for an adapter, or responds at once that the load would take too long.
+    fn add_waiter(
+        &mut self,
+        request: EnsureRequest,
+        reply: oneshot::Sender<EnsureResult>,
+        now: BootInstant,
+    ) {
+        let max_wait = Duration::from_millis(u64::from(request.max_wait_ms));
+        if self.residency.needs_store(&request.key) && !self.waiting.contains_key(&request.key) {
+            let (_, fleet) = self.entry.loads();
+            let expected = lock(&self.entry.load_limit).expected_time(fleet);
+            if expected > max_wait {
+                // The waiting request may have ended already.
+                let _closed = reply.send(EnsureResult::Late(expected.as_millis() as u32));
+                return;
+            }
+        }
+        let waiter = Waiter {
+            version: request.version,
+            since: now,
+            max_wait,
+            reply,
+        };
+        self.waiting.entry(request.key).or_default().push(waiter);
+    }
+
+    /// Returns whether a load of `key` may begin now.
+    fn may_load(&self, key: &AdapterKey) -> bool {
+        if !self.residency.needs_store(key) {
+            return true;
+        }
+        let (own, fleet) = self.entry.loads();
+        lock(&self.entry.load_limit).may_begin(own.running, fleet)
+    }
+
     /// Returns adapters that have waiters, with the lowest version that satisfies all of them; longest wait first.
     fn awaited_adapters(&self) -> Vec<(AdapterKey, u32)> {
         let mut awaited: Vec<(BootInstant, &AdapterKey, u32)> = self
@@ -306,11 +271,20 @@
         let (entry, upstream) = (Arc::clone(&self.entry), Arc::clone(&self.upstream.id));
         let in_use = |k: &AdapterKey| entry.is_adapter_in_use(&upstream, k);
         for (key, version) in self.awaited_adapters() {
+            if !self.may_load(&key) {
+                continue;
+            }
             match self.residency.plan(&key, version, now, in_use) {
                 Plan::Ready => self.respond(&key, EnsureResult::Ready),
                 Plan::Full => self.respond(&key, EnsureResult::Full),
                 Plan::Wait => {}
-                Plan::Load => orders.push(Order::LoadAdapter(key, Some(version))),
+                Plan::Load => {
+                    let (_, fleet) = self.entry.loads();
+                    let load = StartedLoad::new(now, fleet.running + 1);
+                    self.loads.insert(key.clone(), load);
+                    orders.push(Order::LoadAdapter(key, Some(version)));
+                    self.publish();
+                }
                 Plan::Evict(victim) => orders.push(Order::EvictAdapter(victim)),
             }
         }
@@ -337,16 +311,23 @@
     /// Responds `Full` to waiters that waited too long.
     fn expire_waiters(&mut self) {
         let now = BootInstant::now();
-        let late = |w: &Waiter| now.since(w.since) > ADAPTER_WAIT_LIMIT;
-        let due: Vec<AdapterKey> = self
-            .waiting
-            .iter()
-            .filter(|(_, all)| all.iter().any(late))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in due {
-            self.respond(&key, EnsureResult::Full);
+        let residency = &self.residency;
+        for (key, waiters) in &mut self.waiting {
+            let is_loading = residency.is_loading(key);
+            let limit = |w: &Waiter| {
+                let max_wait = w.max_wait + WAIT_SLACK;
+                if is_loading {
+                    max_wait.max(LOAD_WAIT_LIMIT)
+                } else {
+                    max_wait
+                }
+            };
+            for waiter in waiters.extract_if(.., |w| now.since(w.since) > limit(w)) {
+                // The waiting request may have ended already.
+                let _closed = waiter.reply.send(EnsureResult::Full);
+            }
         }
+        self.waiting.retain(|_, waiters| !waiters.is_empty());
         self.settle_orders(now);
         self.publish();
     }
@@ -354,6 +335,7 @@
     fn order_ended(&mut self, ended: &EndedOrder) {
         let now = BootInstant::now();
         let is_late = ended.late != LateExecution::Never;
+        self.learn_load_time(ended, now);
         match (&ended.order, ended.outcome) {
             (Order::LoadAdapter(key, version), OrderOutcome::Done) => {
                 self.residency
@@ -394,6 +376,20 @@
         self.publish();
     }
 
+    /// Learns from a load that ended how many the weight store bears.
+    fn learn_load_time(&mut self, ended: &EndedOrder, now: BootInstant) {
+        let Order::LoadAdapter(key, _) = &ended.order else {
+            return;
+        };
+        let Some(load) = self.loads.remove(key) else {
+            return;
+        };
+        if ended.outcome == OrderOutcome::Done && ended.late == LateExecution::Never {
+            let (_, fleet) = self.entry.loads();
+            lock(&self.entry.load_limit).load_ended(load, fleet.running, now);
+        }
+    }
+
     /// Records an order without a response that the next accepted order rules out.
     fn record_unsettled(&mut self, ended: &EndedOrder) {
         let key = match &ended.order {
@@ -432,11 +428,21 @@
         Box::pin(async move { run.execute(order, presence).await })
     }
 
+    fn load_counts(&self) -> LoadCounts {
+        let unbegun = self.waiting.keys();
+        let unbegun = unbegun.filter(|key| self.residency.needs_store(key));
+        LoadCounts {
+            running: self.residency.loading_count() as u32,
+            waiting: unbegun.count() as u32,
+        }
+    }
+
     /// Publishes to the rest of this entry, and to its peers, which adapters requests may use.
     fn publish(&self) {
         let held = HeldEngine {
             generation: self.generation,
             active: true,
+            loads: self.load_counts(),
             adapters: self
                 .residency
                 .residents()
--- a/src/entry/ensure.rs
+++ b/src/entry/ensure.rs
@@ -1,27 +1,24 @@
 //! Loads an adapter to an engine unless it is resident, through the local controller or the engine's holder.
 
 use crate::{
-    edge::registration::AdapterKey,
-    entry::{context::Entry, messages::EnsureResult, peer_link},
+    entry::{
+        context::Entry,
+        messages::{EnsureRequest, EnsureResult},
+        peer_link,
+    },
     holding::lock,
-    ident::UpstreamId,
 };
 use std::sync::Arc;
 
-/// Loads `key` to `upstream` unless it is resident, through the local controller or the engine's holder.
-pub async fn ensure_adapter(
-    entry: &Arc<Entry>,
-    upstream: &UpstreamId,
-    key: &AdapterKey,
-    version: u32,
-) -> EnsureResult {
-    let controller = lock(&entry.controllers).get(upstream).cloned();
+/// Loads an adapter unless it is resident, through the local controller or the engine's holder.
+pub async fn ensure_adapter(entry: &Arc<Entry>, request: EnsureRequest) -> EnsureResult {
+    let controller = lock(&entry.controllers).get(&request.upstream).cloned();
     if let Some(controller) = controller {
-        return controller.ensure_adapter(key.clone(), version).await;
+        return controller.ensure_adapter(request).await;
     }
-    let holder = entry.holder_link(upstream);
+    let holder = entry.holder_link(&request.upstream);
     match holder {
-        Some(address) => peer_link::request_adapter(entry, address, upstream, key, version).await,
+        Some(address) => peer_link::request_adapter(entry, address, &request).await,
         None => EnsureResult::NotHolder,
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,7 +7,7 @@
         registration::Registration,
         store::{Change, Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::{context::Entry, controller::Command},
+    entry::{context::Entry, controller_handle::Command},
     holding::lock,
     supervisor::ChildError,
 };
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between entries, encoded with bincode.
 
 use crate::{
-    decide::build_history::BuildReport,
+    decide::{build_history::BuildReport, load_limit::LoadCounts},
     edge::registration::{AdapterKey, Build},
     ident::{Generation, Revision, StreamId, UpstreamId},
     wire::Strike,
@@ -168,6 +168,8 @@
     pub active: bool,
     /// Whether the entry no longer holds it.
     pub released: bool,
+    /// Loads under way and waiting.
+    pub loads: LoadCounts,
     /// Added or updated adapters, with their versions.
     pub came: Vec<(AdapterKey, u32)>,
     /// Removed adapters.
@@ -199,6 +201,8 @@
     pub key: AdapterKey,
     /// Lowest acceptable version, or the one that is missing.
     pub version: u32,
+    /// Longest wait for a load, in milliseconds.
+    pub max_wait_ms: u32,
 }
 
 /// Result of an [`EnsureRequest`].
@@ -208,6 +212,8 @@
     Ready,
     /// Every adapter slot of the engine is in use, the wait was too long, or the command queue is full.
     Full,
+    /// A load would take longer than the request accepts: this many milliseconds.
+    Late(u32),
     /// The receiving entry does not hold this engine, or could not be reached.
     NotHolder,
     /// The load failed, or its result did not arrive in time.
@@ -220,6 +226,7 @@
         match self {
             Self::Ready => "ready",
             Self::Full => "full",
+            Self::Late(_) => "late",
             Self::NotHolder => "not-holder",
             Self::Failed => "failed",
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod context;
 pub mod control;
 pub mod controller;
+pub mod controller_handle;
 pub mod detour;
 pub mod directory;
 pub mod ensure;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -7,7 +7,7 @@
         begun_streams,
         context::Entry,
         control,
-        controller::Command,
+        controller_handle::Command,
         detour::{self, DETOUR_PATH},
         messages::{
             BEGUN_PATH, DEPLOYMENT_PATH, ENSURE_PATH, EnsureRequest, EnsureResult, MISSING_PATH,
@@ -382,11 +382,7 @@
     };
     let controller = lock(&entry.controllers).get(&request.upstream).cloned();
     let result = match controller {
-        Some(controller) => {
-            controller
-                .ensure_adapter(request.key, request.version)
-                .await
-        }
+        Some(controller) => controller.ensure_adapter(request).await,
         None => EnsureResult::NotHolder,
     };
     sender.send(&result).await?;
@@ -413,25 +409,18 @@
 pub async fn request_adapter(
     entry: &Arc<Entry>,
     address: SocketAddr,
-    upstream: &UpstreamId,
-    key: &AdapterKey,
-    version: u32,
+    request: &EnsureRequest,
 ) -> EnsureResult {
-    let request = EnsureRequest {
-        upstream: Arc::clone(upstream),
-        key: key.clone(),
-        version,
-    };
     let outcome = timeout(ENSURE_TIMEOUT, async {
         let link = entry.link(address);
-        let mut receiver = link.open(ENSURE_PATH, &request).await?;
+        let mut receiver = link.open(ENSURE_PATH, request).await?;
         receiver.next::<EnsureResult>().await
     });
     match outcome.await {
         Ok(Ok(Some(result))) => result,
         Ok(Ok(None)) | Err(_) => EnsureResult::Failed,
         Ok(Err(e)) => {
-            warn!(peer:% = address, upstream = &**upstream, error:% = e; "the request to the holder to load an adapter failed");
+            warn!(peer:% = address, upstream = &*request.upstream, error:% = e; "the request to the holder to load an adapter failed");
             EnsureResult::NotHolder
         }
     }
@@ -455,6 +444,7 @@
         upstream: Arc::clone(upstream),
         key: key.clone(),
         version,
+        max_wait_ms: 0,
     };
     tokio::spawn(async move {
         if let Err(e) = link.open(MISSING_PATH, &report).await {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::load_limit::LoadCounts,
     edge::registration::AdapterKey,
     entry::messages::{HeldChange, PeerInfo, PeerUpdate},
     ident::{Generation, UpstreamId},
@@ -31,6 +32,8 @@
     pub generation: Generation,
     /// Whether the holder may send orders.
     pub active: bool,
+    /// Loads under way and waiting.
+    pub loads: LoadCounts,
     /// Adapters that requests may use, and their versions.
     pub adapters: HashMap<AdapterKey, u32>,
 }
@@ -40,6 +43,7 @@
     pub fn apply(&mut self, change: &HeldChange) {
         self.generation = change.generation;
         self.active = change.active;
+        self.loads = change.loads;
         for key in &change.went {
             self.adapters.remove(key);
         }
@@ -288,6 +292,19 @@
         counts.sum::<u32>() > 0
     }
 
+    /// Returns the loads of all engines that other entries hold, each counted once.
+    pub fn loads(&self, now: BootInstant) -> LoadCounts {
+        let mut latest: HashMap<&UpstreamId, (Generation, LoadCounts)> = HashMap::new();
+        for (upstream, held) in self.retained(now).flat_map(|p| &p.held) {
+            let report = (held.engine.generation, held.engine.loads);
+            let known = latest.entry(upstream).or_insert(report);
+            if known.0 < report.0 {
+                *known = report;
+            }
+        }
+        latest.into_values().map(|(_, loads)| loads).sum()
+    }
+
     /// Returns each peer's state of the engine `upstream`, and the time of that peer's last update.
     fn reports_of(&self, upstream: &str) -> impl Iterator<Item = (&EngineWithHolder, BootInstant)> {
         let peers = self.peers.values();
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::{build_history::BuildReport, rate_limit},
+    decide::{build_history::BuildReport, load_limit::LoadCounts, rate_limit},
     edge::registration::AdapterKey,
     entry::{
         begun_streams,
@@ -458,6 +458,7 @@
         generation: 0,
         active: false,
         released: true,
+        loads: LoadCounts::default(),
         came: Vec::new(),
         went: Vec::new(),
     }
@@ -481,6 +482,7 @@
         generation: engine.generation,
         active: after.active,
         released: false,
+        loads: engine.loads,
         came: came.map(|(k, v)| (k.clone(), *v)).collect(),
         went: went.cloned().collect(),
     }
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -7,7 +7,7 @@
         deployment::Route,
         registration::Registration,
     },
-    entry::{controller::Command, peer_link, usage::UsageGuard},
+    entry::{controller_handle::Command, peer_link, usage::UsageGuard},
     holding::lock,
     http_client::{self, ListenerState, PROBE_TIMEOUT},
     path::{
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -12,7 +12,10 @@
         registration::{AdapterKey, Build, Registration},
     },
     entry::{
-        candidates::ServingUpstreams, context::Entry, ensure, messages::EnsureResult,
+        candidates::ServingUpstreams,
+        context::Entry,
+        ensure,
+        messages::{EnsureRequest, EnsureResult},
         send_log::SendRecord,
     },
     holding::lock,
@@ -28,6 +31,16 @@
 /// Engines on which loading the adapter is attempted before a request is refused.
 const MAX_LOADS: usize = 3;
 
+/// Part of a route's target that a request may spend on waiting for its adapter; the rest is for its prompt.
+const LOAD_SHARE: f64 = 0.8;
+
+/// Part of the time left that a request may wait for its adapter even if its response comes late, as a late one is worth
+/// more than none.
+const LATE_LOAD_SHARE: f64 = 0.2;
+
+/// Longest wait of a replica's load: it is made only while no other loads wait.
+const REPLICA_WAIT: Duration = Duration::from_millis(320);
+
 /// Parts of a prompt that are looked at, the first ones, to bound what one request costs.
 const MAX_PARTS: usize = 16;
 
@@ -133,6 +146,7 @@
         mut loads_left: usize,
     ) -> Result<Placement, RefusalReason> {
         let mut excluded = excluded.to_vec();
+        let mut shortest_wait: Option<Duration> = None;
         loop {
             self.check_quarantine()?;
             if self.time_left().is_zero() {
@@ -168,12 +182,23 @@
             if !self.entry.reserve_send(&upstream.id) {
                 continue;
             }
-            if !needs_load || self.load_adapter(upstream).await == EnsureResult::Ready {
-                return Ok(self.placement(upstream));
+            let result = if needs_load {
+                self.load_adapter(upstream).await
+            } else {
+                EnsureResult::Ready
+            };
+            match result {
+                EnsureResult::Ready => return Ok(self.placement(upstream)),
+                EnsureResult::Late(ms) => {
+                    let wait = Duration::from_millis(u64::from(ms));
+                    shortest_wait = Some(shortest_wait.map_or(wait, |w| w.min(wait)));
+                }
+                EnsureResult::Full | EnsureResult::NotHolder | EnsureResult::Failed => {}
             }
             loads_left -= 1;
             if loads_left == 0 {
-                return Err(RefusalReason::NoAdapter);
+                let wait = shortest_wait.unwrap_or_default();
+                return Err(RefusalReason::NoAdapter(wait));
             }
             excluded.push(Arc::clone(&upstream.id));
         }
@@ -294,6 +319,17 @@
         Some(prefill_time)
     }
 
+    /// Returns how long the request may wait for its adapter.
+    fn max_load_wait(&self) -> Duration {
+        let elapsed = BootInstant::now().since(self.arrived);
+        let in_time = self
+            .route
+            .target
+            .mul_f64(LOAD_SHARE)
+            .saturating_sub(elapsed);
+        in_time.max(self.time_left().mul_f64(LATE_LOAD_SHARE))
+    }
+
     /// Waits until the adapter is loaded at `upstream`.
     async fn load_adapter(&self, upstream: &Registration) -> EnsureResult {
         let Some(key) = self.adapter() else {
@@ -301,7 +337,13 @@
         };
         let started = BootInstant::now();
         let version = self.entry.newest_version(key);
-        let ensured = ensure::ensure_adapter(&self.entry, &upstream.id, key, version);
+        let request = EnsureRequest {
+            upstream: Arc::clone(&upstream.id),
+            key: key.clone(),
+            version,
+            max_wait_ms: self.max_load_wait().as_millis() as u32,
+        };
+        let ensured = ensure::ensure_adapter(&self.entry, request);
         let result = tokio::select! {
             result = ensured => result,
             () = tokio::time::sleep(self.time_left()) => EnsureResult::Failed,
@@ -331,8 +373,13 @@
         };
         let (entry, id) = (Arc::clone(&self.entry), Arc::clone(&upstream.id));
         tokio::spawn(async move {
-            let version = entry.newest_version(&key);
-            let result = ensure::ensure_adapter(&entry, &id, &key, version).await;
+            let request = EnsureRequest {
+                upstream: Arc::clone(&id),
+                key: key.clone(),
+                version: entry.newest_version(&key),
+                max_wait_ms: REPLICA_WAIT.as_millis() as u32,
+            };
+            let result = ensure::ensure_adapter(&entry, request).await;
             info!(upstream = &*id, adapter:% = key, outcome = result.as_str(); "placement: replica of a busy adapter");
         });
     }
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -37,8 +37,8 @@
     UnknownBeginning,
     /// Every suitable upstream is full.
     Full,
-    /// The adapter could not be loaded in time.
-    NoAdapter,
+    /// The adapter can't be loaded in time; a later request could be served after this long.
+    NoAdapter(Duration),
     /// Prompts that arrived earlier keep every suitable engine busy for this long.
     Backlog(Duration),
     /// Upstreams that could serve it take no more requests for this long.
@@ -69,7 +69,7 @@
             Self::NoSameBuild => "no-same-build",
             Self::UnknownBeginning => "unknown-beginning",
             Self::Full => "full",
-            Self::NoAdapter => "no-adapter",
+            Self::NoAdapter(_) => "no-adapter",
             Self::Backlog(_) => "backlog",
             Self::Limited(_) => "limited",
             Self::Poison(_) => "poison",
@@ -92,7 +92,7 @@
             | Self::NoSameBuild
             | Self::UnknownBeginning
             | Self::Full
-            | Self::NoAdapter
+            | Self::NoAdapter(_)
             | Self::Backlog(_)
             | Self::Limited(_)
             | Self::Poison(_)
@@ -107,7 +107,8 @@
         match self {
             Self::Starting => Some(STARTING_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
-            Self::Full | Self::NoAdapter | Self::Refused => Some(FULL_RETRY),
+            Self::Full | Self::Refused => Some(FULL_RETRY),
+            Self::NoAdapter(left) => Some(left.max(FULL_RETRY)),
             Self::Backlog(left) | Self::Limited(left) | Self::Poison(left) => Some(left),
             _ => None,
         }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -2,6 +2,7 @@
 
 use carobfield::{
     clock::BootInstant,
+    decide::load_limit::LoadCounts,
     edge::registration::AdapterKey,
     entry::{
         messages::{EntryChange, HeldChange, PeerInfo, PeerUpdate, Reach},
@@ -81,6 +82,7 @@
         holder: Arc::from("entry-1"),
         generation: 5,
         active: true,
+        loads: LoadCounts::default(),
         released: false,
         came: vec![(key(adapter), 1)],
         went: Vec::new(),
