perf: holders tell each other their loads with the updates they send anyway

Change: each update carries the sender's own counts, which only holders need; the limit grows by a part of itself while it binds.

--- a/src/decide/load_limit.rs
+++ b/src/decide/load_limit.rs
@@ -39,6 +39,9 @@
 /// Load time over that at full speed from which the store counts as congested.
 const CONGESTED: f64 = 1.25;
 
+/// Factor of the limit that is aimed at while it binds and loads are fast.
+const GROWTH: f64 = 1.15;
+
 /// Allowance for loads that begin while the counts of the other holders are on their way.
 const FORECAST_MARGIN: f64 = 1.2;
 
@@ -121,7 +124,7 @@
         let estimate = if slowdown > CONGESTED {
             running / slowdown
         } else if running + 1.0 >= self.limit {
-            self.limit + 1.0
+            self.limit * GROWTH
         } else {
             self.limit
         };
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -360,13 +360,16 @@
         self.usage.uses_adapter(upstream, key) || lock(&self.peers).uses_adapter(upstream, key)
     }
 
-    /// Returns the loads at the engines that this entry holds, and at all engines.
-    pub fn loads(&self) -> (LoadCounts, LoadCounts) {
+    /// Returns the loads at the engines that this entry holds.
+    pub fn own_loads(&self) -> LoadCounts {
         let controllers = lock(&self.controllers);
-        let own: LoadCounts = controllers.values().map(|c| c.engine().loads).sum();
-        drop(controllers);
+        controllers.values().map(ControllerHandle::loads).sum()
+    }
+
+    /// Returns the loads at all engines.
+    pub fn fleet_loads(&self) -> LoadCounts {
         let others = lock(&self.peers).loads(BootInstant::now());
-        (own, [own, others].into_iter().sum())
+        [self.own_loads(), others].into_iter().sum()
     }
 
     /// Returns orders that may still be executed, of this entry and of earlier holders of its engines.
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -65,6 +65,7 @@
     /// Loads under way.
     loads: HashMap<AdapterKey, StartedLoad>,
     engine: Arc<Mutex<Arc<HeldEngine>>>,
+    load_counts: Arc<Mutex<LoadCounts>>,
     late_adapters: Arc<Mutex<Vec<AdapterKey>>>,
     sequence: Arc<tokio::sync::Mutex<OrderSequence>>,
     /// Adapters whose orders got no response; the next accepted order rules them out.
@@ -89,6 +90,7 @@
     };
     let engine = Arc::new(Mutex::new(Arc::new(engine)));
     let late_adapters = Arc::default();
+    let load_counts = Arc::default();
     let controller = Controller {
         entry: Arc::clone(entry),
         orders: orders.clone(),
@@ -99,6 +101,7 @@
         waiting: HashMap::new(),
         loads: HashMap::new(),
         engine: Arc::clone(&engine),
+        load_counts: Arc::clone(&load_counts),
         late_adapters: Arc::clone(&late_adapters),
         sequence: Arc::default(),
         unsettled: HashSet::new(),
@@ -111,6 +114,7 @@
         generation,
         commands,
         engine,
+        loads: load_counts,
         late_adapters,
     }
 }
@@ -217,7 +221,7 @@
     ) {
         let max_wait = Duration::from_millis(u64::from(request.max_wait_ms));
         if self.residency.needs_store(&request.key) && !self.waiting.contains_key(&request.key) {
-            let (_, fleet) = self.entry.loads();
+            let fleet = self.entry.fleet_loads();
             let expected = lock(&self.entry.load_limit).expected_time(fleet);
             if expected > max_wait {
                 // The waiting request may have ended already.
@@ -239,7 +243,7 @@
         if !self.residency.needs_store(key) {
             return true;
         }
-        let (own, fleet) = self.entry.loads();
+        let (own, fleet) = (self.entry.own_loads(), self.entry.fleet_loads());
         lock(&self.entry.load_limit).may_begin(own.running, fleet)
     }
 
@@ -279,11 +283,11 @@
                 Plan::Full => self.respond(&key, EnsureResult::Full),
                 Plan::Wait => {}
                 Plan::Load => {
-                    let (_, fleet) = self.entry.loads();
-                    let load = StartedLoad::new(now, fleet.running + 1);
-                    self.loads.insert(key.clone(), load);
+                    let running = self.entry.fleet_loads().running + 1;
+                    self.loads
+                        .insert(key.clone(), StartedLoad::new(now, running));
+                    *lock(&self.load_counts) = self.count_loads();
                     orders.push(Order::LoadAdapter(key, Some(version)));
-                    self.publish();
                 }
                 Plan::Evict(victim) => orders.push(Order::EvictAdapter(victim)),
             }
@@ -385,8 +389,8 @@
             return;
         };
         if ended.outcome == OrderOutcome::Done && ended.late == LateExecution::Never {
-            let (_, fleet) = self.entry.loads();
-            lock(&self.entry.load_limit).load_ended(load, fleet.running, now);
+            let running = self.entry.fleet_loads().running;
+            lock(&self.entry.load_limit).load_ended(load, running, now);
         }
     }
 
@@ -428,7 +432,7 @@
         Box::pin(async move { run.execute(order, presence).await })
     }
 
-    fn load_counts(&self) -> LoadCounts {
+    fn count_loads(&self) -> LoadCounts {
         let unbegun = self.waiting.keys();
         let unbegun = unbegun.filter(|key| self.residency.needs_store(key));
         LoadCounts {
@@ -442,13 +446,13 @@
         let held = HeldEngine {
             generation: self.generation,
             active: true,
-            loads: self.load_counts(),
             adapters: self
                 .residency
                 .residents()
                 .map(|(key, version)| (key.clone(), version))
                 .collect(),
         };
+        *lock(&self.load_counts) = self.count_loads();
         *lock(&self.late_adapters) = self.residency.late_orders().cloned().collect();
         let mut engine = lock(&self.engine);
         if **engine != held {
--- a/src/entry/controller_handle.rs
+++ b/src/entry/controller_handle.rs
@@ -1,7 +1,7 @@
 //! Commands to the controller of an engine, and what the rest of the entry sees of it.
 
 use crate::{
-    decide::takeover::LateOrder,
+    decide::{load_limit::LoadCounts, takeover::LateOrder},
     edge::registration::{AdapterKey, Registration},
     entry::{
         messages::{EnsureRequest, EnsureResult},
@@ -39,6 +39,7 @@
     pub generation: Generation,
     pub(super) commands: mpsc::Sender<Command>,
     pub(super) engine: Arc<Mutex<Arc<HeldEngine>>>,
+    pub(super) loads: Arc<Mutex<LoadCounts>>,
     pub(super) late_adapters: Arc<Mutex<Vec<AdapterKey>>>,
 }
 
@@ -48,6 +49,11 @@
         Arc::clone(&lock(&self.engine))
     }
 
+    /// Returns the engine's loads under way and waiting.
+    pub fn loads(&self) -> LoadCounts {
+        *lock(&self.loads)
+    }
+
     /// Returns the version of `key` that requests may use, and whether orders may be sent.
     pub fn lookup(&self, key: &AdapterKey) -> (Option<u32>, bool) {
         let engine = lock(&self.engine);
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -82,6 +82,8 @@
     pub prompts: Vec<(UpstreamId, u32)>,
     /// Use of adapters by the same entries, at engines that the receiver holds, or at all engines if it is the relay.
     pub uses: Vec<AdapterUse>,
+    /// Loads under way and waiting at the engines that the sender holds itself.
+    pub own_loads: LoadCounts,
     /// Changes of the engines that the same entries hold.
     pub held: Vec<HeldChange>,
     /// Newest versions of adapters not sent to the receiver before.
@@ -168,8 +170,6 @@
     pub active: bool,
     /// Whether the entry no longer holds it.
     pub released: bool,
-    /// Loads under way and waiting.
-    pub loads: LoadCounts,
     /// Added or updated adapters, with their versions.
     pub came: Vec<(AdapterKey, u32)>,
     /// Removed adapters.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -32,8 +32,6 @@
     pub generation: Generation,
     /// Whether the holder may send orders.
     pub active: bool,
-    /// Loads under way and waiting.
-    pub loads: LoadCounts,
     /// Adapters that requests may use, and their versions.
     pub adapters: HashMap<AdapterKey, u32>,
 }
@@ -43,7 +41,6 @@
     pub fn apply(&mut self, change: &HeldChange) {
         self.generation = change.generation;
         self.active = change.active;
-        self.loads = change.loads;
         for key in &change.went {
             self.adapters.remove(key);
         }
@@ -84,6 +81,8 @@
     pub in_flight: HashMap<UpstreamId, u32>,
     /// Requests in flight that use an adapter, of the same entries.
     pub adapter_uses: HashMap<(UpstreamId, AdapterKey), u32>,
+    /// Loads at the engines that it holds itself.
+    pub loads: LoadCounts,
     /// Engines that the same entries hold.
     pub held: HashMap<UpstreamId, EngineWithHolder>,
     /// Entries that it relays for.
@@ -99,6 +98,7 @@
             is_relayed: false,
             in_flight: HashMap::new(),
             adapter_uses: HashMap::new(),
+            loads: LoadCounts::default(),
             held: HashMap::new(),
             others: HashMap::new(),
             known: HashSet::new(),
@@ -132,6 +132,7 @@
     fn apply_update(&mut self, update: &PeerUpdate) {
         self.info = update.info.clone();
         self.is_relayed = update.homed;
+        self.loads = update.own_loads;
         self.known.extend(&update.known);
         for other in &update.others {
             let name = Arc::clone(&other.info.name);
@@ -292,17 +293,9 @@
         counts.sum::<u32>() > 0
     }
 
-    /// Returns the loads of all engines that other entries hold, each counted once.
+    /// Returns the loads at the engines that other entries hold. Holders send each other updates without a relay.
     pub fn loads(&self, now: BootInstant) -> LoadCounts {
-        let mut latest: HashMap<&UpstreamId, (Generation, LoadCounts)> = HashMap::new();
-        for (upstream, held) in self.retained(now).flat_map(|p| &p.held) {
-            let report = (held.engine.generation, held.engine.loads);
-            let known = latest.entry(upstream).or_insert(report);
-            if known.0 < report.0 {
-                *known = report;
-            }
-        }
-        latest.into_values().map(|(_, loads)| loads).sum()
+        self.retained(now).map(|p| p.loads).sum()
     }
 
     /// Returns each peer's state of the engine `upstream`, and the time of that peer's last update.
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::{build_history::BuildReport, load_limit::LoadCounts, rate_limit},
+    decide::{build_history::BuildReport, rate_limit},
     edge::registration::AdapterKey,
     entry::{
         begun_streams,
@@ -149,6 +149,7 @@
             loads: self.in_flight_changes(&peers, &scope, now),
             prompts: sends.prompts,
             uses: self.adapter_uses(&peers, &scope, homed),
+            own_loads: self.entry.own_loads(),
             held: self.held_changes(own_engines, &peers, &scope),
             versions: self.new_versions(),
             strikes: self.strikes.take(&entry.quarantine),
@@ -458,7 +459,6 @@
         generation: 0,
         active: false,
         released: true,
-        loads: LoadCounts::default(),
         came: Vec::new(),
         went: Vec::new(),
     }
@@ -482,7 +482,6 @@
         generation: engine.generation,
         active: after.active,
         released: false,
-        loads: engine.loads,
         came: came.map(|(k, v)| (k.clone(), *v)).collect(),
         went: went.cloned().collect(),
     }
