feat: log what tells why a request was cut by a planned stop

Cause: of a request that is cut when its entry ends, the logs did not say how long before it the shutdown had begun, how its connection came, whether the entry or the caller ended it, and how long the process took to exit.

Change: requests in flight are counted. A request that arrives during a shutdown gets a line with the time since the stop signal, the time left, its deadline and size, and the age and use of its connection. A response that is dropped by the end of the process is logged as such and not as "left". Each phase of the shutdown is a line, up to the end of the process. No decision changes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,5 +16,6 @@
 pub mod residency;
 pub mod retry_budget;
 pub mod routes;
+pub mod shutdown;
 pub mod stream_record;
 pub mod takeover;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -16,6 +16,7 @@
         registry::Registry,
         retry_budget::ServiceRetryBudget,
         routes::RouteTable,
+        shutdown::Shutdown,
         takeover::LateOrder,
     },
     edge::{
@@ -42,12 +43,12 @@
     wire::{Strike, Subject},
 };
 use arc_swap::ArcSwap;
-use log::info;
+use log::{info, warn};
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -104,6 +105,8 @@
     pub paths: Mutex<Paths>,
     /// Attempts that this entry passes on for others.
     pub detours: TaskTracker,
+    /// Requests of callers in flight.
+    pub requests: TaskTracker,
     /// Connections to upstreams.
     pub pool: Arc<Pool>,
     /// Controllers of the engines that this entry holds.
@@ -121,7 +124,8 @@
     /// Link addresses of entries that have a member record in the store.
     pub member_links: Mutex<Vec<SocketAddr>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
-    leaving: AtomicBool,
+    /// Shutdown under way, if any.
+    shutdown: OnceLock<Shutdown>,
     /// Whether a configuration is being fetched from a peer.
     fetching: AtomicBool,
     /// Whether this entry has sent its last order.
@@ -163,6 +167,7 @@
             builds: Mutex::new(BuildHistory::new(complete_since)),
             paths: Mutex::default(),
             detours: TaskTracker::new(),
+            requests: TaskTracker::new(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             load_limit: Mutex::default(),
@@ -172,7 +177,7 @@
             seeds: Mutex::new(config.peers.0.clone()),
             member_links: Mutex::default(),
             links: Mutex::default(),
-            leaving: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             fetching: AtomicBool::new(false),
             orders_stopped: AtomicBool::new(false),
             config,
@@ -186,12 +191,19 @@
 
     /// Returns whether this entry is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst)
+        self.shutdown.get().is_some()
+    }
+
+    /// Returns the shutdown under way, if any.
+    pub fn shutdown(&self) -> Option<Shutdown> {
+        self.shutdown.get().copied()
     }
 
     /// Begins the shutdown and notifies peers.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
+    pub fn leave(&self, shutdown: Shutdown) {
+        if self.shutdown.set(shutdown).is_err() {
+            warn!(id = self.config.id; "a shutdown was under way already");
+        }
         self.notify_peers();
     }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::BootInstant,
     configs::entry::EntryConfig,
+    decide::shutdown::Shutdown,
     edge::{
         codec::Codec,
         orders::OrderClient,
@@ -120,25 +121,42 @@
 
     tree.on_shutdown_requested().await;
     let requested = BootInstant::now();
-    info!(id = entry.config.id; "entry leaving");
-    entry.leave();
+    let shutdown = Shutdown {
+        requested,
+        limit: requested + entry.config.grace.saturating_sub(EXIT_MARGIN),
+    };
+    info!(id = entry.config.id, in_flight = entry.requests.len(); "entry leaving");
+    entry.leave(shutdown);
     tokio::time::sleep(DIRECTORY_LAG).await;
+    log_phase(&entry, shutdown, "listener closed");
     serving.cancel();
-    let limit = entry.config.grace.saturating_sub(EXIT_MARGIN);
-    let left = limit.saturating_sub(BootInstant::now().since(requested));
+    let left = shutdown.time_left(BootInstant::now());
     entry.detours.close();
     let in_flight = async { tokio::join!(front, entry.detours.wait()) };
     if tokio::time::timeout(left, in_flight).await.is_err() {
-        warn!(id = entry.config.id; "requests were still in flight at the end of the grace period");
+        warn!(
+            id = entry.config.id, in_flight = entry.requests.len(), detours = entry.detours.len();
+            "requests were still in flight at the end of the grace period"
+        );
     }
+    log_phase(&entry, shutdown, "requests ended");
     entry.stop_orders();
     orders_stop.cancel();
     tokio::time::sleep(FINAL_RENEWAL).await;
     stop.cancel();
-    info!(id = entry.config.id; "entry stopped");
+    log_phase(&entry, shutdown, "entry stopped");
     Ok(())
 }
 
+/// Logs a phase of the shutdown, and how long after the request to stop it was reached.
+fn log_phase(entry: &Entry, shutdown: Shutdown, phase: &str) {
+    let elapsed = shutdown.elapsed(BootInstant::now());
+    info!(
+        id = entry.config.id, elapsed_ms = elapsed.as_millis() as u64, in_flight = entry.requests.len();
+        "{phase}"
+    );
+}
+
 fn start_tasks<P: Platform>(
     platform: &P,
     entry: &Arc<Entry>,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,12 +1,13 @@
 //! HTTP server for gotham handlers, with its own accept loop and graceful shutdown.
 
+use crate::clock::BootInstant;
 use bytes::Bytes;
 use gotham::{
     handler::NewHandler,
     helpers::http::Body,
     router::Router,
     service::call_handler,
-    state::{FromState, State},
+    state::{FromState, State, StateData},
 };
 use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -17,7 +18,15 @@
 };
 use log::{debug, warn};
 use serde::Serialize;
-use std::{io, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use std::{
+    io,
+    panic::AssertUnwindSafe,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -48,6 +57,17 @@
     }
 }
 
+/// The connection that a request came on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConnectionUse {
+    /// Number of requests that came on it before.
+    pub earlier: u32,
+    /// Time at which it was accepted.
+    pub opened: BootInstant,
+}
+
+impl StateData for ConnectionUse {}
+
 /// Serves `router` until `stop` is cancelled, then lets requests in flight finish.
 ///
 /// # Errors
@@ -93,8 +113,13 @@
             debug!("cannot set TCP_NODELAY: {e}");
         }
         let handler = Arc::clone(&handler);
+        let (opened, earlier) = (BootInstant::now(), AtomicU32::new(0));
         let service = service_fn(move |request| {
-            let state = State::from_request(request, peer);
+            let mut state = State::from_request(request, peer);
+            state.put(ConnectionUse {
+                earlier: earlier.fetch_add(1, Ordering::Relaxed),
+                opened,
+            });
             call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
         });
         let connection = hyper::server::conn::http1::Builder::new()
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -2,11 +2,14 @@
 
 use crate::{
     clock::BootInstant,
-    decide::routes,
-    edge::deployment::Limits,
+    decide::{routes, shutdown::Shutdown},
+    edge::{
+        codec::RequestHead,
+        deployment::{Limits, Route},
+    },
     entry::context::Entry,
     holding::lock,
-    http_server::{self, BodyError},
+    http_server::{self, BodyError, ConnectionUse},
     ident::{UpstreamId, pair_hash},
     metrics,
     path::{
@@ -87,6 +90,8 @@
     state: &mut State,
 ) -> Result<ProxyRequest, (Arc<str>, RefusalReason)> {
     let arrived = BootInstant::now();
+    let in_flight = entry.requests.token();
+    let connection = *ConnectionUse::borrow_from(state);
     let headers = HeaderMap::take_from(state);
     let method = Method::take_from(state);
     let uri = Uri::take_from(state);
@@ -110,6 +115,9 @@
         routes::pick_service(route, draw).ok_or_else(|| refused(RefusalReason::NoUpstream))?;
     let timeout = head.timeout.unwrap_or(route.timeout);
     let deadline = arrived + timeout.min(route.timeout);
+    if let Some(shutdown) = entry.shutdown() {
+        log_late_arrival(&head, route, arrived, deadline, connection, shutdown);
+    }
     let body = read_body(state, &headers, limits, deadline)
         .await
         .map_err(refused)?;
@@ -132,10 +140,30 @@
         deadline,
         fingerprint,
         build: None,
+        in_flight,
         head,
     })
 }
 
+/// Logs a request that came after the shutdown began, with what tells how its caller came to send it here.
+fn log_late_arrival(
+    head: &RequestHead,
+    route: &Route,
+    arrived: BootInstant,
+    deadline: BootInstant,
+    connection: ConnectionUse,
+    shutdown: Shutdown,
+) {
+    let opened_late = connection.opened.since(shutdown.requested);
+    info!(
+        request = &*head.id, route = &*route.name, since_stop_ms = shutdown.elapsed(arrived).as_millis() as u64,
+        left_ms = shutdown.time_left(arrived).as_millis() as u64, deadline_ms = deadline.since(arrived).as_millis() as u64,
+        tokens = head.work.as_ref().map_or(0, |w| w.output_tokens), earlier = connection.earlier,
+        connection_ms = arrived.since(connection.opened).as_millis() as u64, connected_after_ms = opened_late.as_millis() as u64;
+        "admission: request arrived during the shutdown"
+    );
+}
+
 /// Returns the approximate size of a request's head on the wire, in bytes.
 fn head_bytes(headers: &HeaderMap, uri: &Uri) -> usize {
     let fields = headers.iter().map(|(k, v)| k.as_str().len() + v.len() + 4);
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -27,6 +27,7 @@
 use http::{HeaderMap, Method};
 use log::info;
 use std::{sync::Arc, time::Duration};
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// Engines on which loading the adapter is attempted before a request is refused.
 const MAX_LOADS: usize = 3;
@@ -78,6 +79,8 @@
     pub fingerprint: u64,
     /// Build that the upstream must have, as it goes on with what this build began.
     pub build: Option<Build>,
+    /// Counts the request as in flight until dropped.
+    pub in_flight: TaskTrackerToken,
 }
 
 /// Upstream selected for the next attempt.
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::shutdown::Shutdown,
     holding::lock,
     http_client::ListenerState,
     metrics,
@@ -362,10 +363,12 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let outcome = if self.source.is_some() {
-            "left"
-        } else {
-            "complete"
+        let shutdown = self.request.entry.shutdown();
+        let has_expired = |s: Shutdown| s.time_left(BootInstant::now()).is_zero();
+        let outcome = match (&self.source, shutdown) {
+            (None, _) => "complete",
+            (Some(_), Some(s)) if has_expired(s) => "cut by the shutdown",
+            (Some(_), _) => "left",
         };
         self.log(outcome);
     }
--- a/src/process.rs
+++ b/src/process.rs
@@ -87,6 +87,7 @@
     let log = log(&config);
     logging::start(log, name);
     let code = run_until_signal(threads, name, config, run);
+    log::info!("process ending");
     logging::finish();
     code
 }
