fix: a stop waits for polls and calls that get no response

Callers saw nothing of it; the platform killed processes that had said that they were stopped.

Cause: three tasks did not end with the stop. An entry outside of the control set waits up to a second for a peer's response about registrations; the renewal of the lease and the record of begun streams wait up to 1.5 s for the store.

Change: each of them ends with its stop, and the last renewal has 0.2 s, the time that the shutdown waited for it anyway.

Measured: a_stop_waits_for_a_poll_of_a_peer and a_stop_waits_for_a_silent_store failed before ("entry 4 after 4s: None", "entry 0 after 4s: None") and pass, as does a_second_signal_ends_a_stop_early, which passed before too.

--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -54,24 +54,26 @@
 /// # Errors
 /// None.
 pub async fn follow_peers(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    // A response may be delayed for longer than a shutdown can wait.
+    let _stopped = stop.run_until_cancelled(poll_peers(&entry)).await;
+    Ok(())
+}
+
+async fn poll_peers(entry: &Arc<Entry>) {
     let mut mark = StateVersion::default();
-    while !stop.is_cancelled() {
-        tokio::select! {
-            () = stop.cancelled() => return Ok(()),
-            () = tokio::time::sleep(REQUEST_INTERVAL) => {}
-        }
-        let Some(address) = source(&entry) else {
+    loop {
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+        let Some(address) = source(entry) else {
             mark = StateVersion::default();
             continue;
         };
         let response: Option<Response> =
-            peer_link::request(&entry, address, REGISTRATIONS_PATH, &mark, RESPONSE_TIMEOUT).await;
+            peer_link::request(entry, address, REGISTRATIONS_PATH, &mark, RESPONSE_TIMEOUT).await;
         if let Some(response) = response {
             mark = response.mark;
-            apply(&entry, address, response);
+            apply(entry, address, response);
         }
     }
-    Ok(())
 }
 
 /// Returns the peer to read from: one that follows the store, or any other if this entry knows no upstreams.
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -18,6 +18,9 @@
 /// Interval between renewals: one may fail and be retried within the lease, and each one costs money.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Time to record that no more orders follow; a call to the store takes some ten milliseconds.
+pub const FINAL_RENEWAL: Duration = Duration::from_millis(200);
+
 /// Member record of this entry as last written.
 struct Renewer<S> {
     entry: Arc<Entry>,
@@ -26,6 +29,8 @@
     /// Store revision of the record, where known.
     revision: Option<u64>,
     is_fresh: bool,
+    /// Whether this entry was a member of the control set at the last renewal.
+    is_member: bool,
 }
 
 /// Renews the lease until `stop`, then records that no more orders follow.
@@ -51,27 +56,33 @@
         store,
         revision: None,
         is_fresh: false,
+        is_member: false,
     };
-    let mut is_member;
-    loop {
-        is_member = renewer.entry.is_control_member();
-        // Outside the control set the record is only used for discovery by other entries, and is written once.
-        if is_member || renewer.revision.is_none() {
-            renewer.renew().await;
-        }
-        tokio::select! {
-            () = stop.cancelled() => break,
-            () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
-        }
-    }
-    if is_member {
+    let _stopped = stop.run_until_cancelled(renewer.run()).await;
+    if renewer.is_member {
         renewer.record.stopped = true;
-        renewer.renew().await;
+        // The renewal that was cancelled may have been written.
+        renewer.revision = None;
+        let written = tokio::time::timeout(FINAL_RENEWAL, renewer.renew()).await;
+        if written.is_err() {
+            warn!(limit_ms = FINAL_RENEWAL.as_millis() as u64; "the store did not record in time that no more orders follow");
+        }
     }
     Ok(())
 }
 
 impl<S: Store> Renewer<S> {
+    async fn run(&mut self) {
+        loop {
+            self.is_member = self.entry.is_control_member();
+            // Outside the control set the record is only used for discovery by other entries, and is written once.
+            if self.is_member || self.revision.is_none() {
+                self.renew().await;
+            }
+            tokio::time::sleep(RENEWAL_INTERVAL).await;
+        }
+    }
+
     async fn renew(&mut self) {
         self.record.counter += 1;
         self.record.late = self.entry.late_orders();
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -34,9 +34,6 @@
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time to record that no more orders follow; a call to the store takes some ten milliseconds.
-const FINAL_RENEWAL: Duration = Duration::from_millis(200);
-
 /// Time after which an idle connection of a caller is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -142,7 +139,7 @@
     log_phase(&entry, shutdown, "requests ended");
     entry.stop_orders();
     orders_stop.cancel();
-    tokio::time::sleep(FINAL_RENEWAL).await;
+    tokio::time::sleep(renew::FINAL_RENEWAL).await;
     stop.cancel();
     log_phase(&entry, shutdown, "entry stopped");
     Ok(())
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -149,19 +149,20 @@
         revision: None,
         is_changed: false,
     };
-    while stop
-        .run_until_cancelled(tokio::time::sleep(WRITE_INTERVAL))
-        .await
-        .is_some()
-    {
-        if writer.entry.writes_streams() {
-            writer.write().await;
-        }
-    }
+    let _stopped = stop.run_until_cancelled(writer.run()).await;
     Ok(())
 }
 
 impl<S: Store> RecordWriter<S> {
+    async fn run(&mut self) {
+        loop {
+            tokio::time::sleep(WRITE_INTERVAL).await;
+            if self.entry.writes_streams() {
+                self.write().await;
+            }
+        }
+    }
+
     async fn write(&mut self) {
         let now_ms = clock::unix_ms();
         if !self.record.covers(now_ms) && !self.is_changed {
