fix: a stopping entry takes requests that it can't outlive

Cause: for 3.3 s after SIGTERM an entry took every request and dropped what was in flight at 7.3 s, whatever was promised by taking it. With a grace period under 3.3 s it accepted beyond its own end.

Change: while it shuts down, an entry takes a request only if its response will end before the process does: by its deadline, or by the forecast. The forecast scales the recent requests of a similar size; the size is the caller's estimate, which entries decode now, or else the largest number of tokens. A request may wait for its adapter and for other prompts as long as that still holds; it is asked once more before the request is sent, so also retries, resumes and requests that waited when the signal came. All else is refused at once, not run, with Connection: close and Retry-After 0. The listener closes with the end of the grace time at the latest.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod residency;
 pub mod retry_budget;
 pub mod routes;
+pub mod run_time;
 pub mod shutdown;
 pub mod stream_record;
 pub mod takeover;
--- a/src/decide/shutdown.rs
+++ b/src/decide/shutdown.rs
@@ -1,8 +1,21 @@
-//! Times of a graceful shutdown.
+//! Decides which requests are taken while the process shuts down.
+//!
+//! | load pattern | answer |
+//! |---|---|
+//! | callers that use a cached address for seconds after the stop signal | a request is taken while its response will end before the process does, by its deadline or by the forecast |
+//! | requests that wait for an adapter or other prompts when the signal comes | they may wait as long as their response still ends in time, and no longer |
+//! | long answers, or requests of unknown length | refused at once, so that the caller can send them to another entry |
+//! | most late requests come in the first second, when nearly all of them can end in time | the later a request comes, the surer it must be: refusing many at once loads the other entries, refusing the last few does not |
 
 use crate::clock::BootInstant;
 use std::time::Duration;
 
+/// Part of similar requests that must end in time for a request to be taken, when the shutdown begins.
+const FIRST_CONFIDENCE: f64 = 0.9;
+
+/// The same from half of the shutdown's time on.
+const LAST_CONFIDENCE: f64 = 0.99;
+
 /// A graceful shutdown under way.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Shutdown {
@@ -22,4 +35,31 @@
     pub fn time_left(&self, now: BootInstant) -> Duration {
         self.limit.since(now)
     }
+
+    /// Returns the part of similar requests that must end in time for a request to be taken.
+    pub fn confidence(&self, now: BootInstant) -> f64 {
+        let total = self.limit.since(self.requested).as_secs_f64();
+        let passed = self.elapsed(now).as_secs_f64();
+        let progress = if total > 0.0 {
+            passed / total * 2.0
+        } else {
+            1.0
+        };
+        FIRST_CONFIDENCE + (LAST_CONFIDENCE - FIRST_CONFIDENCE) * progress.min(1.0)
+    }
+
+    /// Returns how long a request may wait before it is sent; `None` if its response may not end in time however soon it is
+    /// sent. `deadline` is the time until its deadline, and `run_time` the forecast for its run, if there is one.
+    pub fn max_wait(
+        &self,
+        now: BootInstant,
+        deadline: Duration,
+        run_time: Option<Duration>,
+    ) -> Option<Duration> {
+        let left = self.time_left(now);
+        if deadline <= left {
+            return Some(deadline);
+        }
+        left.checked_sub(run_time?)
+    }
 }
--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -50,10 +50,20 @@
     pub prompt_tokens: u32,
     /// Largest number of tokens to generate.
     pub output_tokens: u32,
+    /// Number of tokens to generate, as the caller estimates it; often far off.
+    pub expected_tokens: Option<u32>,
     /// Parts of the prompt in order: hash of the part's identifier, and its number of tokens.
     pub prompt_parts: Vec<(u64, u32)>,
 }
 
+impl InferenceWork {
+    /// Returns the estimated number of tokens to generate: at most the largest number, and that number without an estimate.
+    pub fn size(&self) -> u32 {
+        let expected = self.expected_tokens.filter(|n| *n > 0);
+        expected.map_or(self.output_tokens, |n| n.min(self.output_tokens))
+    }
+}
+
 /// Values set in the headers of a request to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardParams<'a> {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -16,6 +16,7 @@
         registry::Registry,
         retry_budget::ServiceRetryBudget,
         routes::RouteTable,
+        run_time::RunTimes,
         shutdown::Shutdown,
         takeover::LateOrder,
     },
@@ -81,6 +82,8 @@
     pub versions: Mutex<HashMap<AdapterKey, u32>>,
     /// Prefill work at the engines, reserved by all entries.
     pub prefill: Mutex<PrefillSchedule>,
+    /// How long recent requests took at each service.
+    pub run_times: Mutex<RunTimes>,
     /// This entry's requests in flight.
     pub usage: Usage,
     /// Other entries.
@@ -151,6 +154,7 @@
             quarantine: Quarantine::default(),
             versions: Mutex::default(),
             prefill: Mutex::default(),
+            run_times: Mutex::default(),
             usage: Usage::default(),
             peers: Mutex::default(),
             // Until it knows of peers, each entry must act as a control set of one.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -124,7 +124,8 @@
     };
     info!(id = entry.config.id, in_flight = entry.requests.len(); "entry leaving");
     entry.leave(shutdown);
-    tokio::time::sleep(DIRECTORY_LAG).await;
+    let accepting = shutdown.time_left(BootInstant::now()).min(DIRECTORY_LAG);
+    tokio::time::sleep(accepting).await;
     log_phase(&entry, shutdown, "listener closed");
     serving.cancel();
     let left = shutdown.time_left(BootInstant::now());
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -4,7 +4,7 @@
     clock::BootInstant,
     decide::{routes, shutdown::Shutdown},
     edge::{
-        codec::RequestHead,
+        codec::{InferenceWork, RequestHead},
         deployment::{Limits, Route},
     },
     entry::context::Entry,
@@ -66,12 +66,14 @@
 
 /// Handles one request of a caller and returns the response.
 async fn handle_request(entry: Arc<Entry>, state: &mut State) -> Response<Body> {
-    let leaving = entry.is_leaving();
     let mut response = match admit(&entry, state).await {
-        Ok(request) => proxy_request(request).await,
+        Ok(request) => match request.max_wait_before_exit() {
+            Ok(_wait) => proxy_request(request).await,
+            Err(reason) => refuse(&request.head.id, request.route.kind.as_str(), reason),
+        },
         Err((id, reason)) => refuse(&id, "unknown", reason),
     };
-    if leaving {
+    if entry.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -158,7 +160,7 @@
     info!(
         request = &*head.id, route = &*route.name, since_stop_ms = shutdown.elapsed(arrived).as_millis() as u64,
         left_ms = shutdown.time_left(arrived).as_millis() as u64, deadline_ms = deadline.since(arrived).as_millis() as u64,
-        tokens = head.work.as_ref().map_or(0, |w| w.output_tokens), earlier = connection.earlier,
+        size = head.work.as_ref().map_or(0, InferenceWork::size), earlier = connection.earlier,
         connection_ms = arrived.since(connection.opened).as_millis() as u64, connected_after_ms = opened_late.as_millis() as u64;
         "admission: request arrived during the shutdown"
     );
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -7,7 +7,7 @@
         prefill,
     },
     edge::{
-        codec::RequestHead,
+        codec::{InferenceWork, RequestHead},
         deployment::Route,
         registration::{AdapterKey, Build, Registration},
     },
@@ -218,6 +218,22 @@
         max_wait.min(self.time_left())
     }
 
+    /// Returns how long the request may wait before it is sent, so that its response ends before this process does.
+    ///
+    /// # Errors
+    /// Its response may not end in time.
+    pub fn max_wait_before_exit(&self) -> Result<Duration, RefusalReason> {
+        let Some(shutdown) = self.entry.shutdown() else {
+            return Ok(Duration::MAX);
+        };
+        let size = self.head.work.as_ref().map_or(0, InferenceWork::size);
+        let now = BootInstant::now();
+        let confidence = shutdown.confidence(now);
+        let run_time = lock(&self.entry.run_times).forecast(&self.service, size, confidence);
+        let wait = shutdown.max_wait(now, self.time_left(), run_time);
+        wait.ok_or(RefusalReason::Stopping)
+    }
+
     /// Returns why all of `upstreams` are full: their batches, or the prompts that wait there.
     fn full_reason(&self, upstreams: &[Arc<Registration>], max_wait: Duration) -> RefusalReason {
         let Some(work) = &self.head.work else {
@@ -248,6 +264,7 @@
         let mut excluded = excluded.to_vec();
         let mut loads_left = MAX_LOADS;
         loop {
+            let max_wait = max_wait.min(self.max_wait_before_exit()?);
             let placement = self
                 .select_upstream(&excluded, max_wait, loads_left)
                 .await?;
@@ -258,6 +275,8 @@
                 continue;
             };
             self.check_quarantine()?;
+            // A stop signal may have come during the wait.
+            self.max_wait_before_exit()?;
             // The upstream may have started to leave, or got other requests, during the adapter load or the wait for earlier
             // prefills.
             let upstream = &placement.upstream;
@@ -330,7 +349,9 @@
             .target
             .mul_f64(LOAD_SHARE)
             .saturating_sub(elapsed);
-        in_time.max(self.time_left().mul_f64(LATE_LOAD_SHARE))
+        let late = self.time_left().mul_f64(LATE_LOAD_SHARE);
+        let before_exit = self.max_wait_before_exit().unwrap_or_default();
+        in_time.max(late).min(before_exit)
     }
 
     /// Waits until the adapter is loaded at `upstream`.
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -47,6 +47,8 @@
     Poison(Duration),
     /// Upstreams refused the request, and no retry is left.
     Refused,
+    /// The entry is shutting down, and the response may not end before the process does.
+    Stopping,
     /// The deadline passed before the request was sent.
     DeadlineExpired,
     /// The deadline passed after the request was sent.
@@ -74,6 +76,7 @@
             Self::Limited(_) => "limited",
             Self::Poison(_) => "poison",
             Self::Refused => "refused",
+            Self::Stopping => "stopping",
             Self::DeadlineExpired => "late",
             Self::Timeout => "timeout",
             Self::ResponseLost => "lost",
@@ -97,6 +100,7 @@
             | Self::Limited(_)
             | Self::Poison(_)
             | Self::Refused
+            | Self::Stopping
             | Self::DeadlineExpired => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -108,6 +112,8 @@
             Self::Starting => Some(STARTING_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
             Self::Full | Self::Refused => Some(FULL_RETRY),
+            // Any other entry takes it now.
+            Self::Stopping => Some(Duration::ZERO),
             Self::NoAdapter(left) => Some(left.max(FULL_RETRY)),
             Self::Backlog(left) | Self::Limited(left) | Self::Poison(left) => Some(left),
             _ => None,
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     clock::BootInstant,
-    decide::shutdown::Shutdown,
+    decide::{run_time::RunTime, shutdown::Shutdown},
+    edge::codec::InferenceWork,
     holding::lock,
     http_client::ListenerState,
     metrics,
@@ -288,13 +289,29 @@
         RelayStep::Broken(problem)
     }
 
+    /// Records how long a first attempt took; one that ran into its deadline took at least that long.
+    fn record_run_time(&self, outcome: &str, now: BootInstant) {
+        if self.attempts > 1 || !matches!(outcome, "complete" | "timeout") {
+            return;
+        }
+        let first = self.timings.first.unwrap_or(now);
+        let work = self.request.head.work.as_ref();
+        let run = RunTime {
+            size: work.map_or(0, InferenceWork::size),
+            first: first.since(self.first_sent),
+            rest: now.since(first),
+        };
+        lock(&self.request.entry.run_times).record(&self.request.service, run);
+    }
+
     /// Logs the end of the response and counts its outcome, once.
     fn log(&mut self, outcome: &'static str) {
         if std::mem::replace(&mut self.logged, true) {
             return;
         }
         let arrived = self.request.arrived;
-        let took = BootInstant::now().since(arrived);
+        let now = BootInstant::now();
+        let took = now.since(arrived);
         let first = self.timings.first.map(|t| t.since(arrived));
         let prompt = self
             .request
@@ -302,6 +319,7 @@
             .work
             .as_ref()
             .map_or(0, |w| w.prompt_tokens);
+        self.record_run_time(outcome, now);
         metrics::request(self.request.route.kind.as_str(), outcome);
         info!(
             request = &*self.request.head.id, outcome = outcome, took_ms = took.as_millis() as u64,
