fix: a refusal is believed only if it is the request's own

Cause: classify_response looked at "not run" (the marker, or 421) before it looked whether the response names this request. The refusal also counted as a rejection, its limit and brittle mark were applied, and a 421 counted as a missing adapter or as a failure of the upstream.

Now the head says which request it names: this one, another one (also if it names several) or none, and nothing else in it is looked at unless it is this request's. What names another request leaves it uncertain: 502 if it may run once, else the retry that the route allows. The connection is dropped in each case, as before. The log line has the status and what was named.

--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -72,9 +72,9 @@
 /// Decoded head of a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
-    /// Whether it carries the identifier of the request that was sent.
-    pub id_matches: bool,
-    /// Whether the upstream ran the request.
+    /// Request that it names.
+    pub request: NamedRequest,
+    /// Whether the upstream ran that request.
     pub run: RunState,
     /// Limit on requests that the upstream names.
     pub limit: NamedLimit,
@@ -82,6 +82,17 @@
     pub brittle: Option<u32>,
 }
 
+/// Request that a response names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NamedRequest {
+    /// The request that was sent.
+    This,
+    /// Another request.
+    Other,
+    /// None.
+    Unnamed,
+}
+
 /// Limit on requests that an upstream names in a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NamedLimit {
--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -6,7 +6,10 @@
 use crate::{
     clock::BootInstant,
     decide::paths::Path,
-    edge::{codec::RunState, registration::Registration},
+    edge::{
+        codec::{NamedRequest, RunState},
+        registration::Registration,
+    },
     entry::context::Entry,
     holding::lock,
     http_client::{self, ListenerState, PROBE_TIMEOUT},
@@ -260,7 +263,7 @@
             None => break,
         }
     }
-    if read.id_matches
+    if read.request == NamedRequest::This
         && read.run == RunState::Run
         && let Some(connection) = exchange.connection
     {
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::BootInstant,
     edge::{
-        codec::{ForwardParams, RunState, StreamBeginning},
+        codec::{ForwardParams, NamedRequest, ResponseHead, RunState, StreamBeginning},
         deployment::Route,
         registration::Registration,
     },
@@ -235,6 +235,15 @@
         let status = response.status();
         let codec = &self.entry.codec;
         let head = codec.response_head(&self.head.id, status, response.headers());
+        let reused = connection.as_ref().is_some_and(Connection::is_reused);
+        if !belongs_to_request(&head, connection.as_ref()) {
+            info!(
+                request = &*self.head.id, upstream = &*upstream.id, status = status.as_u16(), named:? = head.request, run:? = head.run,
+                reused = reused;
+                "routing: response to another request"
+            );
+            return AttemptOutcome::Uncertain(None);
+        }
         // A misdirected request may have reached another process at the address.
         if head.run != RunState::Misdirected {
             self.entry
@@ -247,7 +256,8 @@
         if head.run != RunState::Run {
             let misdirected = head.run == RunState::Misdirected;
             info!(
-                request = &*self.head.id, upstream = &*upstream.id, status = status.as_u16(), misdirected = misdirected;
+                request = &*self.head.id, upstream = &*upstream.id, status = status.as_u16(), misdirected = misdirected,
+                named:? = head.request, reused = reused;
                 "routing: not run by the upstream"
             );
             if misdirected {
@@ -255,11 +265,6 @@
             }
             return AttemptOutcome::NotRun;
         }
-        if !head.id_matches {
-            let reused = connection.as_ref().is_some_and(Connection::is_reused);
-            info!(request = &*self.head.id, upstream = &*upstream.id, reused = reused; "routing: response to another request");
-            return AttemptOutcome::Uncertain(None);
-        }
         lock(&self.entry.outliers).record_success(&upstream.id);
         let keep_alive = pool::keep_alive_time(response.headers());
         remove_hop_by_hop_headers(response.headers_mut());
@@ -343,6 +348,20 @@
     }
 }
 
+/// Returns whether a response is that to the request, so that anything else it says may be believed.
+///
+/// A refusal may lack an identifier. On a connection that carried an earlier request it could be a response to that one, and
+/// whether another entry's connection did is not known.
+fn belongs_to_request(head: &ResponseHead, connection: Option<&Connection>) -> bool {
+    match head.request {
+        NamedRequest::This => true,
+        NamedRequest::Other => false,
+        NamedRequest::Unnamed => {
+            head.run != RunState::Run && connection.is_some_and(|c| !c.is_reused())
+        }
+    }
+}
+
 /// Returns the engine priority of a route's requests.
 fn engine_priority(route: &Route) -> u8 {
     HIGHEST_PRIORITY
