fix: a kept connection on which bytes wait carries no further request

A late response of a faulty upstream was read as the response to the next request that was sent on the connection, and a request that was sent on a connection which the upstream had closed counted as one that may have run.

Cause: hyper reads an idle connection before it writes a request, and gives it up with the request unsent if anything waits. But the runtime's stream finds nothing to read until the runtime has polled for events, so that bytes can wait unseen while the request is written behind them.

Client connections now have a stream whose read asks the system where the runtime knows of nothing. So hyper's own check sees what has arrived by the moment of the write, and the pool or the client sends the request on another connection. It costs a further read call wherever one finds nothing; what that takes was not measured. What arrives after the write is told by the request that it names.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,6 +1,9 @@
 //! HTTP client for requests to the platform and to upstreams.
 
+use crate::direct_stream::DirectStream;
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -11,6 +14,7 @@
     fmt::{Display, Formatter},
     io,
     net::{IpAddr, SocketAddr},
+    task::{Context, Poll},
     time::Duration,
 };
 use tokio::net::TcpStream;
@@ -32,13 +36,32 @@
 pub const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// Connector for TCP connections.
-pub type Connector = HttpConnector;
+#[derive(Clone, Debug)]
+pub struct Connector(HttpConnector);
+
+impl Service<Uri> for Connector {
+    type Response = TokioIo<DirectStream>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, req: Uri) -> Self::Future {
+        let connecting = self.0.call(req);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(TokioIo::new(DirectStream::new(stream)))
+        })
+    }
+}
 
 /// Buffered body of a request.
 pub type FullBody = Full<Bytes>;
 
 /// A pooled HTTP/1.1 client.
-pub type HttpClient = Client<HttpConnector, FullBody>;
+pub type HttpClient = Client<Connector, FullBody>;
 
 /// Builds a client whose connections fail fast when the network is down.
 pub fn build() -> HttpClient {
@@ -60,7 +83,7 @@
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_tcp_user_timeout(Some(user_timeout));
-    connector
+    Connector(connector)
 }
 
 /// Connects to `address`.
@@ -70,8 +93,8 @@
 pub async fn connect(
     connector: &Connector,
     address: SocketAddr,
-) -> Result<TokioIo<TcpStream>, CallError> {
-    let uri = http::Uri::builder()
+) -> Result<TokioIo<DirectStream>, CallError> {
+    let uri = Uri::builder()
         .scheme("http")
         .authority(address.to_string())
         .path_and_query("/")
@@ -144,7 +167,7 @@
     /// HTTP status.
     pub status: u16,
     /// Headers.
-    pub headers: http::HeaderMap,
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod decide;
 pub mod declarations;
 pub mod digest;
+pub mod direct_stream;
 pub mod discovery;
 pub mod dispatch_server;
 pub mod dispatcher;
