fix: a response to a request is not the answer to an order

A refusal of a request, written where the answer to an order was expected, was believed: 429 as an invalid order (by reading, 400 too, and 421 as another process at the address), which ends the order though the engine may carry it out. The connection went on being used, so the order's own answer, coming later, was read as the answer to the next order, which then counted as in effect before the engine had answered it.

Cause: the client looked at the status alone. An answer to an order or a report names no request, as neither carries an identifier; a response to a caller's request does. Such a response now leaves the order's outcome unknown and a report unread, and the connection is not used again. A late answer to an earlier order can't be told apart from the order's own, except that a connection on which it waits is not used.

Reports share the check; no test has them.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{
+        Client,
+        connect::{HttpConnector, capture_connection},
+    },
     rt::{TokioExecutor, TokioIo},
 };
 use serde::{Deserialize, Serialize};
@@ -198,9 +201,30 @@
     request: http::Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<BufferedResponse, CallError> {
+    call_if(client, request, limit, |_head| true).await
+}
+
+/// Like [`call`], for a request whose response can be told by its headers: `belongs` returns whether they are those of a
+/// response to it. If not, the connection is not used again.
+///
+/// # Errors
+/// See [`CallError`]; [`CallError::Unknown`] also if the response belongs to something else.
+pub async fn call_if(
+    client: &HttpClient,
+    mut request: http::Request<Full<Bytes>>,
+    limit: Duration,
+    belongs: impl FnOnce(&HeaderMap) -> bool,
+) -> Result<BufferedResponse, CallError> {
+    let connection = capture_connection(&mut request);
     let exchange = async {
         let response = send(client, request).await?;
         let (head, body) = response.into_parts();
+        if !belongs(&head.headers) {
+            if let Some(connected) = &*connection.connection_metadata() {
+                connected.poison();
+            }
+            return Err(CallError::Unknown);
+        }
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|_e| CallError::Unknown)?.to_bytes();
         Ok(BufferedResponse {
