fix: a response that is no event stream is joined to a stream

Callers saw: a stream broke off, the entry resumed it, and the bytes of any 2xx that named the request came next: a response without an upstream's signature, with status 206, a web page, an encoded body, or a 204, after which the stream ended as if it were complete.

Cause: `Relay::resume` took each success whose ID fits. The caller has the head of the first response, so nothing of the second head shows.

Fix: a resumed stream goes on only with a signed 200 whose content type, if it names one, is that of event streams, and whose body is not encoded. Any other response counts as an attempt that brought nothing, with a log line.

--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -128,6 +128,9 @@
     /// Decodes a response head; `id` is the identifier of the request.
     fn response_head(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
+    /// Returns whether a response has the signature of an upstream.
+    fn is_signed(&self, headers: &HeaderMap) -> bool;
+
     /// Decodes an upstream's registration.
     ///
     /// # Errors
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
-use http::{Response, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, StreamBody};
 use log::{info, warn};
@@ -26,6 +26,9 @@
 /// Largest number of attempts for one stream, whatever the route allows.
 const MAX_STREAM_ATTEMPTS: u32 = 4;
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// State of a response body that is being relayed.
 struct Relay {
     request: ProxyRequest,
@@ -312,6 +315,23 @@
         );
     }
 
+    /// Returns whether a response to a resumed stream is a run's unencoded event stream, by its head.
+    fn continues_stream(&self, received: &UpstreamResponse) -> bool {
+        let (status, headers) = (received.response.status(), received.response.headers());
+        let is_signed = self.request.entry.codec.is_signed(headers);
+        let continues = status == StatusCode::OK
+            && is_signed
+            && is_event_stream(headers)
+            && !headers.contains_key(header::CONTENT_ENCODING);
+        if !continues {
+            info!(
+                request = &*self.request.head.id, upstream = &*received.source.upstream.id, status = status.as_u16(), signed = is_signed;
+                "routing: response does not continue the stream"
+            );
+        }
+        continues
+    }
+
     /// Resumes the stream at another upstream after its last complete event; false if that is not possible.
     async fn resume(&mut self, mut check: Option<CrashCheck>) -> bool {
         let max_attempts = self.request.route.attempts.min(MAX_STREAM_ATTEMPTS);
@@ -341,7 +361,7 @@
                 "routing: stream resumed"
             );
             match self.request.attempt(&placement, last, prefill_time).await {
-                AttemptOutcome::Response(received) if received.response.status().is_success() => {
+                AttemptOutcome::Response(received) if self.continues_stream(&received) => {
                     if let Some(events) = &mut self.events {
                         events.discard_partial();
                     }
@@ -360,6 +380,16 @@
     }
 }
 
+/// Returns whether a response with these headers may be an event stream.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else {
+        return true;
+    };
+    let value = value.as_bytes();
+    let media_type = value.split(|b| *b == b';').next().unwrap_or_default();
+    media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         let outcome = if self.source.is_some() {
