fix: events that do not continue a stream are joined to it

Callers saw: in the middle of a stream, after a resume by the entry or by themselves, events that started over, were left out, came twice or went backwards, events without IDs or with other ones, and the text or the whole head of a failed response. The stream then ended as complete.

Cause: the entry asked for the events after the last one, but never looked whether these came; any text that ends in a blank line was an event.

Fix: the event buffer knows after which event the stream stands. In a response that continues another one, each event must have the ID that follows the last, and the first event of all 0 or 1. What comes before a wrong event is passed on; the response then counts as broken, so that the stream is resumed elsewhere or ends broken. A first response is passed on as its upstream wrote it, as are streams that may not be resumed.

--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -151,6 +151,12 @@
 impl Relay {
     async fn next(&mut self) -> RelayStep {
         loop {
+            if let Some(Err(fault)) = self.events.as_ref().map(EventBuffer::check) {
+                if !self.recover(Break::new(fault.as_str())).await {
+                    return self.fail(fault.as_str());
+                }
+                continue;
+            }
             let Some(body) = self.body.as_mut() else {
                 return self.finish();
             };
@@ -212,7 +218,7 @@
         match &mut self.events {
             Some(events) => events
                 .push(data)
-                .map_err(|_e| Break::new("event too large")),
+                .map_err(|fault| Break::new(fault.as_str())),
             None => Ok(Some(data)),
         }
     }
@@ -363,7 +369,7 @@
             match self.request.attempt(&placement, last, prefill_time).await {
                 AttemptOutcome::Response(received) if self.continues_stream(&received) => {
                     if let Some(events) = &mut self.events {
-                        events.discard_partial();
+                        events.resume();
                     }
                     self.framing = received.framing;
                     self.body = Some(received.response.into_body());
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -20,6 +20,53 @@
     blank_lines_between_events: "\n\nid: 1\ndata: a\n\n\n", 18, Some(1);
 }
 
+macro_rules! resumed_cases {
+    ($($name:ident: $last:expr, $stream:literal, $passed:literal;)*) => {
+        $(#[test]
+        fn $name() { assert_resumed($last, $stream, $passed); })*
+    };
+}
+
+resumed_cases! {
+    the_next_events: Some(5), "id: 6\ndata: a\n\nid: 7\ndata: b\n\n", 30;
+    the_first_events: None, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 30;
+    the_first_events_from_zero: None, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", 30;
+    comments_and_other_fields: Some(5), ": c\n\nversion: 3\nid: 6\ndata: a\n\n", 31;
+    events_from_the_beginning: Some(5), "id: 1\ndata: a\n\n", 0;
+    the_first_event_is_left_out: None, "id: 2\ndata: a\n\n", 0;
+    an_event_is_left_out: Some(5), "id: 7\ndata: a\n\n", 0;
+    a_later_event_is_left_out: Some(5), "id: 6\ndata: a\n\nid: 8\ndata: b\n\n", 15;
+    the_last_event_again: Some(5), "id: 5\ndata: a\n\nid: 6\ndata: b\n\n", 0;
+    an_event_twice: Some(5), "id: 6\ndata: a\n\nid: 6\ndata: a\n\n", 15;
+    events_go_backwards: Some(5), "id: 6\ndata: a\n\nid: 5\ndata: b\n\n", 15;
+    ids_that_are_no_numbers: Some(5), "id: x6\ndata: a\n\n", 0;
+    no_id: Some(5), "data: a\n\nid: 6\ndata: b\n\n", 0;
+    no_id_in_a_later_event: Some(5), "id: 6\ndata: a\n\ndata: b\n\n", 15;
+    a_failed_response: Some(5), "HTTP/1.1 500 Failed\r\n\r\nfailed\n\n", 0;
+    a_failed_response_after_an_event: Some(5), "id: 6\ndata: a\n\nHTTP/1.1 500 Failed\r\n\r\n", 15;
+    no_event_follows_the_largest_id: Some(u64::MAX), "id: 0\ndata: a\n\n", 0;
+}
+
+/// Checks, for every size of the received pieces, that the first `passed` bytes of `stream` are passed on to a caller who has
+/// got the events up to `last`, and no others.
+fn assert_resumed(last: Option<u64>, stream: &str, passed: usize) {
+    for size in 1..=stream.len() {
+        let mut buffer = EventBuffer::new(Buffering::CompleteEvents, last);
+        buffer.resume();
+        let mut events = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            let Ok(some) = buffer.push(Bytes::copy_from_slice(piece)) else {
+                break;
+            };
+            events.extend(some.unwrap_or_default());
+        }
+        assert_eq!(events, &stream.as_bytes()[..passed], "size {size}");
+        let is_whole = passed == stream.len();
+        assert_eq!(buffer.is_inside_event(), !is_whole, "size {size}");
+        assert_eq!(buffer.check().is_ok(), is_whole, "size {size}");
+    }
+}
+
 /// Checks, for every size of the received pieces, that the first `complete` bytes of `stream` are its complete events.
 fn assert_split(stream: &str, complete: usize, last: Option<u64>) {
     for size in 1..=stream.len().max(1) {
@@ -52,7 +99,7 @@
     let first = push(&mut buffer, "id: 1\ndata: a\n\nid: 2\nda");
     assert_eq!(*first, *b"id: 1\ndata: a\n\n");
     assert_eq!(buffer.last_event_id(), Some(1));
-    buffer.discard_partial();
+    buffer.resume();
     assert!(!buffer.is_inside_event());
     let second = push(&mut buffer, "id: 2\ndata: b\n\n");
     assert_eq!(*second, *b"id: 2\ndata: b\n\n");
