fix: an empty response to a resumed stream looks like its end

Callers saw: a stream broke off, the next upstream answered 200 with a length of 0 or with no chunks, and the stream ended as complete.

Cause: whether a body without events is whole was only asked of bodies that end with their connection.

Fix: a response that the entry itself has asked to continue a stream is cut short if it brings no event. Nothing says that the last event has come, so the stream is resumed elsewhere or ends broken. What a caller gets that resumes a stream by itself is the upstream's own word and stays unchanged.

--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -205,12 +205,13 @@
     }
 
     /// Returns whether a stream whose body has ended regularly is incomplete all the same: inside an event, or before the
-    /// upstream's first one if only the end of the connection ends the body.
+    /// upstream's first one if it had to continue the stream, or if only the end of the connection ends the body.
     fn is_cut_short(&self) -> bool {
         let Some(events) = &self.events else {
             return false;
         };
-        events.is_inside_event() || (self.framing == Framing::Close && !events.has_events())
+        let must_have_events = self.resumes > 0 || self.framing == Framing::Close;
+        events.is_inside_event() || (must_have_events && !events.has_events())
     }
 
     /// Returns only complete events of a resumable stream, and buffers the rest; other bodies are not buffered.
