--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
-use http::{Response, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, StreamBody};
 use log::{info, warn};
@@ -28,6 +28,9 @@
 /// Largest number of attempts for one stream, whatever the route allows.
 const MAX_STREAM_ATTEMPTS: u32 = 4;
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// State of a response body that is being relayed.
 struct Relay {
     request: ProxyRequest,
@@ -150,6 +153,12 @@
 impl Relay {
     async fn next(&mut self) -> RelayStep {
         loop {
+            if let Some(Err(fault)) = self.events.as_ref().map(EventBuffer::check) {
+                if !self.recover(Break::new(fault.as_str())).await {
+                    return self.fail(fault.as_str());
+                }
+                continue;
+            }
             let Some(body) = self.body.as_mut() else {
                 return self.finish();
             };
@@ -194,16 +203,21 @@
             self.request
                 .record_broken_connection(&s.upstream, broken.problem, ran, broken.listener)
         });
+        if !self.events.as_ref().is_none_or(EventBuffer::can_resume) {
+            info!(request = &*self.request.head.id; "routing: events without increasing IDs, stream not resumed");
+            return false;
+        }
         self.resume(check).await
     }
 
     /// Returns whether a stream whose body has ended regularly is incomplete all the same: inside an event, or before the
-    /// upstream's first one if only the end of the connection ends the body.
+    /// upstream's first one if it had to continue the stream, or if only the end of the connection ends the body.
     fn is_cut_short(&self) -> bool {
         let Some(events) = &self.events else {
             return false;
         };
-        events.is_inside_event() || (self.framing == Framing::Close && !events.has_events())
+        let must_have_events = self.resumes > 0 || self.framing == Framing::Close;
+        events.is_inside_event() || (must_have_events && !events.has_events())
     }
 
     /// Returns only complete events of a resumable stream, and buffers the rest; other bodies are not buffered.
@@ -211,7 +225,7 @@
         match &mut self.events {
             Some(events) => events
                 .push(data)
-                .map_err(|_e| Break::new("event too large")),
+                .map_err(|fault| Break::new(fault.as_str())),
             None => Ok(Some(data)),
         }
     }
@@ -331,6 +345,23 @@
         );
     }
 
+    /// Returns whether a response to a resumed stream is a run's unencoded event stream, by its head.
+    fn continues_stream(&self, received: &UpstreamResponse) -> bool {
+        let (status, headers) = (received.response.status(), received.response.headers());
+        let is_signed = self.request.entry.codec.is_signed(headers);
+        let continues = status == StatusCode::OK
+            && is_signed
+            && is_event_stream(headers)
+            && !headers.contains_key(header::CONTENT_ENCODING);
+        if !continues {
+            info!(
+                request = &*self.request.head.id, upstream = &*received.source.upstream.id, status = status.as_u16(), signed = is_signed;
+                "routing: response does not continue the stream"
+            );
+        }
+        continues
+    }
+
     /// Resumes the stream at another upstream after its last complete event; false if that is not possible.
     async fn resume(&mut self, mut check: Option<CrashCheck>) -> bool {
         let max_attempts = self.request.route.attempts.min(MAX_STREAM_ATTEMPTS);
@@ -360,9 +391,9 @@
                 "routing: stream resumed"
             );
             match self.request.attempt(&placement, last, prefill_time).await {
-                AttemptOutcome::Response(received) if received.response.status().is_success() => {
+                AttemptOutcome::Response(received) if self.continues_stream(&received) => {
                     if let Some(events) = &mut self.events {
-                        events.discard_partial();
+                        events.resume();
                     }
                     self.framing = received.framing;
                     self.body = Some(received.response.into_body());
@@ -379,6 +410,16 @@
     }
 }
 
+/// Returns whether a response with these headers may be an event stream.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else {
+        return true;
+    };
+    let value = value.as_bytes();
+    let media_type = value.split(|b| *b == b';').next().unwrap_or_default();
+    media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         let shutdown = self.request.entry.shutdown();
