fix: one odd object in the store hides no other

What callers saw: another writer left one registration among those of the runners that was nested 200 deep, had a number 1e999, bytes that aren't UTF-8, or half a surrogate. From then on entries followed nothing of that kind: they went on sending to upstreams that were gone, never sent to new ones, and an entry that started knew none and refused everything. The same held for configuration, versions, members and holders, each in their own list.

Cause: each response of the store was parsed as one JSON value, so that one object that the parser rejects made the whole response malformed. Follow calls treat that as a lost store, list again, and fail again for as long as the object is there. A name that can't be read was dropped without a trace, so that an upstream whose object lost its name stayed.

An object keeps its name and revision also where its content can't be parsed, which drops a sound predecessor of that name at once; a change without a readable name leads to a new listing.

An object is logged once until it is usable or gone, at most one line for each read, and counted in carobfield_unusable_objects.

--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -1,5 +1,7 @@
 //! Interface to the platform's object store.
 
+use crate::edge::codec::DecodeError;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::{
     fmt::{Display, Formatter},
@@ -23,6 +25,20 @@
     Streams,
 }
 
+impl ObjectKind {
+    /// Returns its metrics label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Upstreams => "upstreams",
+            Self::Configuration => "configuration",
+            Self::Versions => "versions",
+            Self::Members => "members",
+            Self::Holders => "holders",
+            Self::Streams => "streams",
+        }
+    }
+}
+
 /// An object whose content is not decoded yet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Object {
@@ -30,8 +46,19 @@
     pub name: String,
     /// Store revision of its last change.
     pub revision: u64,
-    /// Content; `Null` if it is missing.
-    pub content: Value,
+    /// Content, `Null` if it is missing, or why it can't be parsed.
+    pub content: Result<Value, DecodeError>,
+}
+
+impl Object {
+    /// Decodes a record that an entry wrote.
+    ///
+    /// # Errors
+    /// The content can't be parsed, or is no such record.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, DecodeError> {
+        let content = self.content.as_ref().map_err(Clone::clone)?;
+        T::deserialize(content).map_err(|e| DecodeError(vec![e.to_string()]))
+    }
 }
 
 /// All objects of a kind at one store revision.
@@ -39,6 +66,8 @@
 pub struct Listing {
     /// Objects by name.
     pub objects: Vec<Object>,
+    /// Number of objects left out because their names can't be read.
+    pub unnamed: usize,
     /// Revision from which to watch for further changes.
     pub revision: u64,
 }
@@ -57,6 +86,8 @@
 pub struct Changes {
     /// Changes in order.
     pub changes: Vec<Change>,
+    /// Number of changes left out because the names of their objects can't be read; a listing shows their effect.
+    pub unnamed: usize,
     /// Revision from which to watch for further changes.
     pub revision: u64,
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -5,9 +5,9 @@
     decide::registry::RegistryChange,
     edge::{
         registration::Registration,
-        store::{Change, Listing, Object, ObjectKind, Store, StoreError},
+        store::{Change, Changes, Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::{context::Entry, controller_handle::Command},
+    entry::{context::Entry, controller_handle::Command, unusable::UnusableObjects},
     holding::lock,
     supervisor::ChildError,
 };
@@ -40,6 +40,7 @@
     entry: Arc<Entry>,
     store: S,
     kind: ObjectKind,
+    unusable: UnusableObjects,
     /// Whether the last call failed.
     is_store_down: bool,
     /// Whether a listing was ever read.
@@ -61,6 +62,7 @@
         entry,
         store,
         kind,
+        unusable: UnusableObjects::new(kind),
         is_store_down: false,
         has_listed: false,
         backoff: FIRST_BACKOFF,
@@ -117,11 +119,12 @@
                 Ok(changes) => {
                     self.call_succeeded();
                     revision = changes.revision;
-                    for change in &changes.changes {
-                        self.apply_change(change);
+                    self.apply_changes(&changes);
+                    if changes.unnamed > 0 {
+                        // Any object may have changed.
+                        tokio::time::sleep(BATCH_DELAY).await;
+                        return;
                     }
-                    self.expire_registrations();
-                    self.confirm_builds();
                 }
                 Err(StoreError::RevisionExpired) => {
                     info!(kind:? = self.kind, revision = revision; "the store has dropped the history of this revision; listing again");
@@ -161,9 +164,10 @@
         }
     }
 
-    fn apply_listing(&self, listing: &Listing) {
+    fn apply_listing(&mut self, listing: &Listing) {
+        let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
+        self.unusable.retain(&present);
         if self.kind == ObjectKind::Upstreams {
-            let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
             let gone = lock(&self.entry.registry).apply_listing(&present, BootInstant::now());
             for id in gone {
                 self.entry.forget_upstream(&id, "missing from the listing");
@@ -172,6 +176,18 @@
         for object in &listing.objects {
             self.apply_object(object);
         }
+        self.unusable.insert_unnamed(listing.unnamed);
+        self.unusable.report();
+        self.expire_registrations();
+        self.confirm_builds();
+    }
+
+    fn apply_changes(&mut self, changes: &Changes) {
+        for change in &changes.changes {
+            self.apply_change(change);
+        }
+        self.unusable.insert_unnamed(changes.unnamed);
+        self.unusable.report();
         self.expire_registrations();
         self.confirm_builds();
     }
@@ -183,10 +199,13 @@
         }
     }
 
-    fn apply_change(&self, change: &Change) {
+    fn apply_change(&mut self, change: &Change) {
         if !change.removed {
             self.apply_object(&change.object);
-        } else if self.kind == ObjectKind::Upstreams {
+            return;
+        }
+        self.unusable.remove(&change.object.name);
+        if self.kind == ObjectKind::Upstreams {
             let id = &change.object.name;
             match lock(&self.entry.registry).unregister(id, BootInstant::now()) {
                 RegistryChange::Removed => self.entry.forget_upstream(id, "registration removed"),
@@ -198,7 +217,7 @@
         }
     }
 
-    fn apply_object(&self, object: &Object) {
+    fn apply_object(&mut self, object: &Object) {
         let codec = &self.entry.codec;
         let read = match self.kind {
             ObjectKind::Upstreams => codec.registration(object).map(|r| {
@@ -220,10 +239,13 @@
             }),
             ObjectKind::Members | ObjectKind::Holders | ObjectKind::Streams => Ok(()),
         };
-        if let Err(e) = read {
-            warn!(kind:? = self.kind, name = object.name, findings:% = e; "an object can't be used");
-            if self.kind == ObjectKind::Upstreams {
-                self.discard_unreadable(&object.name);
+        match read {
+            Ok(()) => self.unusable.remove(&object.name),
+            Err(e) => {
+                self.unusable.insert(&object.name, &e);
+                if self.kind == ObjectKind::Upstreams {
+                    self.discard_unreadable(&object.name);
+                }
             }
         }
     }
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -371,7 +371,7 @@
 
 /// Parses a record that an entry wrote.
 fn read_record<T: serde::de::DeserializeOwned>(kind: ObjectKind, object: &Object) -> Option<T> {
-    match T::deserialize(&object.content) {
+    match object.decode() {
         Ok(record) => Some(record),
         Err(e) => {
             warn!(kind:? = kind, name = object.name, error:% = e; "a record can't be read");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,5 +23,6 @@
 pub mod run;
 pub mod send_log;
 pub mod stored_streams;
+pub mod unusable;
 pub mod update;
 pub mod usage;
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -10,7 +10,6 @@
     supervisor::ChildError,
 };
 use log::{info, warn};
-use serde::Deserialize;
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
 use tokio_util::sync::CancellationToken;
@@ -113,9 +112,12 @@
 
     /// Takes over the orders that got no response in an earlier process of this VM, and the requests that it refused.
     fn inherit(&mut self, object: &Object) {
-        let Ok(earlier) = MemberRecord::deserialize(&object.content) else {
-            warn!("the member record of an earlier process can't be parsed");
-            return;
+        let earlier: MemberRecord = match object.decode() {
+            Ok(earlier) => earlier,
+            Err(e) => {
+                warn!(error:% = e; "the member record of an earlier process can't be parsed");
+                return;
+            }
         };
         if earlier.incarnation != self.entry.incarnation {
             lock(&self.entry.late_orders).inherit(&earlier.late, BootInstant::now());
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -7,6 +7,7 @@
     clock::{self, BootInstant},
     decide::stream_record::{CAPACITY, StreamRecord},
     edge::{
+        codec::DecodeError,
         registration::Build,
         store::{Object, ObjectKind, Store, StoreError},
     },
@@ -109,16 +110,21 @@
 fn parse_records(objects: &[Object]) -> HashMap<StreamId, Build> {
     let mut known = HashMap::new();
     for object in objects {
-        match StreamRecord::decode(&object.content) {
+        match read_record(object) {
             Ok(record) => known.extend(record.streams().map(|(s, b)| (s, b.clone()))),
             Err(e) => {
-                warn!(name = object.name, error = e; "a record of begun streams can't be parsed");
+                warn!(name = object.name, error:% = e; "a record of begun streams can't be parsed");
             }
         }
     }
     known
 }
 
+fn read_record(object: &Object) -> Result<StreamRecord, DecodeError> {
+    let content = object.content.as_ref().map_err(Clone::clone)?;
+    StreamRecord::decode(content).map_err(|e| DecodeError(vec![e]))
+}
+
 /// Writer of this entry's records.
 struct RecordWriter<S> {
     entry: Arc<Entry>,
@@ -209,7 +215,7 @@
             match self.store.create(kind, &name, &self.record.encode()).await {
                 Err(StoreError::Conflict(Some(stored))) => {
                     // An earlier process of this VM may have written it within the same period.
-                    if let Ok(stored) = StreamRecord::decode(&stored.content) {
+                    if let Ok(stored) = read_record(&stored) {
                         self.record.merge(&stored);
                     }
                     self.revision = Some(stored.revision);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -20,6 +20,7 @@
     detours: Counter<u64>,
     dropped_log_lines: Counter<u64>,
     dropped_streams: Counter<u64>,
+    unusable_objects: Counter<u64>,
     requests: Counter<u64>,
     first_chunks: Histogram<f64>,
     control_bytes: Counter<u64>,
@@ -53,6 +54,7 @@
             object_api_calls: meter.u64_counter("carobfield_object_api_calls").build(),
             dropped_log_lines: meter.u64_counter("carobfield_dropped_log_lines").build(),
             dropped_streams: meter.u64_counter("carobfield_dropped_streams").build(),
+            unusable_objects: meter.u64_counter("carobfield_unusable_objects").build(),
             upstream_connections: meter.u64_counter("carobfield_upstream_connections").build(),
             detours: meter.u64_counter("carobfield_detours").build(),
             requests: meter.u64_counter("carobfield_requests").build(),
@@ -118,6 +120,13 @@
     INSTRUMENTS.dropped_streams.add(count, &[]);
 }
 
+/// Counts objects in the store that were found to be unusable.
+pub fn unusable_objects(kind: &'static str, count: u64) {
+    INSTRUMENTS
+        .unusable_objects
+        .add(count, &[KeyValue::new("kind", kind)]);
+}
+
 /// Counts a request by the kind of its route (how it may be repeated) and by its outcome.
 pub fn request(kind: &'static str, outcome: &'static str) {
     let labels = [
