fix: a spoiled holder record leaves its engine without a holder

What callers saw: after another writer had spoiled the record that says which entry holds an engine, nobody sent the engine orders any more: requests for adapters that it had not loaded were refused for good.

Cause: an unreadable record counted as a missing one. Its holder dropped the engine, and the entry that is next in line tried to create a record that exists, took the conflict for another entry's takeover, and tried the same at each read.

Fix: the holder restores its record, with a write on the condition of the spoiled revision, if its lease had no gap since it last read the records, so that nobody else can have taken the engine over. Where no entry does so for 30 s, and no live peer says that it holds the engine, one takes it over as from an unknown holder: its generation is above the object's revision, which no earlier generation exceeds as each takeover is a write; it waits as after another VM, and inherits the late orders of all entries.

Unreadable members, holders and stream records are now logged and counted as other unusable objects are, not at each read.

--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -11,7 +11,7 @@
         registration::Registration,
         store::{Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::{context::Entry, controller},
+    entry::{context::Entry, controller, unusable::UnusableObjects},
     holding::lock,
     ident::UpstreamId,
     lease::{LeaseObserver, Renewal},
@@ -20,7 +20,11 @@
 };
 use log::{debug, info, warn};
 use serde_json::json;
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 use tokio_util::sync::CancellationToken;
 
 /// Interval between polls while an engine has no live holder; well under the observer's longest gap between reads.
@@ -45,6 +49,13 @@
 /// Another VM would have to wait longer before its first order (see `takeover`).
 const RESTART_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which a record must have been unreadable before another entry takes the engine over: a holder that lives
+/// restores its record at its next poll, and the leases of others have ended by then.
+const ABANDONED_AFTER: Duration = Duration::from_secs(30);
+
+/// Holder of an engine whose record can't be read; no entry has this name.
+const UNKNOWN_HOLDER: &str = "";
+
 /// Engines that a poll covers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Scope {
@@ -60,6 +71,10 @@
     store: S,
     orders: O,
     observer: LeaseObserver,
+    unusable_members: UnusableObjects,
+    unusable_holders: UnusableObjects,
+    /// Engines whose records can't be read, and since when.
+    unreadable: HashMap<UpstreamId, BootInstant>,
     members: HashMap<Arc<str>, MemberRecord>,
     /// Processes that sent their last order, and when this entry first read so.
     stopped: HashMap<(Arc<str>, u64), BootInstant>,
@@ -85,6 +100,9 @@
         store,
         orders,
         observer: LeaseObserver::new(TIMING),
+        unusable_members: UnusableObjects::new(ObjectKind::Members),
+        unusable_holders: UnusableObjects::new(ObjectKind::Holders),
+        unreadable: HashMap::new(),
         members: HashMap::new(),
         stopped: HashMap::new(),
         claimed: HashMap::new(),
@@ -167,11 +185,21 @@
         let holders_sent = BootInstant::now();
         let holders = self.store.list(ObjectKind::Holders).await?;
         let mut records: HashMap<UpstreamId, StoredRecord> = HashMap::new();
-        for object in &holders.objects {
-            if let Some(record) = read_record::<HolderRecord>(ObjectKind::Holders, object) {
-                records.insert(Arc::from(object.name.as_str()), (record, object.revision));
+        let mut unreadable = Vec::new();
+        for (object, record) in read_records(&mut self.unusable_holders, &holders) {
+            match record {
+                Some(record) => {
+                    records.insert(Arc::from(object.name.as_str()), (record, object.revision));
+                }
+                None => unreadable.push(object),
             }
         }
+        for object in &unreadable {
+            let record = self.replace_unreadable(object).await;
+            records.insert(Arc::from(object.name.as_str()), record);
+        }
+        let names: HashSet<&str> = unreadable.iter().map(|o| o.name.as_str()).collect();
+        self.unreadable.retain(|id, _| names.contains(&**id));
         self.drop_lost_controllers(&records);
         lock(&self.entry.order_lease).confirmed(holders_sent);
         if self.entry.may_send_orders() && !self.entry.is_leaving() {
@@ -185,11 +213,50 @@
         Ok(())
     }
 
+    /// Restores the record of an engine if this entry certainly still holds it. Otherwise returns a record of an unknown
+    /// holder. Each takeover is a write, so that no generation so far exceeds the object's revision.
+    async fn replace_unreadable(&mut self, object: &Object) -> StoredRecord {
+        let id: UpstreamId = Arc::from(object.name.as_str());
+        self.unreadable
+            .entry(Arc::clone(&id))
+            .or_insert_with(BootInstant::now);
+        let unknown = HolderRecord {
+            holder: Arc::from(UNKNOWN_HOLDER),
+            incarnation: 0,
+            generation: object.revision,
+        };
+        let generation = lock(&self.entry.controllers).get(&id).map(|c| c.generation);
+        // With a lease without gap since the last read, nobody else can have taken the engine over.
+        let Some(generation) = generation.filter(|_| self.entry.may_send_orders()) else {
+            return (unknown, object.revision);
+        };
+        let own = HolderRecord {
+            holder: Arc::from(self.entry.config.id.as_str()),
+            incarnation: self.entry.incarnation,
+            generation,
+        };
+        let (revision, content) = (Some(object.revision), json!(own));
+        let written = self
+            .store
+            .replace(ObjectKind::Holders, &id, revision, &content)
+            .await;
+        match written {
+            Ok(restored) => {
+                info!(upstream = &*id, generation = generation; "placement: unreadable holder record restored");
+                (own, restored.revision)
+            }
+            Err(e) => {
+                warn!(upstream = &*id, error:% = e; "placement: an unreadable holder record was not restored");
+                (unknown, object.revision)
+            }
+        }
+    }
+
     fn observe_members(&mut self, listing: &Listing, sent: BootInstant) {
-        let records = listing.objects.iter().filter_map(|object| {
-            let record = read_record::<MemberRecord>(ObjectKind::Members, object)?;
-            Some((Arc::<str>::from(object.name.as_str()), record))
-        });
+        let records = read_records(&mut self.unusable_members, listing);
+        let records = records
+            .into_iter()
+            .filter_map(|(object, record)| Some((Arc::<str>::from(object.name.as_str()), record?)));
         self.members = records.collect();
         for record in self.members.values() {
             self.entry.restore_refused(&record.refused);
@@ -255,7 +322,7 @@
 
     async fn step(&mut self, engine: &Arc<Registration>, held: Option<&StoredRecord>) {
         let record = held.map(|(record, _)| record);
-        let state = record.map_or(HolderState::Live, |r| self.state(r));
+        let state = record.map_or(HolderState::Live, |r| self.state(&engine.id, r));
         let own = OwnProcess {
             name: &self.entry.config.id,
             incarnation: self.entry.incarnation,
@@ -278,10 +345,20 @@
         }
     }
 
-    fn state(&self, record: &HolderRecord) -> HolderState {
+    fn state(&self, engine: &UpstreamId, record: &HolderRecord) -> HolderState {
+        let now = BootInstant::now();
+        if let Some(since) = self.unreadable.get(engine) {
+            let is_held = lock(&self.entry.peers)
+                .held_engine(engine, now)
+                .is_some_and(|h| h.is_live);
+            return if is_held || now.since(*since) < ABANDONED_AFTER {
+                HolderState::Live
+            } else {
+                HolderState::Ended
+            };
+        }
         let process = (Arc::clone(&record.holder), record.incarnation);
         let since = self.stopped.get(&process);
-        let now = BootInstant::now();
         let stopped = since.is_some_and(|since| now.since(*since) >= RESTART_GRACE);
         let expired = self.observer.is_expired(&record.holder, record.incarnation);
         if stopped || expired {
@@ -339,10 +416,17 @@
         }
     }
 
-    /// Takes over the orders that the earlier holder's record lists as without a response.
+    /// Takes over the orders that the earlier holder's record lists as without a response; those of all entries if the
+    /// earlier holder is unknown.
     fn inherit_late_orders(&self, earlier: Option<&HolderRecord>) {
-        if let Some(member) = earlier.and_then(|r| self.members.get(&r.holder)) {
-            lock(&self.entry.late_orders).inherit(&member.late, BootInstant::now());
+        let Some(earlier) = earlier else {
+            return;
+        };
+        let is_unknown = &*earlier.holder == UNKNOWN_HOLDER;
+        for (name, member) in &self.members {
+            if is_unknown || *name == earlier.holder {
+                lock(&self.entry.late_orders).inherit(&member.late, BootInstant::now());
+            }
         }
     }
 
@@ -369,13 +453,27 @@
     }
 }
 
-/// Parses a record that an entry wrote.
-fn read_record<T: serde::de::DeserializeOwned>(kind: ObjectKind, object: &Object) -> Option<T> {
-    match object.decode() {
-        Ok(record) => Some(record),
-        Err(e) => {
-            warn!(kind:? = kind, name = object.name, error:% = e; "a record can't be read");
-            None
+/// Decodes the records of a listing; `None` for each that can't be used.
+fn read_records<'a, T: serde::de::DeserializeOwned>(
+    unusable: &mut UnusableObjects,
+    listing: &'a Listing,
+) -> Vec<(&'a Object, Option<T>)> {
+    let present = listing.objects.iter().map(|o| o.name.as_str()).collect();
+    unusable.retain(&present);
+    let mut records = Vec::new();
+    for object in &listing.objects {
+        match object.decode() {
+            Ok(record) => {
+                unusable.remove(&object.name);
+                records.push((object, Some(record)));
+            }
+            Err(e) => {
+                unusable.insert(&object.name, &e);
+                records.push((object, None));
+            }
         }
     }
+    unusable.insert_unnamed(listing.unnamed);
+    unusable.report();
+    records
 }
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -9,9 +9,9 @@
     edge::{
         codec::DecodeError,
         registration::Build,
-        store::{Object, ObjectKind, Store, StoreError},
+        store::{Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::context::Entry,
+    entry::{context::Entry, unusable::UnusableObjects},
     holding::lock,
     ident::StreamId,
     metrics,
@@ -88,12 +88,13 @@
     stop: CancellationToken,
 ) -> Result<(), ChildError> {
     let mut wanted = entry.stored.wanted.subscribe();
+    let mut unusable = UnusableObjects::new(ObjectKind::Streams);
     let read = async {
         while wanted.changed().await.is_ok() {
             let number = *wanted.borrow_and_update();
             match store.list(ObjectKind::Streams).await {
                 Ok(listing) => {
-                    let known = parse_records(&listing.objects);
+                    let known = parse_records(&mut unusable, &listing);
                     info!(records = listing.objects.len(), streams = known.len(); "records of begun streams read");
                     *lock(&entry.stored.known) = known;
                 }
@@ -107,16 +108,21 @@
     Ok(())
 }
 
-fn parse_records(objects: &[Object]) -> HashMap<StreamId, Build> {
+fn parse_records(unusable: &mut UnusableObjects, listing: &Listing) -> HashMap<StreamId, Build> {
+    let present = listing.objects.iter().map(|o| o.name.as_str()).collect();
+    unusable.retain(&present);
     let mut known = HashMap::new();
-    for object in objects {
+    for object in &listing.objects {
         match read_record(object) {
-            Ok(record) => known.extend(record.streams().map(|(s, b)| (s, b.clone()))),
-            Err(e) => {
-                warn!(name = object.name, error:% = e; "a record of begun streams can't be parsed");
+            Ok(record) => {
+                unusable.remove(&object.name);
+                known.extend(record.streams().map(|(s, b)| (s, b.clone())));
             }
+            Err(e) => unusable.insert(&object.name, &e),
         }
     }
+    unusable.insert_unnamed(listing.unnamed);
+    unusable.report();
     known
 }
 
