fix: a part that ends all engines within a moment is sent by one entry at a time

Cause: crashes within 60 ms count as one, so that an outage of engines refuses nothing that ran beside it. Twelve crashes in 121 ms were two moments, a refusal needs three, and until the third one counts, nothing limited what was sent.

Fix: such a part is on probation. It has the crashes for a refusal, at too few moments; no engine has responded to it; and nearly all engines that ended at these moments ran it. One entry, by the order of the trials, sends one request with it. A response clears the part, a crash is one more moment. Later crashes of other engines don't end the probation, and a deeper part on probation explains the crashes to what else would be. Parts that were served before are left out: what all prompts share is in all crashes of an outage.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod claims;
 pub mod clock;
 pub mod configs;
+mod crash_limits;
+mod crash_times;
 pub mod ctl;
 pub mod decide;
 pub mod declarations;
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -7,12 +7,17 @@
 //! | requests of which no two are alike share a part that crashes each engine that begins to respond to it | the part is refused once three engines crashed at different moments under at least two requests with it and none has responded to it since |
 //! | the same with a part that was served before | after five crashes over 0.8 s |
 //! | many engines crash at once | they count as one crash; parts that other engines respond to are cleared within [`SETTLE_TIME`], before it counts |
+//! | a part that no engine has responded to crashes all engines at so few moments that an outage of theirs looks the same | it is on probation unless other engines crashed beside these: one entry at a time sends one request with it, whose response or crash decides |
 //! | sound requests are in flight beside such crashes | a crash that a refused part explains counts against nothing else |
 //! | a sound part is refused all the same | one entry tries it with one request after ten seconds, the next one five seconds later if the first got no such request; a response clears the part, a crash makes the next wait longer |
 
 use crate::{
     clock::{BootInstant, Moment},
-    ident::UpstreamId,
+    crash_limits::{
+        CRASH_GAP_MS, Limits, NEW_PART_LIMITS, PROBATION_LIMITS, PROVEN_PART_LIMITS,
+        REQUEST_LIMITS, SETTLE_TIME,
+    },
+    crash_times::{CrashTimes, Process},
     refused_subject::RefusedSubject,
     wire::{LostRun, Strike, StrikeEvent, Subject},
 };
@@ -37,14 +42,6 @@
 /// Refused subjects in one record in the store, to keep the record well below the size of a value there.
 const MAX_STORED: usize = 256;
 
-/// Time after which a crash counts against a part: all entries have heard of it by then, and those that get responses to
-/// the part have cleared it.
-const SETTLE_TIME: Duration = Duration::from_millis(200);
-
-/// Time between two crashes that shows that they have different causes: engines that end together, as with their rack, are
-/// one piece of evidence against a part.
-const CRASH_GAP_MS: u64 = 60;
-
 /// Time from the last crash under a refused part to the first trial.
 const FIRST_TRIAL_MS: u64 = 10_000;
 
@@ -57,6 +54,15 @@
 /// Time for which the outcome of a trial is awaited before the next one.
 const TRIAL_TIME: Duration = Duration::from_secs(5);
 
+/// Crashes under a part on probation for each one at the same moments that was not under it.
+const PROBATION_SHARE: usize = 8;
+
+/// Time from a crash under a part on probation to the next request with it: by then the crash counts at all entries.
+const PROBATION_GAP: Duration = Duration::from_millis(500);
+
+/// Time for which the outcome of a request with a part on probation is awaited before the next one.
+const PROBATION_TIME: Duration = Duration::from_secs(1);
+
 /// Time after which callers may return while the outcome of a trial is awaited.
 const TRIAL_RETRY: Duration = Duration::from_secs(1);
 
@@ -76,49 +82,6 @@
     Refuse,
 }
 
-/// Process of an upstream: its name, and the time at which it started.
-type Process = (UpstreamId, u64);
-
-/// Evidence that leads to a refusal.
-#[derive(Clone, Copy, Debug)]
-struct Limits {
-    /// Crashes of different processes, at different moments.
-    crashes: usize,
-    /// Time between two crashes that makes them two moments, in milliseconds.
-    gap_ms: u64,
-    /// Different requests among them.
-    requests: usize,
-    /// Time from the first to the last of them, in milliseconds.
-    spread_ms: u64,
-    /// Age from which a crash counts.
-    settle: Duration,
-}
-
-const REQUEST_LIMITS: Limits = Limits {
-    crashes: 2,
-    gap_ms: 0,
-    requests: 1,
-    spread_ms: 0,
-    settle: Duration::ZERO,
-};
-
-const NEW_PART_LIMITS: Limits = Limits {
-    crashes: 3,
-    gap_ms: CRASH_GAP_MS,
-    // One request that is resumed and sent again may crash three by itself.
-    requests: 2,
-    spread_ms: 0,
-    settle: SETTLE_TIME,
-};
-
-const PROVEN_PART_LIMITS: Limits = Limits {
-    crashes: 5,
-    gap_ms: CRASH_GAP_MS,
-    requests: 3,
-    spread_ms: 800,
-    settle: SETTLE_TIME,
-};
-
 /// A crash under a request with the subject.
 #[derive(Clone, Copy, Debug)]
 struct Loss {
@@ -128,14 +91,14 @@
     known: BootInstant,
 }
 
-/// The request that tries a refused part.
+/// The request that tries a part that is refused or on probation.
 #[derive(Clone, Copy, Debug)]
 struct Trial {
     ticket: u64,
     ends: BootInstant,
 }
 
-/// Whether a request tries a refused part.
+/// Whether a request tries a part that is refused or on probation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TrialState {
     /// It does not: another one does, or it is too early.
@@ -249,6 +212,28 @@
             && last.at_ms - first.at_ms >= limits.spread_ms
     }
 
+    /// Returns whether the part would be refused if its crashes were at enough moments.
+    fn is_doubtful(&self, subject: Subject, explained: &HashSet<&Process>, now: Moment) -> bool {
+        let is_new_part = matches!(subject, Subject::Part(_)) && !self.proven;
+        is_new_part && self.is_refused(PROBATION_LIMITS, explained, now)
+    }
+
+    /// Returns whether nearly all `crashes` at the moments of those under the subject are among them.
+    fn is_in_most(&self, crashes: &CrashTimes) -> bool {
+        let mut times: Vec<u64> = self.lost.values().map(|loss| loss.at_ms).collect();
+        times.sort_unstable();
+        let beside = crashes.beside(&times, CRASH_GAP_MS, |process| {
+            self.lost.contains_key(process)
+        });
+        beside * PROBATION_SHARE < self.lost.len()
+    }
+
+    /// Returns when a request with the part on probation may be sent.
+    fn probation_end(&self) -> Option<BootInstant> {
+        let last = self.lost.values().map(|loss| loss.known).max();
+        last.map(|at| at + PROBATION_GAP)
+    }
+
     /// Returns when a request with the refused part may be tried, in milliseconds since the Unix epoch.
     fn trial_ms(&self) -> u64 {
         let mut times: Vec<u64> = self.lost.values().map(|loss| loss.at_ms).collect();
@@ -279,12 +264,15 @@
     }
 }
 
-/// Strikes known to this process, by subject, and the subjects that are refused for them.
+/// Strikes known to this process, by subject, and the subjects that are refused or on probation for them.
 #[derive(Debug, Default)]
 pub struct Suspects {
     table: HashMap<Subject, Suspect>,
     refused: HashSet<Subject>,
-    /// Whether a strike was recorded since `refused` was derived.
+    /// Parts of which one request at a time may be sent.
+    probation: HashSet<Subject>,
+    crashes: CrashTimes,
+    /// Whether a strike was recorded since `refused` and `probation` were derived.
     is_changed: bool,
     /// Time at which a recorded crash begins to count.
     next_settled: Option<BootInstant>,
@@ -301,6 +289,10 @@
             warn!(subject:% = strike.subject; "routing: too many suspects, a strike is dropped");
             return false;
         }
+        if let StrikeEvent::Lost(run) = &strike.event {
+            let process = (Arc::clone(&run.upstream), run.boot);
+            self.crashes.record(process, strike.at_ms);
+        }
         let suspect = self.table.entry(strike.subject).or_default();
         let is_new = match &strike.event {
             StrikeEvent::Lost(run) => suspect.record_lost(run, strike.at_ms, now),
@@ -325,7 +317,7 @@
         suspect.is_some_and(|s| !s.lost.is_empty())
     }
 
-    /// Brings the refused subjects up to date, and returns those that are refused from now on.
+    /// Brings the refused subjects and those on probation up to date, and returns those that are refused from now on.
     pub fn refresh(&mut self, now: Moment) -> Vec<Subject> {
         let is_settled = self.next_settled.is_some_and(|at| at <= now.boot);
         if !self.is_changed && !is_settled {
@@ -334,6 +326,7 @@
         self.is_changed = false;
         self.next_settled = None;
         let before = std::mem::take(&mut self.refused);
+        let doubted = std::mem::take(&mut self.probation);
         let suspects = self.table.iter();
         let mut ranked: Vec<(&Subject, &Suspect)> = suspects
             .filter(|(subject, s)| {
@@ -353,11 +346,20 @@
             )
         });
         let mut explained: HashSet<&Process> = HashSet::new();
+        // What is on probation explains the crashes under it only to what else would be.
+        let mut doubtful: HashSet<&Process> = HashSet::new();
         for (subject, suspect) in ranked {
             let limits = suspect.limits(*subject);
             if suspect.is_refused(limits, &explained, now) {
                 self.refused.insert(*subject);
                 explained.extend(suspect.lost.keys());
+                doubtful.extend(suspect.lost.keys());
+            } else if suspect.is_doubtful(*subject, &doubtful, now)
+                // Other engines that crash later don't end it.
+                && (doubted.contains(subject) || suspect.is_in_most(&self.crashes))
+            {
+                self.probation.insert(*subject);
+                doubtful.extend(suspect.lost.keys());
             }
             let settled = suspect.lost.values().map(|loss| loss.known + limits.settle);
             let next = settled.filter(|at| *at > now.boot).min();
@@ -395,8 +397,18 @@
         Some(left.max(least))
     }
 
-    /// Returns whether the request with `ticket` is the trial of a refused part, and begins the trial if one is due. This
-    /// process tries it after `rank` others that may have had no request with the part.
+    /// Returns for how long a subject is still held back: refused, or on probation.
+    pub fn held_for(&self, subject: Subject, now: Moment) -> Option<Duration> {
+        let is_on_probation = || {
+            let suspect = self.table.get(&subject);
+            self.probation.contains(&subject) && suspect.is_some_and(|s| !s.is_expired(now))
+        };
+        let refused = self.refused_for(subject, now);
+        refused.or_else(|| is_on_probation().then_some(TRIAL_RETRY))
+    }
+
+    /// Returns whether the request with `ticket` is the trial of a part that is held back, and begins the trial if one is
+    /// due. This process tries it after `rank` others that may have had no request with the part.
     pub fn begin_trial(
         &mut self,
         subject: Subject,
@@ -412,14 +424,24 @@
             Some(_other) => return TrialState::NotDue,
             None => {}
         }
-        let is_part = matches!(subject, Subject::Part(_));
-        let others_ms = TRIAL_TIME.as_millis() as u64 * rank as u64;
-        if !is_part || now.unix_ms < suspect.trial_ms().saturating_add(others_ms) {
+        let others = TRIAL_TIME * u32::try_from(rank).unwrap_or(u32::MAX);
+        let (is_due, time) = if self.probation.contains(&subject) {
+            let end = suspect.probation_end();
+            (
+                end.is_some_and(|at| at + others <= now.boot),
+                PROBATION_TIME,
+            )
+        } else {
+            let is_part = matches!(subject, Subject::Part(_));
+            let due_ms = suspect.trial_ms().saturating_add(others.as_millis() as u64);
+            (is_part && due_ms <= now.unix_ms, TRIAL_TIME)
+        };
+        if !is_due {
             return TrialState::NotDue;
         }
         suspect.trial = Some(Trial {
             ticket,
-            ends: now.boot + TRIAL_TIME,
+            ends: now.boot + time,
         });
         TrialState::Begun
     }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -49,8 +49,8 @@
         self.with_current(now, |suspects| suspects.verdict(fingerprint, now))
     }
 
-    /// Returns for how long a request with `subjects` is still refused; `None` if it may be run. `ticket` names the
-    /// request, and `rank` returns how many other processes try a refused part before this one.
+    /// Returns for how long a request with `subjects` is still held back; `None` if it may be run. `ticket` names the
+    /// request, and `rank` returns how many other processes try a part that is held back before this one.
     pub fn refused_for(
         &self,
         subjects: impl Iterator<Item = Subject>,
@@ -58,23 +58,33 @@
         rank: impl Fn(Subject) -> usize,
     ) -> Option<Duration> {
         let now = Moment::now();
-        let refused: Vec<(Subject, Duration)> = self.with_current(now, |suspects| {
-            let refused = subjects.filter_map(|s| Some((s, suspects.refused_for(s, now)?)));
-            refused.collect()
+        let held: Vec<(Subject, Duration)> = self.with_current(now, |suspects| {
+            let held = subjects.filter_map(|s| Some((s, suspects.held_for(s, now)?)));
+            held.collect()
         });
-        let held = refused
+        let refused = held
             .into_iter()
             .filter(|(subject, _)| !self.is_trial(*subject, ticket, rank(*subject), now));
-        held.map(|(_, left)| left).max()
+        refused.map(|(_, left)| left).max()
     }
 
-    /// Returns whether the request with `ticket` may be sent although it has the refused part `subject`.
+    /// Returns whether the request with `ticket` may be sent although it has the part `subject`, which is held back.
     fn is_trial(&self, subject: Subject, ticket: u64, rank: usize, now: Moment) -> bool {
-        let state = lock(&self.suspects).begin_trial(subject, ticket, rank, now);
-        if state == TrialState::Begun {
-            info!(subject:% = subject; "routing: trial of a refused part");
+        let mut suspects = lock(&self.suspects);
+        let state = suspects.begin_trial(subject, ticket, rank, now);
+        let is_refused = suspects.refused_for(subject, now).is_some();
+        drop(suspects);
+        match state {
+            TrialState::NotDue => return false,
+            TrialState::Running => {}
+            TrialState::Begun if is_refused => {
+                info!(subject:% = subject; "routing: trial of a refused part");
+            }
+            TrialState::Begun => {
+                info!(subject:% = subject; "routing: trial of a part on probation");
+            }
         }
-        state != TrialState::NotDue
+        true
     }
 
     /// Runs `read` on the suspects after their refusals were brought up to date.
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -491,7 +491,7 @@
                 suspects.refresh(at(2_000));
                 let parts = (0..10).map(|i| Subject::Part(100 + n * 7 % 10_000 + i));
                 let mut subjects = parts.chain([Subject::Request(n)]);
-                assert!(subjects.all(|s| suspects.refused_for(s, at(2_000)).is_none()));
+                assert!(subjects.all(|s| suspects.held_for(s, at(2_000)).is_none()));
             }
             fastest = fastest.min(started.elapsed() / BATCH as u32);
         }
--- a/tests/poison_storm.rs
+++ b/tests/poison_storm.rs
@@ -294,8 +294,7 @@
         let mut refused = false;
         for part in &run.parts {
             let subject = Subject::Part(*part);
-            let is_refused = suspects.refused_for(subject, now).is_some();
-            let is_held = is_refused
+            let is_held = suspects.held_for(subject, now).is_some()
                 && suspects.begin_trial(subject, run.request, rank(*part), now)
                     == TrialState::NotDue;
             refused |= is_held;
