--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -82,9 +82,9 @@
 /// Decoded head of a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
-    /// Whether it carries the identifier of the request that was sent.
-    pub id_matches: bool,
-    /// Whether the upstream ran the request.
+    /// Request that it names.
+    pub request: NamedRequest,
+    /// Whether the upstream ran that request.
     pub run: RunState,
     /// Limit on requests that the upstream names.
     pub limit: NamedLimit,
@@ -92,6 +92,17 @@
     pub brittle: Option<u32>,
 }
 
+/// Request that a response names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NamedRequest {
+    /// The request that was sent.
+    This,
+    /// Another request.
+    Other,
+    /// None.
+    Unnamed,
+}
+
 /// Limit on requests that an upstream names in a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NamedLimit {
@@ -138,6 +149,9 @@
     /// Decodes a response head; `id` is the identifier of the request.
     fn response_head(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
+    /// Returns whether a response has the signature of an upstream.
+    fn is_signed(&self, headers: &HeaderMap) -> bool;
+
     /// Decodes an upstream's registration.
     ///
     /// # Errors
