fix: a connection with an unread body is offered for further requests

Cause: a request whose body is too large, too slow or broken is answered before the rest of its body has come. The server then closes the connection, but the response did not say so.

Change: such a response has Connection: close.

Measured: a_connection_with_an_unread_body_is_used_again failed before (no entry found for key "connection").

--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -66,14 +66,19 @@
 
 /// Handles one request of a caller and returns the response.
 async fn handle_request(entry: Arc<Entry>, state: &mut State) -> Response<Body> {
+    let mut is_body_read = true;
     let mut response = match admit(&entry, state).await {
         Ok(request) => match request.max_wait_before_exit() {
             Ok(_wait) => proxy_request(request).await,
             Err(reason) => refuse(&request.head.id, request.route.kind.as_str(), reason),
         },
-        Err((id, reason)) => refuse(&id, "unknown", reason),
+        Err((id, reason)) => {
+            is_body_read = !reason.is_about_body();
+            refuse(&id, "unknown", reason)
+        }
     };
-    if entry.is_leaving() {
+    // The server closes a connection on which the rest of a body is to come; the caller must not use it again.
+    if entry.is_leaving() || !is_body_read {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns whether the request's body was not read to its end.
+    pub fn is_about_body(self) -> bool {
+        matches!(self, Self::LargeBody | Self::BrokenBody | Self::SlowBody)
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
