fix: a stream is resumed after events whose IDs are missing

Callers would see: events with no usable ID were passed on, the stream broke off, and it was resumed after the last event that had one, or from its beginning, so that events came twice.

Cause: the last ID found in the bytes stood for the last event.

Fix: after an event without an ID, or with one that is not larger than the one before, the position is unknown and the stream is not resumed; it ends broken.

--- a/src/path/event_buffer.rs
+++ b/src/path/event_buffer.rs
@@ -208,6 +208,11 @@
         self.has_events
     }
 
+    /// Returns whether it is known after which event the stream must be resumed.
+    pub fn can_resume(&self) -> bool {
+        self.position != Position::Unknown
+    }
+
     /// Discards an incomplete event, which another upstream will send again, and goes on with that one's bytes.
     pub fn resume(&mut self) {
         *self = Self {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -201,6 +201,10 @@
             self.request
                 .record_broken_connection(&s.upstream, broken.problem, ran, broken.listener)
         });
+        if !self.events.as_ref().is_none_or(EventBuffer::can_resume) {
+            info!(request = &*self.request.head.id; "routing: events without increasing IDs, stream not resumed");
+            return false;
+        }
         self.resume(check).await
     }
 
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -67,6 +67,29 @@
     }
 }
 
+#[test]
+fn a_stream_is_resumed_after_events_without_increasing_ids() {
+    for stream in [
+        "data: a\n\n",
+        "id: 1\ndata: a\n\ndata: b\n\n",
+        "id: 1\ndata: a\n\nid: x\ndata: b\n\n",
+        "id: 2\ndata: a\n\nid: 2\ndata: b\n\n",
+        "id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n",
+    ] {
+        for size in 1..=stream.len() {
+            let mut buffer = EventBuffer::new(Buffering::CompleteEvents, None);
+            let mut events = Vec::new();
+            for piece in stream.as_bytes().chunks(size) {
+                let some = buffer.push(Bytes::copy_from_slice(piece));
+                events.extend(some.expect("nothing is joined").unwrap_or_default());
+            }
+            assert_eq!(events, stream.as_bytes(), "size {size}");
+            assert_eq!(buffer.last_event_id(), None, "{stream:?}");
+            assert!(!buffer.can_resume(), "{stream:?}");
+        }
+    }
+}
+
 /// Checks, for every size of the received pieces, that the first `complete` bytes of `stream` are its complete events.
 fn assert_split(stream: &str, complete: usize, last: Option<u64>) {
     for size in 1..=stream.len().max(1) {
