fix: requests wait past the time that a stop leaves them

With few earlier requests the forecast was less sure than it said, and it mixed routes, failed responses and the remainders of resumed streams.

Cause: the time left was compared before a wait and after it, not during it; the forecast took the slowest of n requests as sure, and was kept by service.

Change: the wait for an adapter ends when it becomes too long, each choice of an engine asks again, and so does the resume of a stream, before it takes a retry. A body is read until the process has no more time, and then the request is refused. The forecast is kept by route, from whole answers to requests that one attempt served; the slowest of n bounds the next one with a probability of n in n + 1, and the confidence counts from the arrival and reaches 99 in 100 when the directory's last responses have expired. An attempt that another entry passes on is not begun after the signal. A stream that is cut while it is resumed is logged as such, and the last renewal reads the record first only if a write may be under way.

--- a/src/decide/run_time.rs
+++ b/src/decide/run_time.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-/// Ended requests that are kept for each service.
+/// Ended requests that are kept for each route.
 const MAX_RUNS: usize = 256;
 
 /// Ended requests of similar size below which nothing is forecast.
@@ -51,33 +51,34 @@
     }
 }
 
-/// Times of recently ended requests, keyed by service.
+/// Times of recently ended requests, keyed by the name of the route.
 #[derive(Debug, Default)]
 pub struct RunTimes {
-    services: HashMap<Arc<str>, VecDeque<RunTime>>,
+    routes: HashMap<Arc<str>, VecDeque<RunTime>>,
 }
 
 impl RunTimes {
     /// Records a request that has ended.
-    pub fn record(&mut self, service: &Arc<str>, run: RunTime) {
-        let runs = self.services.entry(Arc::clone(service)).or_default();
+    pub fn record(&mut self, route: &Arc<str>, run: RunTime) {
+        let runs = self.routes.entry(Arc::clone(route)).or_default();
         if runs.len() >= MAX_RUNS {
             runs.pop_front();
         }
         runs.push_back(run);
     }
 
-    /// Returns a time within which `confidence` of the recent requests would have ended after they were sent, had they been
-    /// of `size`; `None` if too few similar ones have ended.
-    pub fn forecast(&self, service: &str, size: u32, confidence: f64) -> Option<Duration> {
-        let runs = self.services.get(service)?;
+    /// Returns a time within which a request of `size` ends after it was sent, with the probability `confidence`; `None` if too
+    /// few similar ones have ended for that.
+    pub fn forecast(&self, route: &str, size: u32, confidence: f64) -> Option<Duration> {
+        let runs = self.routes.get(route)?;
         let similar = runs.iter().filter(|r| r.is_similar(size));
         let mut times: Vec<Duration> = similar.map(|r| r.scaled(size)).collect();
         if times.len() < MIN_RUNS {
             return None;
         }
         times.sort_unstable();
-        let rank = (times.len() as f64 * confidence).ceil() as usize;
+        // The slowest of n runs bounds the next one with a probability of n in n + 1.
+        let rank = ((times.len() + 1) as f64 * confidence).ceil() as usize;
         let time = times.get(rank.saturating_sub(1))?;
         Some(time.mul_f64(MARGIN))
     }
--- a/src/decide/shutdown.rs
+++ b/src/decide/shutdown.rs
@@ -13,7 +13,7 @@
 /// Part of similar requests that must end in time for a request to be taken, when the shutdown begins.
 const FIRST_CONFIDENCE: f64 = 0.9;
 
-/// The same from half of the shutdown's time on.
+/// The same once no caller may use a cached address any more. It takes a long history, so that most requests are refused.
 const LAST_CONFIDENCE: f64 = 0.99;
 
 /// A graceful shutdown under way.
@@ -21,6 +21,8 @@
 pub struct Shutdown {
     /// Time at which it was requested.
     pub requested: BootInstant,
+    /// Time for which callers may still use a cached address.
+    pub cached: Duration,
     /// Time at which requests still in flight are dropped.
     pub limit: BootInstant,
 }
@@ -36,15 +38,10 @@
         self.limit.since(now)
     }
 
-    /// Returns the part of similar requests that must end in time for a request to be taken.
-    pub fn confidence(&self, now: BootInstant) -> f64 {
-        let total = self.limit.since(self.requested).as_secs_f64();
-        let passed = self.elapsed(now).as_secs_f64();
-        let progress = if total > 0.0 {
-            passed / total * 2.0
-        } else {
-            1.0
-        };
+    /// Returns the part of similar requests that must end in time for one that arrived at `arrived` to be taken.
+    pub fn confidence(&self, arrived: BootInstant) -> f64 {
+        let passed = self.elapsed(arrived).as_secs_f64();
+        let progress = passed / self.cached.as_secs_f64().max(f64::MIN_POSITIVE);
         FIRST_CONFIDENCE + (LAST_CONFIDENCE - FIRST_CONFIDENCE) * progress.min(1.0)
     }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -44,12 +44,12 @@
     wire::{Strike, Subject},
 };
 use arc_swap::ArcSwap;
-use log::{info, warn};
+use log::info;
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
-        Arc, Mutex, OnceLock,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -128,7 +128,7 @@
     pub member_links: Mutex<Vec<SocketAddr>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     /// Shutdown under way, if any.
-    shutdown: OnceLock<Shutdown>,
+    shutdown: watch::Sender<Option<Shutdown>>,
     /// Whether a configuration is being fetched from a peer.
     fetching: AtomicBool,
     /// Whether this entry has sent its last order.
@@ -181,7 +181,7 @@
             seeds: Mutex::new(config.peers.0.clone()),
             member_links: Mutex::default(),
             links: Mutex::default(),
-            shutdown: OnceLock::new(),
+            shutdown: watch::Sender::new(None),
             fetching: AtomicBool::new(false),
             orders_stopped: AtomicBool::new(false),
             config,
@@ -195,19 +195,24 @@
 
     /// Returns whether this entry is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.shutdown.get().is_some()
+        self.shutdown().is_some()
     }
 
     /// Returns the shutdown under way, if any.
     pub fn shutdown(&self) -> Option<Shutdown> {
-        self.shutdown.get().copied()
+        *self.shutdown.borrow()
+    }
+
+    /// Waits until a shutdown is under way.
+    pub async fn wait_for_shutdown(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        // The sender lives as long as this entry.
+        let _begun = shutdown.wait_for(Option::is_some).await;
     }
 
     /// Begins the shutdown and notifies peers.
     pub fn leave(&self, shutdown: Shutdown) {
-        if self.shutdown.set(shutdown).is_err() {
-            warn!(id = self.config.id; "a shutdown was under way already");
-        }
+        self.shutdown.send_replace(Some(shutdown));
         self.notify_peers();
     }
 
--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -175,6 +175,10 @@
     let Some(request) = receiver.next::<DetourRequest>().await? else {
         return Ok(());
     };
+    if entry.is_leaving() {
+        sender.send(&DetourPart::NotSent).await?;
+        return Ok(());
+    }
     let left = Duration::from_millis(request.left_ms);
     let ended = tokio::time::timeout(left, pass_on(entry, &mut sender, request)).await;
     match ended {
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -27,6 +27,9 @@
 /// accepting at least that long.
 pub const MAX_AGE: Duration = Duration::from_secs(1);
 
+/// Largest multiple of [`MAX_AGE`] for which callers cache a response.
+pub const MAX_AGE_FACTOR: u32 = 3;
+
 /// Largest number of entries in one response that callers accept.
 const MAX_ENTRIES: usize = 64;
 
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -60,8 +60,6 @@
     let _stopped = stop.run_until_cancelled(renewer.run()).await;
     if renewer.is_member {
         renewer.record.stopped = true;
-        // The renewal that was cancelled may have been written.
-        renewer.revision = None;
         let written = tokio::time::timeout(FINAL_RENEWAL, renewer.renew()).await;
         if written.is_err() {
             warn!(limit_ms = FINAL_RENEWAL.as_millis() as u64; "the store did not record in time that no more orders follow");
@@ -101,7 +99,8 @@
 
     async fn write(&mut self) -> Result<Object, StoreError> {
         let name = &self.entry.config.id.clone();
-        let revision = match self.revision {
+        // Unknown until the store responds: a cancelled renewal may have been written.
+        let revision = match self.revision.take() {
             Some(revision) => revision,
             None => match self.store.get(ObjectKind::Members, name).await {
                 Ok(object) => {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -120,6 +120,7 @@
     let requested = BootInstant::now();
     let shutdown = Shutdown {
         requested,
+        cached: directory::MAX_AGE * directory::MAX_AGE_FACTOR,
         limit: requested + entry.config.grace.saturating_sub(EXIT_MARGIN),
     };
     info!(id = entry.config.id, in_flight = entry.requests.len(); "entry leaving");
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -125,9 +125,10 @@
     if let Some(shutdown) = entry.shutdown() {
         log_late_arrival(&head, route, arrived, deadline, connection, shutdown);
     }
-    let body = read_body(state, &headers, limits, deadline)
-        .await
-        .map_err(refused)?;
+    let body = tokio::select! {
+        body = read_body(state, &headers, limits, deadline) => body.map_err(refused)?,
+        () = wait_until_exit(entry) => return Err(refused(RefusalReason::Stopping)),
+    };
     let path_and_query = uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
     let fingerprint = poison::fingerprint(&[
         host.as_bytes(),
@@ -171,6 +172,14 @@
     );
 }
 
+/// Waits until a shutdown has no time left for requests.
+async fn wait_until_exit(entry: &Entry) {
+    entry.wait_for_shutdown().await;
+    if let Some(shutdown) = entry.shutdown() {
+        tokio::time::sleep(shutdown.time_left(BootInstant::now())).await;
+    }
+}
+
 /// Returns the approximate size of a request's head on the wire, in bytes.
 fn head_bytes(headers: &HeaderMap, uri: &Uri) -> usize {
     let fields = headers.iter().map(|(k, v)| k.as_str().len() + v.len() + 4);
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -152,6 +152,7 @@
         let mut shortest_wait: Option<Duration> = None;
         loop {
             self.check_quarantine()?;
+            self.max_wait_before_exit()?;
             if self.time_left().is_zero() {
                 return Err(RefusalReason::DeadlineExpired);
             }
@@ -228,8 +229,8 @@
         };
         let size = self.head.work.as_ref().map_or(0, InferenceWork::size);
         let now = BootInstant::now();
-        let confidence = shutdown.confidence(now);
-        let run_time = lock(&self.entry.run_times).forecast(&self.service, size, confidence);
+        let confidence = shutdown.confidence(self.arrived);
+        let run_time = lock(&self.entry.run_times).forecast(&self.route.name, size, confidence);
         let wait = shutdown.max_wait(now, self.time_left(), run_time);
         wait.ok_or(RefusalReason::Stopping)
     }
@@ -349,9 +350,7 @@
             .target
             .mul_f64(LOAD_SHARE)
             .saturating_sub(elapsed);
-        let late = self.time_left().mul_f64(LATE_LOAD_SHARE);
-        let before_exit = self.max_wait_before_exit().unwrap_or_default();
-        in_time.max(late).min(before_exit)
+        in_time.max(self.time_left().mul_f64(LATE_LOAD_SHARE))
     }
 
     /// Waits until the adapter is loaded at `upstream`.
@@ -372,6 +371,7 @@
             result = ensured => result,
             () = tokio::time::sleep(self.time_left()) => EnsureResult::Failed,
             () = self.wait_until_leaving(upstream) => EnsureResult::Failed,
+            () = self.wait_until_too_late_before_exit() => EnsureResult::Failed,
         };
         let stall = BootInstant::now().since(started);
         crate::metrics::load_stall(self.route.kind.as_str(), stall.as_secs_f64());
@@ -390,6 +390,14 @@
         }
     }
 
+    /// Resolves when the request can no longer wait, as its response would not end before this process does.
+    async fn wait_until_too_late_before_exit(&self) {
+        self.entry.wait_for_shutdown().await;
+        if let Ok(wait) = self.max_wait_before_exit() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
     /// Loads the adapter at `upstream` in the background, for later requests.
     fn replicate_to(&self, upstream: &Registration) {
         let Some(key) = self.adapter().cloned() else {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -48,6 +48,10 @@
     /// Time at which the request was first sent to an upstream.
     first_sent: BootInstant,
     attempts: u32,
+    /// Status that the caller gets.
+    status: StatusCode,
+    /// Time at which the last upstream's response was read to its end.
+    ended: Option<BootInstant>,
     /// Whether the current upstream has responded to the prompt for long enough to clear its parts.
     proven: bool,
     logged: bool,
@@ -134,6 +138,8 @@
         first_sent: received.source.sent.at,
         source: Some(received.source),
         attempts,
+        status: head.status,
+        ended: None,
     };
     let frames = stream::unfold(Some(relay), async |state| {
         let mut relay = state?;
@@ -281,6 +287,7 @@
     /// Returns the connection to the pool after the upstream's response was read to the end.
     fn finish_upstream_body(&mut self) {
         self.body = None;
+        self.ended = Some(BootInstant::now());
         if let Some(source) = self.source.take() {
             self.request.entry.clear_strikes(self.request.fingerprint);
             if self.events.is_some() && !self.proven {
@@ -303,19 +310,24 @@
         RelayStep::Broken(problem)
     }
 
-    /// Records how long a first attempt took; one that ran into its deadline took at least that long.
-    fn record_run_time(&self, outcome: &str, now: BootInstant) {
-        if self.attempts > 1 || !matches!(outcome, "complete" | "timeout") {
+    /// Records how long the run took, if the response shows that: a complete answer to a request that one attempt served from
+    /// its beginning.
+    fn record_run_time(&self) {
+        let is_whole = self.attempts == 1 && self.status.is_success();
+        let Some(ended) = self.ended.filter(|_| is_whole) else {
+            return;
+        };
+        if self.request.head.last_event.is_some() {
             return;
         }
-        let first = self.timings.first.unwrap_or(now);
+        let first = self.timings.first.unwrap_or(ended);
         let work = self.request.head.work.as_ref();
         let run = RunTime {
             size: work.map_or(0, InferenceWork::size),
             first: first.since(self.first_sent),
-            rest: now.since(first),
+            rest: ended.since(first),
         };
-        lock(&self.request.entry.run_times).record(&self.request.service, run);
+        lock(&self.request.entry.run_times).record(&self.request.route.name, run);
     }
 
     /// Logs the end of the response and counts its outcome, once.
@@ -324,8 +336,7 @@
             return;
         }
         let arrived = self.request.arrived;
-        let now = BootInstant::now();
-        let took = now.since(arrived);
+        let took = BootInstant::now().since(arrived);
         let first = self.timings.first.map(|t| t.since(arrived));
         let prompt = self
             .request
@@ -333,7 +344,7 @@
             .work
             .as_ref()
             .map_or(0, |w| w.prompt_tokens);
-        self.record_run_time(outcome, now);
+        self.record_run_time();
         metrics::request(self.request.route.kind.as_str(), outcome);
         info!(
             request = &*self.request.head.id, outcome = outcome, took_ms = took.as_millis() as u64,
@@ -372,6 +383,10 @@
                 info!(request = &*self.request.head.id; "routing: upstreams crashed under the stream, not resumed");
                 return false;
             }
+            if self.request.max_wait_before_exit().is_err() {
+                info!(request = &*self.request.head.id; "routing: the shutdown leaves too little time, stream not resumed");
+                return false;
+            }
             if !self.request.take_retry() {
                 warn!(request = &*self.request.head.id; "routing: retry budget exhausted, stream not resumed");
                 return false;
@@ -424,10 +439,10 @@
     fn drop(&mut self) {
         let shutdown = self.request.entry.shutdown();
         let has_expired = |s: Shutdown| s.time_left(BootInstant::now()).is_zero();
-        let outcome = match (&self.source, shutdown) {
-            (None, _) => "complete",
-            (Some(_), Some(s)) if has_expired(s) => "cut by the shutdown",
-            (Some(_), _) => "left",
+        let outcome = match shutdown {
+            _ if self.ended.is_some() => "complete",
+            Some(s) if has_expired(s) => "cut by the shutdown",
+            _ => "left",
         };
         self.log(outcome);
     }
