--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -82,7 +82,7 @@
     pub versions: Mutex<HashMap<AdapterKey, u32>>,
     /// Prefill work at the engines, reserved by all entries.
     pub prefill: Mutex<PrefillSchedule>,
-    /// How long recent requests took at each service.
+    /// How long recent requests took on each route.
     pub run_times: Mutex<RunTimes>,
     /// This entry's requests in flight.
     pub usage: Usage,
