fix: an upstream that announces its shutdown in a response gets requests

Cause: `Server-Leaving` was read nowhere. An upstream counted as leaving only once its registration said so, which may come later or never.

The entry that asked and the one that passed an attempt on for another both hear it, in refusals too. A new process under the name serves. A response to another request, a misdirected one, or another value says nothing. An entry doesn't pass an attempt on to an upstream that leaves.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub mod brittle;
 pub mod build_history;
 pub mod control_set;
+pub mod departures;
 pub mod load_balancing;
 pub mod load_limit;
 pub mod order_lease;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::departures::Departures,
     edge::registration::{Phase, Registration},
     ident::UpstreamId,
 };
@@ -48,6 +49,7 @@
     follows_store: bool,
     /// Number of changes so far that matter for routing.
     change_count: u64,
+    departures: Departures,
 }
 
 impl Registry {
@@ -71,8 +73,25 @@
         self.recovered_at = Some(now);
     }
 
+    /// Records that the process of `upstream` announced its shutdown in a response. Returns whether that is new.
+    pub fn announce_leaving(&mut self, upstream: &Registration, now: BootInstant) -> bool {
+        let is_new = self.departures.announce(upstream, now);
+        let Some(known) = self.upstreams.get_mut(&upstream.id) else {
+            return is_new;
+        };
+        if known.registration.is_same_process(upstream) && known.registration.is_serving() {
+            let registration = Arc::make_mut(&mut known.registration);
+            registration.phase = Phase::Leaving { remaining: None };
+            self.change_count += 1;
+        }
+        is_new
+    }
+
     /// Adds or updates a registration; an older heartbeat of the same process is ignored.
-    pub fn register(&mut self, registration: Registration) -> RegistryChange {
+    pub fn register(&mut self, mut registration: Registration) -> RegistryChange {
+        if registration.is_serving() && self.departures.is_announced(&registration) {
+            registration.phase = Phase::Leaving { remaining: None };
+        }
         let id = Arc::clone(&registration.id);
         let before = self.upstreams.get(&id).map(|m| Arc::clone(&m.registration));
         let change = match &before {
@@ -168,6 +187,7 @@
 
     /// Removes upstreams whose grace period has ended, and returns their names.
     pub fn expire(&mut self, now: BootInstant) -> Vec<UpstreamId> {
+        self.departures.expire(now);
         let due = |m: &RegisteredUpstream| m.grace_until.is_some_and(|t| now >= t);
         let gone: Vec<UpstreamId> = self
             .upstreams
--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -90,6 +90,8 @@
     pub limit: NamedLimit,
     /// Rejections in a second beyond which the upstream crashes, if it is brittle.
     pub brittle: Option<u32>,
+    /// Whether the upstream announces that it is shutting down.
+    pub leaving: bool,
 }
 
 /// Request that a response names.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -414,6 +414,15 @@
         controller.is_some()
     }
 
+    /// Records that the response to `request` announced the shutdown of its upstream.
+    pub fn record_leaving(&self, upstream: &Registration, request: &str) {
+        let is_new = lock(&self.registry).announce_leaving(upstream, BootInstant::now());
+        if is_new {
+            info!(upstream = &*upstream.id, request = request; "routing: upstream announced that it is leaving");
+            self.registry_changed.notify_one();
+        }
+    }
+
     /// Drops all state of an upstream that is gone.
     pub fn forget_upstream(&self, id: &str, reason: &str) {
         info!(upstream = id, reason = reason; "upstream gone");
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -249,6 +249,9 @@
             self.entry
                 .observe_limit(&upstream.id, head.limit, &self.head.id);
             self.entry.observe_brittle(&upstream.id, head.brittle);
+            if head.leaving {
+                self.entry.record_leaving(upstream, &self.head.id);
+            }
         }
         if head.run == RunState::NotRun {
             self.entry.record_rejection(&upstream.id);
