fix: a removed upstream comes back by what a peer knew before

Callers would see: requests sent to an upstream that was removed, until the entry reads the store again.

Cause: the registry forgot what it removed. A peer's registrations that were behind, or an entry of an earlier start of the process, were taken for a new upstream.

Change: a removal read from the store is remembered by process (name and start) with its last heartbeat for 30 s. A source that may be behind brings the process back only with a later heartbeat, and never replaces a process by an earlier one. What the store itself reports as changed is taken as it is.

--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -87,8 +87,21 @@
         is_new
     }
 
+    /// Adds or updates a registration from a source that may be behind: a peer, or an older copy of the store. It brings
+    /// back neither a process that was removed nor one that another has replaced.
+    pub fn register_copy(&mut self, registration: Registration) -> RegistryChange {
+        let known = self.upstreams.get(&registration.id);
+        let born = known.and_then(|k| k.registration.born.zip(registration.born));
+        let is_replaced = born.is_some_and(|(known, copied)| copied < known);
+        if is_replaced || self.departures.is_outdated(&registration) {
+            return RegistryChange::Unchanged;
+        }
+        self.register(registration)
+    }
+
     /// Adds or updates a registration; an older heartbeat of the same process is ignored.
     pub fn register(&mut self, mut registration: Registration) -> RegistryChange {
+        self.departures.restore(&registration);
         if registration.is_serving() && self.departures.is_announced(&registration) {
             registration.phase = Phase::Leaving { remaining: None };
         }
@@ -125,7 +138,11 @@
             upstream.grace_until = Some(until);
             return RegistryChange::InGracePeriod;
         }
-        self.upstreams.remove(id);
+        if let Some(removed) = self.upstreams.remove(id)
+            && self.follows_store
+        {
+            self.departures.remove(&removed.registration, now);
+        }
         self.change_count += 1;
         RegistryChange::Removed
     }
@@ -168,7 +185,7 @@
     /// Applies a peer's registration; a peer that is cut off from the store as well adds only unknown upstreams.
     fn apply_peer_registration(&mut self, registration: Registration, peer_follows_store: bool) {
         if peer_follows_store || !self.upstreams.contains_key(&registration.id) {
-            self.register(registration);
+            self.register_copy(registration);
         }
     }
 
@@ -196,7 +213,9 @@
             .map(|(id, _)| Arc::clone(id))
             .collect();
         for id in &gone {
-            self.upstreams.remove(id);
+            if let Some(removed) = self.upstreams.remove(id) {
+                self.departures.remove(&removed.registration, now);
+            }
         }
         self.change_count += gone.len() as u64;
         gone
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -17,6 +17,10 @@
     an_announced_shutdown_is_revoked_by_a_heartbeat,
     an_announcement_by_mistake_holds_for_ever,
     a_new_process_inherits_an_announcement,
+    an_outdated_copy_brings_a_removed_process_back,
+    an_outdated_copy_replaces_a_newer_process,
+    a_removed_process_that_registers_again_is_ignored,
+    what_a_peer_lacks_counts_as_removed,
 }
 
 fn at(ms: u64) -> BootInstant {
@@ -51,7 +55,7 @@
 }
 
 mod case {
-    use super::{at, following, registration, serving};
+    use super::{HashSet, Registry, at, following, registration, serving};
 
     pub(super) fn an_announced_shutdown_is_revoked_by_a_heartbeat() {
         let mut registry = following();
@@ -87,4 +91,51 @@
         assert!(!registry.announce_leaving(&registration(5, 9), at(5)));
         assert_eq!(serving(&registry), 1);
     }
+
+    pub(super) fn an_outdated_copy_brings_a_removed_process_back() {
+        let mut registry = following();
+        registry.unregister("e", at(0));
+        registry.register_copy(registration(5, 8));
+        registry.register_copy(registration(5, 9));
+        assert_eq!(serving(&registry), 0);
+        registry.store_lost();
+        for follows in [false, true] {
+            registry.apply_peer_view(vec![registration(5, 9)], follows, at(10));
+            assert_eq!(serving(&registry), 0);
+        }
+        registry.register_copy(registration(5, 10));
+        assert_eq!(serving(&registry), 1);
+    }
+
+    pub(super) fn an_outdated_copy_replaces_a_newer_process() {
+        let mut registry = following();
+        registry.register_copy(registration(4, 90));
+        let known = registry.get("e").map(|r| r.born);
+        assert_eq!(known, Some(Some(5)));
+        registry.register_copy(registration(6, 1));
+        assert_eq!(registry.get("e").map(|r| r.born), Some(Some(6)));
+    }
+
+    pub(super) fn a_removed_process_that_registers_again_is_ignored() {
+        let mut registry = following();
+        registry.unregister("e", at(0));
+        // A write that the store reports by itself is new, whatever its heartbeat.
+        registry.register(registration(5, 9));
+        assert_eq!(serving(&registry), 1);
+        registry.unregister("e", at(10));
+        registry.expire(at(30_010));
+        registry.register_copy(registration(5, 9));
+        assert_eq!(serving(&registry), 1);
+    }
+
+    pub(super) fn what_a_peer_lacks_counts_as_removed() {
+        let mut registry = Registry::default();
+        registry.apply_peer_view(vec![registration(5, 9)], true, at(0));
+        let gone = registry.apply_peer_view(Vec::new(), true, at(10));
+        assert_eq!(gone.len(), 1);
+        registry.apply_peer_view(vec![registration(5, 9)], true, at(20));
+        assert_eq!(serving(&registry), 1);
+        registry.apply_listing(&HashSet::from(["e"]), at(30));
+        assert_eq!(serving(&registry), 1);
+    }
 }
