fix: changes are lost as the store returns with an older copy

Callers would see: requests refused or routed as an older configuration says (CONFIG), and requests to an upstream that shuts down (DRAIN), for as long as the watch goes on; an upstream that was removed takes requests again; one that registered after the copy is dropped at once.

Cause: revisions were taken as if they only rose, and `Store-Era` was read nowhere. A watch that waited across the return went on at a revision that is given out again, so that what was written before it was never read.

Change: the store's client reads the era of each response and shares it between all its users; a response from before the return counts as none. Revisions are compared as pairs with their era (Position). For 10 s after that the store's listings count as a copy that may be behind, and are read again each 2.5 s; what the copy lacks has the grace time of an outage.

--- /dev/null
+++ b/src/edge/era.rs
@@ -0,0 +1,42 @@
+//! Era of the store: the store may return from an outage with an older copy, and gives revisions out again from there on.
+
+use crate::edge::store::StoreError;
+use log::info;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Latest era that any response has named; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct StoreEra(Arc<watch::Sender<u64>>);
+
+impl StoreEra {
+    /// Returns the latest era.
+    pub fn latest(&self) -> u64 {
+        *self.0.borrow()
+    }
+
+    /// Takes in the era that a response names, to a call that was sent in the era `sent`; returns the response's era.
+    ///
+    /// # Errors
+    /// [`StoreError::Unknown`]: the response comes from before the store's return, so that what it says is void.
+    pub fn observe(&self, named: Option<u64>, sent: u64) -> Result<u64, StoreError> {
+        let latest = self.latest();
+        let named = named.unwrap_or(sent);
+        // A call gets no response from an era before its own: the later one was named by mistake.
+        let is_mistaken = named < sent;
+        if named > latest || is_mistaken {
+            info!(era = named, before = latest; "the store is in another era");
+            self.0.send_replace(named);
+        } else if named < latest {
+            return Err(StoreError::Unknown);
+        }
+        Ok(named)
+    }
+
+    /// Waits until the latest era is not `era`.
+    pub async fn wait_for_other(&self, era: u64) {
+        let mut eras = self.0.subscribe();
+        // The sender lives as long as this value.
+        let _changed = eras.wait_for(|now| *now != era).await;
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod codec;
 pub mod deployment;
+pub mod era;
 pub mod orders;
 pub mod registration;
 pub mod store;
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -1,6 +1,6 @@
 //! Interface to the platform's object store.
 
-use crate::edge::codec::DecodeError;
+use crate::edge::{codec::DecodeError, era::StoreEra};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::{
@@ -61,6 +61,22 @@
     }
 }
 
+/// Place in the store's history. Revisions are comparable within an era only.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Position {
+    /// Number of the store's copy.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Returns whether a watch from here to `next` has missed no change.
+    pub fn is_continued_by(self, next: Self) -> bool {
+        self.era == next.era && self.revision <= next.revision
+    }
+}
+
 /// All objects of a kind at one store revision.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
@@ -68,8 +84,8 @@
     pub objects: Vec<Object>,
     /// Number of objects left out because their names can't be read.
     pub unnamed: usize,
-    /// Revision from which to watch for further changes.
-    pub revision: u64,
+    /// Where to watch for further changes.
+    pub at: Position,
 }
 
 /// One change of an object.
@@ -88,8 +104,8 @@
     pub changes: Vec<Change>,
     /// Number of changes left out because the names of their objects can't be read; a listing shows their effect.
     pub unnamed: usize,
-    /// Revision from which to watch for further changes.
-    pub revision: u64,
+    /// Where to watch for further changes.
+    pub at: Position,
 }
 
 /// Error of a store call.
@@ -128,7 +144,13 @@
 impl std::error::Error for StoreError {}
 
 /// Client of the object store.
+///
+/// The store may return from an outage with an older copy. Each such return begins a new era, in which revisions are given
+/// out again.
 pub trait Store: Clone + Send + Sync + 'static {
+    /// Returns the store's era, as the responses to this client name it.
+    fn era(&self) -> &StoreEra;
+
     /// Lists every object of `kind`.
     fn list(&self, kind: ObjectKind) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -5,7 +5,7 @@
     decide::registry::RegistryChange,
     edge::{
         registration::Registration,
-        store::{Change, Changes, Listing, Object, ObjectKind, Store, StoreError},
+        store::{Change, Changes, Listing, Object, ObjectKind, Position, Store, StoreError},
     },
     entry::{context::Entry, controller_handle::Command, unusable::UnusableObjects},
     holding::lock,
@@ -35,6 +35,13 @@
 /// after which silent members of the control set are replaced.
 const NO_FOLLOWER_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time after the return of the store with an older copy in which it may list upstreams that have left meanwhile; their
+/// registrations expire when their heartbeats stay out.
+const COPY_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Interval between listings of an older copy: upstreams write their heartbeats again in between.
+const COPY_CHECK: Duration = Duration::from_millis(2_500);
+
 /// Follower of one kind of objects.
 struct Follower<S> {
     entry: Arc<Entry>,
@@ -43,8 +50,10 @@
     unusable: UnusableObjects,
     /// Whether the last call failed.
     is_store_down: bool,
-    /// Whether a listing was ever read.
-    has_listed: bool,
+    /// Era of the last listing; `None` before the first one.
+    era: Option<u64>,
+    /// Time until which the store may list objects as they were before its return.
+    copy_until: BootInstant,
     backoff: Duration,
 }
 
@@ -64,7 +73,8 @@
         kind,
         unusable: UnusableObjects::new(kind),
         is_store_down: false,
-        has_listed: false,
+        era: None,
+        copy_until: BootInstant::default(),
         backoff: FIRST_BACKOFF,
     };
     tokio::select! {
@@ -80,10 +90,13 @@
             match self.store.list(self.kind).await {
                 Ok(listing) => {
                     self.call_succeeded();
-                    let revision = listing.revision;
+                    let at = listing.at;
+                    if self.era.is_some_and(|era| era != at.era) {
+                        self.store_returned(at);
+                    }
+                    self.era = Some(at.era);
                     self.apply_listing(&listing);
-                    self.has_listed = true;
-                    self.watch(revision).await;
+                    self.watch(at).await;
                 }
                 Err(e) => self.call_failed(&e).await,
             }
@@ -93,7 +106,7 @@
     /// Waits while other entries follow the store for this one. The first listing is read in any case, as peers may
     /// not be known yet.
     async fn wait_until_needed(&mut self) {
-        if !self.has_listed {
+        if self.era.is_none() {
             return;
         }
         let mut follower_seen = BootInstant::now();
@@ -112,13 +125,23 @@
         }
     }
 
-    /// Watches until the store has dropped the history, a call fails, or other entries follow the store for this one.
-    async fn watch(&mut self, mut revision: u64) {
+    /// Watches until changes may have been missed, a call fails, or other entries follow the store for this one. While the
+    /// store has an older copy, it is listed again at intervals.
+    async fn watch(&mut self, mut at: Position) {
+        let store = self.store.clone();
+        let is_copy = BootInstant::now() < self.copy_until;
+        let relist = tokio::time::sleep(if is_copy { COPY_CHECK } else { Duration::MAX });
+        tokio::pin!(relist);
         while self.entry.is_control_member() {
-            match self.store.watch(self.kind, revision, WATCH_TIMEOUT).await {
-                Ok(changes) => {
+            let changes = tokio::select! {
+                changes = store.watch(self.kind, at.revision, WATCH_TIMEOUT) => changes,
+                () = store.era().wait_for_other(at.era) => return,
+                () = &mut relist => return,
+            };
+            match changes {
+                Ok(changes) if at.is_continued_by(changes.at) => {
                     self.call_succeeded();
-                    revision = changes.revision;
+                    at = changes.at;
                     self.apply_changes(&changes);
                     if changes.unnamed > 0 {
                         // Any object may have changed.
@@ -126,8 +149,12 @@
                         return;
                     }
                 }
+                Ok(changes) => {
+                    info!(kind:? = self.kind, at:? = at, next:? = changes.at; "the store has given out revisions again; listing again");
+                    return;
+                }
                 Err(StoreError::RevisionExpired) => {
-                    info!(kind:? = self.kind, revision = revision; "the store has dropped the history of this revision; listing again");
+                    info!(kind:? = self.kind, at:? = at; "the store has dropped the history of this revision; listing again");
                     return;
                 }
                 Err(e) => {
@@ -141,6 +168,15 @@
         }
     }
 
+    /// Prepares for the listing of an older copy, in which recent registrations are missing.
+    fn store_returned(&mut self, at: Position) {
+        info!(kind:? = self.kind, at:? = at; "the store has returned with an older copy");
+        self.copy_until = BootInstant::now() + COPY_LIFETIME;
+        if self.kind == ObjectKind::Upstreams {
+            lock(&self.entry.registry).store_recovered(BootInstant::now());
+        }
+    }
+
     async fn call_failed(&mut self, error: &StoreError) {
         if !self.is_store_down {
             warn!(kind:? = self.kind, error:% = error; "dependency lost: the store does not answer");
@@ -165,6 +201,7 @@
     }
 
     fn apply_listing(&mut self, listing: &Listing) {
+        let is_copy = BootInstant::now() < self.copy_until;
         let present: HashSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
         self.unusable.retain(&present);
         if self.kind == ObjectKind::Upstreams {
@@ -174,7 +211,7 @@
             }
         }
         for object in &listing.objects {
-            self.apply_object(object);
+            self.apply_object(object, is_copy);
         }
         self.unusable.insert_unnamed(listing.unnamed);
         self.unusable.report();
@@ -201,7 +238,7 @@
 
     fn apply_change(&mut self, change: &Change) {
         if !change.removed {
-            self.apply_object(&change.object);
+            self.apply_object(&change.object, false);
             return;
         }
         self.unusable.remove(&change.object.name);
@@ -217,7 +254,8 @@
         }
     }
 
-    fn apply_object(&mut self, object: &Object) {
+    /// Applies an object; `is_copy`: as an older copy of the store has it.
+    fn apply_object(&mut self, object: &Object, is_copy: bool) {
         let codec = &self.entry.codec;
         let read = match self.kind {
             ObjectKind::Upstreams => codec.registration(object).map(|r| {
@@ -225,7 +263,14 @@
                 self.report_to_controller(&r);
                 let build = std::iter::once(r.build());
                 lock(&self.entry.builds).observe(build, BootInstant::now());
-                let change = lock(&self.entry.registry).register(r);
+                let change = {
+                    let mut registry = lock(&self.entry.registry);
+                    if is_copy {
+                        registry.register_copy(r)
+                    } else {
+                        registry.register(r)
+                    }
+                };
                 if change != RegistryChange::Unchanged {
                     info!(upstream = &*id, service = &*service, change:? = change; "upstream changed");
                     self.entry.registry_changed.notify_one();
