fix: a peer that falls silent holds up a configuration for two seconds

Cause: an entry that heard of a newer configuration asked one peer for it, and nobody else while that peer was silent: for up to 2 s, which is all the time that a change may take on a small deployment.

Change: up to three peers that name a newer one are asked at the same time, each once.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -59,6 +59,10 @@
 /// Version of an adapter for which no newer one was announced.
 pub const FIRST_VERSION: u32 = 1;
 
+/// Largest number of peers from which a configuration is fetched at the same time: one that falls silent must not delay
+/// it, and it may be large.
+const MAX_FETCHES: usize = 3;
+
 /// Shared state of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -129,8 +133,8 @@
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     /// Shutdown under way, if any.
     shutdown: watch::Sender<Option<Shutdown>>,
-    /// Whether a configuration is being fetched from a peer.
-    fetching: AtomicBool,
+    /// Peers from which a configuration is being fetched.
+    fetching: Mutex<HashSet<SocketAddr>>,
     /// Whether this entry has sent its last order.
     orders_stopped: AtomicBool,
 }
@@ -182,7 +186,7 @@
             member_links: Mutex::default(),
             links: Mutex::default(),
             shutdown: watch::Sender::new(None),
-            fetching: AtomicBool::new(false),
+            fetching: Mutex::default(),
             orders_stopped: AtomicBool::new(false),
             config,
         })
@@ -239,14 +243,16 @@
         true
     }
 
-    /// Marks the start of a configuration fetch from a peer; returns false if one is in progress.
-    pub fn begin_fetch(&self) -> bool {
-        !self.fetching.swap(true, Ordering::SeqCst)
+    /// Marks the start of a configuration fetch from the peer at `address`; returns false if one from that peer or
+    /// [`MAX_FETCHES`] are in progress.
+    pub fn begin_fetch(&self, address: SocketAddr) -> bool {
+        let mut fetching = lock(&self.fetching);
+        fetching.len() < MAX_FETCHES && fetching.insert(address)
     }
 
-    /// Marks the end of a configuration fetch.
-    pub fn end_fetch(&self) {
-        self.fetching.store(false, Ordering::SeqCst);
+    /// Marks the end of a configuration fetch from the peer at `address`.
+    pub fn end_fetch(&self, address: SocketAddr) {
+        lock(&self.fetching).remove(&address);
     }
 
     /// Returns the service named `name`.
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -304,7 +304,7 @@
                 .add_relayed_requests(&used.upstream, &used.key, used.asked);
         }
     }
-    if info.revision > entry.revision() && entry.begin_fetch() {
+    if info.revision > entry.revision() && entry.begin_fetch(info.link) {
         tokio::spawn(fetch_deployment(Arc::clone(entry), info.link));
     }
     let has_changes = !update.prompts.is_empty()
@@ -324,7 +324,7 @@
     if let Some(deployment) = deployment {
         entry.apply_deployment(deployment, "peer");
     }
-    entry.end_fetch();
+    entry.end_fetch(address);
 }
 
 /// Sends a request to the entry at `address`; returns `None` if no response came within `limit`.
