fix: entries read from members that are cut off from the store without knowing it

Cause: a fact was passed on without its age. A member of the control set whose watch was silent said for up to 5.5 s that it follows the store, and went on by itself with what it knew; the entries outside the control set read from it. With no member in contact they waited 3 s more before they read the store themselves, for one listing.

Change: an entry that follows the store probes it each 0.3 s with a call that may be answered from a stale copy (a tenth of a call's price). It claims to follow only within 1 s of an answered call, half of the shortest time in which a change must take effect; after a gap it lists everything again. Only what was heard lately from members of the control set counts as a source; without one, an entry reads and watches the store itself, spread over 0.2 s, and each 4 s once its calls fail. The peer to read registrations from is the same as long as nothing changes. TCP keep-alive shows connections to the store that only look alive. The age is logged as contact comes and goes.

--- a/src/decide/departures.rs
+++ b/src/decide/departures.rs
@@ -11,7 +11,7 @@
 
 /// Time for which an announced shutdown holds: well over the time that an upstream takes to leave. One that is registered
 /// as serving after that was announced by mistake.
-const ANNOUNCED_HOLD: Duration = Duration::from_secs(60);
+const ANNOUNCED_HOLD: Duration = Duration::from_mins(1);
 
 /// Time for which a removed process is remembered; longer than any source can be behind.
 const REMOVED_HOLD: Duration = Duration::from_secs(30);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod begun_streams;
 pub mod brittle;
 pub mod build_history;
+pub mod contact;
 pub mod control_set;
 pub mod departures;
 pub mod load_balancing;
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -151,6 +151,9 @@
     /// Returns the store's era, as the responses to this client name it.
     fn era(&self) -> &StoreEra;
 
+    /// Asks for an answer of any content, at the lowest price.
+    fn probe(&self) -> impl Future<Output = Result<(), StoreError>> + Send;
+
     /// Lists every object of `kind`.
     fn list(&self, kind: ObjectKind) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
--- /dev/null
+++ b/src/entry/contact.rs
@@ -0,0 +1,76 @@
+//! Keeps contact with the store while this entry follows it, so that a silent watch is noticed.
+
+use crate::{
+    clock::BootInstant, edge::store::Store, entry::context::Entry, holding::lock,
+    supervisor::ChildError,
+};
+use log::{debug, info};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Pause between two probes; several fit in the time for which contact is believed to last.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+impl Entry {
+    /// Records that the store answered a call that was sent at `sent`. After an interruption, what was read before may
+    /// have changed unnoticed.
+    pub fn store_answered(&self, sent: BootInstant) {
+        if lock(&self.contact).record_answer(sent) {
+            lock(&self.registry).store_lost();
+            self.contact_gaps.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Returns a counter of the interruptions of the contact with the store.
+    pub fn contact_gaps(&self) -> watch::Receiver<u64> {
+        self.contact_gaps.subscribe()
+    }
+
+    /// Returns whether this entry knows every change of the registered upstreams from the store by itself.
+    pub fn follows_store(&self) -> bool {
+        let is_fresh = lock(&self.contact).is_fresh(BootInstant::now());
+        is_fresh && lock(&self.registry).follows_store()
+    }
+}
+
+/// Probes the store while this entry follows it, until `stop`.
+///
+/// # Errors
+/// None; probes are repeated.
+pub async fn keep_contact<S: Store>(
+    entry: Arc<Entry>,
+    store: S,
+    stop: CancellationToken,
+) -> Result<(), ChildError> {
+    let _stopped = stop
+        .run_until_cancelled(probe_repeatedly(&entry, &store))
+        .await;
+    Ok(())
+}
+
+async fn probe_repeatedly<S: Store>(entry: &Entry, store: &S) {
+    let mut was_fresh = false;
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        if entry.is_control_member() || lock(&entry.registry).follows_store() {
+            let sent = BootInstant::now();
+            match store.probe().await {
+                Ok(()) => entry.store_answered(sent),
+                Err(e) => debug!("probing the store failed: {e}"),
+            }
+        }
+        let now = BootInstant::now();
+        let contact = *lock(&entry.contact);
+        if !contact.is_fresh(now) {
+            lock(&entry.registry).store_lost();
+        }
+        let is_fresh = contact.is_fresh(now);
+        if is_fresh != was_fresh {
+            let age_ms = contact.age(now).unwrap_or_default().as_millis() as u64;
+            info!(fresh = is_fresh, age_ms = age_ms; "contact with the store changed");
+            entry.notify_peers();
+        }
+        was_fresh = is_fresh;
+    }
+}
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,6 +7,7 @@
         begun_streams::BegunStreams,
         brittle::BrittleUpstreams,
         build_history::BuildHistory,
+        contact::Contact,
         load_limit::{LoadCounts, LoadLimit},
         order_lease::OrderLease,
         outliers::Outliers,
@@ -120,6 +121,10 @@
     pub controllers: Mutex<HashMap<UpstreamId, ControllerHandle>>,
     /// Limit of the adapter loads under way at all engines.
     pub load_limit: Mutex<LoadLimit>,
+    /// Contact with the store.
+    pub contact: Mutex<Contact>,
+    /// Counter of the interruptions of that contact.
+    pub contact_gaps: watch::Sender<u64>,
     /// Lease that allows this entry to send orders.
     pub order_lease: Mutex<OrderLease>,
     /// Counter of changes that peers must learn of at once; each increment triggers an update.
@@ -179,6 +184,8 @@
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             load_limit: Mutex::default(),
+            contact: Mutex::default(),
+            contact_gaps: watch::Sender::new(0),
             order_lease: Mutex::default(),
             update_trigger: watch::Sender::new(0),
             registry_changed: Notify::new(),
@@ -342,7 +349,7 @@
             leaving: self.is_leaving(),
             processor: (self.config.processor * 1_000.0) as u32,
             revision: self.revision(),
-            follows: lock(&self.registry).follows_store(),
+            follows: self.follows_store(),
             reach: self.reach(),
         }
     }
@@ -429,6 +436,14 @@
         }
     }
 
+    /// Drops the upstreams that did not register again in the grace period after the store's return.
+    pub fn expire_registrations(&self) {
+        let gone = lock(&self.registry).expire(BootInstant::now());
+        for id in gone {
+            self.forget_upstream(&id, "not registered again since the store's return");
+        }
+    }
+
     /// Drops all state of an upstream that is gone.
     pub fn forget_upstream(&self, id: &str, reason: &str) {
         info!(upstream = id, reason = reason; "upstream gone");
@@ -467,10 +482,11 @@
         view.links.iter().copied().chain(own).collect()
     }
 
-    /// Returns whether a live peer learns every change from the store.
+    /// Returns whether a member of the control set knows every change of the registered upstreams from the store.
     pub fn has_peer_following_store(&self) -> bool {
+        let control = self.control.load();
         let peers = lock(&self.peers);
-        let live = peers.live(BootInstant::now());
-        live.iter().any(|info| info.follows)
+        let mut heard = peers.heard(BootInstant::now());
+        heard.any(|info| info.follows && control.members.contains(&info.name))
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -29,11 +29,14 @@
 
 /// Interval between checks whether this entry must follow the store; short against the time limits of the
 /// configuration.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without a peer that follows the store after which any entry reads the store itself: longer than the time
-/// after which silent members of the control set are replaced.
-const NO_FOLLOWER_LIMIT: Duration = Duration::from_secs(3);
+/// Interval of the attempts to read the store outside the control set while no entry is in contact with it: the store is
+/// down, and every call costs money.
+const DIRECT_RETRY: Duration = Duration::from_secs(4);
+
+/// Largest delay before an entry outside the control set reads the store, so that the reads of many entries spread.
+const MAX_SPREAD: Duration = Duration::from_millis(200);
 
 /// Time after the return of the store with an older copy in which it may list upstreams that have left meanwhile; their
 /// registrations expire when their heartbeats stay out.
@@ -54,6 +57,8 @@
     era: Option<u64>,
     /// Time until which the store may list objects as they were before its return.
     copy_until: BootInstant,
+    /// Time before which this entry does not read the store outside the control set, as its last call failed.
+    retry_at: BootInstant,
     backoff: Duration,
 }
 
@@ -75,6 +80,7 @@
         is_store_down: false,
         era: None,
         copy_until: BootInstant::default(),
+        retry_at: BootInstant::default(),
         backoff: FIRST_BACKOFF,
     };
     tokio::select! {
@@ -87,9 +93,10 @@
     async fn run(&mut self) {
         loop {
             self.wait_until_needed().await;
+            let sent = BootInstant::now();
             match self.store.list(self.kind).await {
                 Ok(listing) => {
-                    self.call_succeeded();
+                    self.call_succeeded(sent);
                     let at = listing.at;
                     if self.era.is_some_and(|era| era != at.era) {
                         self.store_returned(at);
@@ -106,41 +113,48 @@
     /// Waits while other entries follow the store for this one. The first listing is read in any case, as peers may
     /// not be known yet.
     async fn wait_until_needed(&mut self) {
-        if self.era.is_none() {
-            return;
-        }
-        let mut follower_seen = BootInstant::now();
-        while !self.entry.is_control_member() {
+        while !self.must_follow() {
             if self.kind == ObjectKind::Upstreams {
                 lock(&self.entry.registry).store_lost();
             }
-            let now = BootInstant::now();
-            if self.entry.has_peer_following_store() {
-                follower_seen = now;
-            }
-            if now.since(follower_seen) > NO_FOLLOWER_LIMIT {
-                return;
-            }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
+        if self.era.is_some() && !self.entry.is_control_member() {
+            info!(kind:? = self.kind; "no member of the control set follows the store; reading it directly");
+            tokio::time::sleep(MAX_SPREAD.mul_f64(rand::random())).await;
+        }
+    }
+
+    /// Returns whether this entry reads the store itself, as a member of the control set or because no member is in
+    /// contact with the store.
+    fn must_follow(&self) -> bool {
+        let is_due = BootInstant::now() >= self.retry_at;
+        let has_source = || self.entry.has_peer_following_store();
+        self.era.is_none() || self.entry.is_control_member() || (is_due && !has_source())
     }
 
     /// Watches until changes may have been missed, a call fails, or other entries follow the store for this one. While the
     /// store has an older copy, it is listed again at intervals.
     async fn watch(&mut self, mut at: Position) {
+        let mut gaps = self.entry.contact_gaps();
         let store = self.store.clone();
         let is_copy = BootInstant::now() < self.copy_until;
         let relist = tokio::time::sleep(if is_copy { COPY_CHECK } else { Duration::MAX });
         tokio::pin!(relist);
-        while self.entry.is_control_member() {
+        while self.must_follow() {
+            let sent = BootInstant::now();
             let changes = tokio::select! {
                 changes = store.watch(self.kind, at.revision, WATCH_TIMEOUT) => changes,
+                _gap = gaps.changed() => {
+                    info!(kind:? = self.kind; "contact with the store was interrupted; listing again");
+                    return;
+                }
                 () = store.era().wait_for_other(at.era) => return,
                 () = &mut relist => return,
             };
             match changes {
                 Ok(changes) if at.is_continued_by(changes.at) => {
-                    self.call_succeeded();
+                    self.call_succeeded(sent);
                     at = changes.at;
                     self.apply_changes(&changes);
                     if changes.unnamed > 0 {
@@ -185,12 +199,14 @@
         if self.kind == ObjectKind::Upstreams {
             lock(&self.entry.registry).store_lost();
         }
+        self.retry_at = BootInstant::now() + jittered(DIRECT_RETRY);
         tokio::time::sleep(jittered(self.backoff)).await;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
-    fn call_succeeded(&mut self) {
+    fn call_succeeded(&mut self, sent: BootInstant) {
         self.backoff = FIRST_BACKOFF;
+        self.entry.store_answered(sent);
         if !std::mem::take(&mut self.is_store_down) {
             return;
         }
@@ -215,7 +231,7 @@
         }
         self.unusable.insert_unnamed(listing.unnamed);
         self.unusable.report();
-        self.expire_registrations();
+        self.entry.expire_registrations();
         self.confirm_builds();
     }
 
@@ -225,7 +241,7 @@
         }
         self.unusable.insert_unnamed(changes.unnamed);
         self.unusable.report();
-        self.expire_registrations();
+        self.entry.expire_registrations();
         self.confirm_builds();
     }
 
@@ -316,14 +332,6 @@
                 .forget_upstream(id, "registration can't be parsed");
         }
     }
-
-    fn expire_registrations(&self) {
-        let gone = lock(&self.entry.registry).expire(BootInstant::now());
-        for id in gone {
-            self.entry
-                .forget_upstream(&id, "not registered again since the store's return");
-        }
-    }
 }
 
 /// Returns the delay with jitter, so that the retries of many entries spread.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod begun_streams;
 pub mod candidates;
+pub mod contact;
 pub mod context;
 pub mod control;
 pub mod controller;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -242,6 +242,12 @@
         all.into_values().collect()
     }
 
+    /// Returns the entries as peers describe them whose last updates are recent.
+    pub fn heard(&self, now: BootInstant) -> impl Iterator<Item = &PeerInfo> {
+        let direct = self.direct(now);
+        direct.flat_map(|p| std::iter::once(&p.info).chain(p.others.values()))
+    }
+
     /// Returns whether some live entry meets `condition`.
     pub fn any_live(&self, now: BootInstant, condition: impl Fn(&PeerInfo) -> bool) -> bool {
         let relayed = self.retained(now).flat_map(|p| p.others.values());
--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -3,12 +3,9 @@
 use crate::{
     clock::BootInstant,
     edge::registration::Registration,
-    entry::{
-        context::Entry,
-        messages::{PeerInfo, REGISTRATIONS_PATH},
-        peer_link,
-    },
+    entry::{context::Entry, messages::REGISTRATIONS_PATH, peer_link},
     holding::lock,
+    ident::pair_hash,
     link::{LinkError, Receiver, Sender},
     supervisor::ChildError,
 };
@@ -27,8 +24,8 @@
 const LONG_POLL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Timeout of a response: it may be delayed, and takes a round trip between data centres and a transfer of some ten
-/// kilobytes.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// kilobytes. A peer that is silent for longer may lack changes that others know.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
 /// Version of the state that the requesting entry has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -63,6 +60,7 @@
     let mut mark = StateVersion::default();
     loop {
         tokio::time::sleep(REQUEST_INTERVAL).await;
+        entry.expire_registrations();
         let Some(address) = source(entry) else {
             mark = StateVersion::default();
             continue;
@@ -76,7 +74,8 @@
     }
 }
 
-/// Returns the peer to read from: one that follows the store, or any other if this entry knows no upstreams.
+/// Returns the peer to read from: one that follows the store, members of the control set first, or any other if this
+/// entry knows no upstreams.
 fn source(entry: &Entry) -> Option<SocketAddr> {
     let is_empty = {
         let registry = lock(&entry.registry);
@@ -85,13 +84,18 @@
         }
         registry.all().next().is_none()
     };
+    let control = entry.control.load();
     let peers = lock(&entry.peers);
     let live = peers.live(BootInstant::now());
-    let is_local = |p: &&&PeerInfo| *p.data_centre == *entry.config.data_centre;
-    let local = live.iter().find(|p| p.follows && is_local(p));
-    let following = local.or_else(|| live.iter().find(|p| p.follows));
-    let any = live.iter().find(|_| is_empty);
-    following.or(any).map(|p| p.link)
+    // The same peer as long as nothing changes: each new one sends all registrations.
+    let best = live.iter().max_by_key(|info| {
+        let is_member = control.members.contains(&info.name);
+        let is_local = *info.data_centre == *entry.config.data_centre;
+        let rank = pair_hash(&entry.config.id, &info.name);
+        (info.follows, is_member, is_local, rank)
+    });
+    best.filter(|info| info.follows || is_empty)
+        .map(|info| info.link)
 }
 
 fn apply(entry: &Entry, address: SocketAddr, response: Response) {
@@ -132,7 +136,8 @@
     loop {
         let response = response_to(entry, received);
         let waited = BootInstant::now().since(started);
-        if response.registrations.is_some() || waited >= LONG_POLL_LIMIT {
+        let is_due = waited >= LONG_POLL_LIMIT || !response.follows;
+        if response.registrations.is_some() || is_due {
             sender.send(&response).await?;
             sender.finish();
             return Ok(());
@@ -143,6 +148,7 @@
 
 /// Builds the response to an entry that has the state of `received`.
 fn response_to(entry: &Entry, received: StateVersion) -> Response {
+    let follows = entry.follows_store();
     let registry = lock(&entry.registry);
     let mark = StateVersion {
         incarnation: entry.incarnation,
@@ -150,7 +156,7 @@
     };
     let all = || registry.all().map(|r| Registration::clone(r)).collect();
     Response {
-        follows: registry.follows_store(),
+        follows,
         mark,
         registrations: (mark != received).then(all),
     }
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -90,6 +90,7 @@
         match &written {
             Ok(object) => {
                 self.revision = Some(object.revision);
+                self.entry.store_answered(sent);
                 lock(&self.entry.order_lease).renewed(sent, BootInstant::now());
             }
             Err(_e) => self.revision = None,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -10,8 +10,8 @@
         store::{ObjectKind, Store},
     },
     entry::{
-        context::Entry, directory, follow, holder, peer_link, registrations, reload, renew,
-        stored_streams,
+        contact, context::Entry, directory, follow, holder, peer_link, registrations, reload,
+        renew, stored_streams,
     },
     http_server::{self, ServeOptions},
     link,
@@ -179,6 +179,10 @@
         });
     }
     let (e, store) = (Arc::clone(entry), platform.store());
+    supervise(tree, "contact", stop.clone(), move |stop| {
+        Box::pin(contact::keep_contact(Arc::clone(&e), store.clone(), stop))
+    });
+    let (e, store) = (Arc::clone(entry), platform.store());
     supervise(tree, "lease", orders_stop.clone(), move |stop| {
         Box::pin(renew::renew(Arc::clone(&e), store.clone(), stop))
     });
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -29,6 +29,10 @@
 /// `TCP_USER_TIMEOUT`: longest time that sent bytes may stay unacknowledged; shorter than the takeover margin.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Idle time after which TCP probes show whether a connection is still alive, and the pause between them; the connection
+/// breaks when they stay unacknowledged for [`USER_TIMEOUT`].
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
 /// Timeout of the check whether something listens at an upstream's address.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -73,9 +77,12 @@
 
 /// Builds such a client whose connections originate from the address `local`.
 pub fn build_bound_to(local: Option<IpAddr>) -> HttpClient {
+    let mut connector = connector(local, USER_TIMEOUT);
+    connector.0.set_keepalive(Some(KEEPALIVE));
+    connector.0.set_keepalive_interval(Some(KEEPALIVE));
     Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(IDLE_CONNECTIONS)
-        .build(connector(local, USER_TIMEOUT))
+        .build(connector)
 }
 
 /// Returns a connector whose connections originate from the address `local`, and fail when sent bytes stay unacknowledged for
