fix: requests that come late in a grace period are taken by a forecast and cut

Cause: a forecast of 99 in 100 counted as a promise although, by then, no caller may use a cached address any more and any other entry takes the request.

Change: a request that arrives once no address may be cached is taken only if its deadline or its route's timeout ends before the process does; otherwise it is refused at once, truly not run, with a Retry-After of 0.

--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -231,7 +231,7 @@
         let now = BootInstant::now();
         let confidence = shutdown.confidence(self.arrived);
         let run_time = lock(&self.entry.run_times).forecast(&self.route.name, size, confidence);
-        let wait = shutdown.max_wait(now, self.time_left(), run_time);
+        let wait = shutdown.max_wait(now, self.arrived, self.time_left(), run_time);
         wait.ok_or(RefusalReason::Stopping)
     }
 
