fix: a response whose connection ends right after its head looks complete

Cause: a call's response without a length or chunks ends with its connection, so that one without any body counted as whole. Streams were guarded against this, calls were not. A head that ends in its middle was no response before either.

Change: a successful response that only the end of the connection ends is broken off if no byte of its body came.

Measured: tests/cut_head.rs cuts the head at each byte, with a length, chunks and neither, for calls and streams that may and may not be repeated, on kept and new connections: no such cut became a response before. Cut right after the head, two calls looked complete before and a_cut_head_without_framing_becomes_a_response failed; it passes now.

--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -216,11 +216,13 @@
         self.resume(check).await
     }
 
-    /// Returns whether a stream whose body has ended regularly is incomplete all the same: inside an event, or before the
-    /// upstream's first one if it had to continue the stream, or if only the end of the connection ends the body.
+    /// Returns whether a body that has ended regularly is incomplete all the same. A stream is: inside an event, or before the
+    /// upstream's first one if it had to continue the stream, or if only the end of the connection ends the body. Any other
+    /// successful response is if the connection ended right after the head.
     fn is_cut_short(&self) -> bool {
         let Some(events) = &self.events else {
-            return false;
+            let is_empty = self.timings.first.is_none();
+            return is_empty && self.framing == Framing::Close && self.status.is_success();
         };
         let must_have_events = self.resumes > 0 || self.framing == Framing::Close;
         events.is_inside_event() || (must_have_events && !events.has_events())
