fix: an entry that was out of step binds a stream to the only build it knew

Cause: the registered upstreams counted as known for 5 s after the last answer. An entry that stood still or was cut off for less concluded that a single build serves, though another had joined and begun the stream elsewhere.

Change: before a stream of unknown beginning is bound to the only build, the upstreams are read again, by a read that begins after the request came, from the store or from an entry that follows it; one read serves all that wait.

No test holds an entry still while a build joins.

--- a/src/decide/build_history.rs
+++ b/src/decide/build_history.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | an entry ends before it could report a stream | its beginning is certain where a single build has served since it can have begun |
 //! | a release, forth or back, with any number of builds | a build counts for [`RETENTION`] after its last upstream |
+//! | a stand-still or a cut of this entry while another build joins and begins streams elsewhere | what was known before the request came proves nothing: the registered upstreams are read again |
 //! | a start, or a store that this entry doesn't reach | nothing is certain unless a peer or the entry's record in the store has the history |
 
 use crate::{clock::BootInstant, decide::begun_streams::RETENTION, edge::registration::Build};
@@ -40,6 +41,8 @@
     complete_since: BootInstant,
     /// Time at which the registered upstreams were last certain.
     confirmed: Option<BootInstant>,
+    /// Begin of the last read of all registered upstreams.
+    read: Option<BootInstant>,
 }
 
 impl BuildHistory {
@@ -49,6 +52,7 @@
             seen: HashMap::new(),
             complete_since,
             confirmed: None,
+            read: None,
         }
     }
 
@@ -68,6 +72,17 @@
         self.confirmed = Some(now);
     }
 
+    /// Records that all registered upstreams were read, and that the read began at `begun`.
+    pub fn confirm_read(&mut self, begun: BootInstant, now: BootInstant) {
+        self.confirm(now);
+        self.read = self.read.max(Some(begun));
+    }
+
+    /// Returns whether a read of all registered upstreams has begun since `since`.
+    pub fn is_read_since(&self, since: BootInstant) -> bool {
+        self.read.is_some_and(|begun| begun >= since)
+    }
+
     fn is_fresh(&self, now: BootInstant) -> bool {
         self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS)
     }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -32,6 +32,7 @@
         late_orders::LateOrders,
         messages::{PeerInfo, Reach},
         peers::Peers,
+        read_requests::ReadRequests,
         send_log::SendLog,
         stored_streams::StoredStreams,
         usage::Usage,
@@ -109,6 +110,8 @@
     pub stored: StoredStreams,
     /// Builds that have served recently.
     pub builds: Mutex<BuildHistory>,
+    /// Requests that wait for a read of these builds.
+    pub build_reads: ReadRequests,
     /// How upstreams are reached.
     pub paths: Mutex<Paths>,
     /// Attempts that this entry passes on for others.
@@ -178,6 +181,7 @@
             begun: Mutex::default(),
             stored: StoredStreams::default(),
             builds: Mutex::new(BuildHistory::new(complete_since)),
+            build_reads: ReadRequests::default(),
             paths: Mutex::default(),
             detours: TaskTracker::new(),
             requests: TaskTracker::new(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry process: callers' listener, directory, readiness, peers, and the orders to the engines it holds.
 
 pub mod begun_streams;
+pub mod build_reads;
 pub mod candidates;
 pub mod contact;
 pub mod context;
@@ -18,6 +19,7 @@
 pub mod order_run;
 pub mod peer_link;
 pub mod peers;
+pub mod read_requests;
 pub mod registrations;
 pub mod reload;
 pub mod renew;
--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -27,6 +27,9 @@
 /// kilobytes. A peer that is silent for longer may lack changes that others know.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Timeout of a response that is sent at once.
+const BUILDS_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Version of the state that the requesting entry has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 struct StateVersion {
@@ -74,8 +77,28 @@
     }
 }
 
-/// Returns the peer to read from: one that follows the store, members of the control set first, or any other if this
-/// entry knows no upstreams.
+/// Reads the builds of the registered upstreams from an entry that follows the store; returns whether one has sent them.
+pub async fn observe_peer_builds(entry: &Arc<Entry>) -> bool {
+    let Some(address) = best_source(entry, false) else {
+        return false;
+    };
+    let mark = StateVersion::default();
+    let response: Option<Response> =
+        peer_link::request(entry, address, REGISTRATIONS_PATH, &mark, BUILDS_TIMEOUT).await;
+    let Some(Response {
+        follows: true,
+        registrations: Some(registrations),
+        ..
+    }) = response
+    else {
+        return false;
+    };
+    let builds = registrations.iter().map(Registration::build);
+    lock(&entry.builds).observe(builds, BootInstant::now());
+    true
+}
+
+/// Returns the peer to read from, if this entry doesn't follow the store itself.
 fn source(entry: &Entry) -> Option<SocketAddr> {
     let is_empty = {
         let registry = lock(&entry.registry);
@@ -84,6 +107,11 @@
         }
         registry.all().next().is_none()
     };
+    best_source(entry, is_empty)
+}
+
+/// Returns the peer to read from: one that follows the store, members of the control set first, or any other if `or_any`.
+fn best_source(entry: &Entry, or_any: bool) -> Option<SocketAddr> {
     let control = entry.control.load();
     let peers = lock(&entry.peers);
     let live = peers.live(BootInstant::now());
@@ -94,7 +122,7 @@
         let rank = pair_hash(&entry.config.id, &info.name);
         (info.follows, is_member, is_local, rank)
     });
-    best.filter(|info| info.follows || is_empty)
+    best.filter(|info| info.follows || or_any)
         .map(|info| info.link)
 }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -10,8 +10,8 @@
         store::{ObjectKind, Store},
     },
     entry::{
-        contact, context::Entry, directory, follow, holder, peer_link, registrations, reload,
-        renew, stored_streams,
+        build_reads, contact, context::Entry, directory, follow, holder, peer_link, registrations,
+        reload, renew, stored_streams,
     },
     http_server::{self, ServeOptions},
     link,
@@ -195,6 +195,14 @@
         ))
     });
     let (e, store) = (Arc::clone(entry), platform.store());
+    supervise(tree, "build-lookups", stop.clone(), move |stop| {
+        Box::pin(build_reads::read_builds(
+            Arc::clone(&e),
+            store.clone(),
+            stop,
+        ))
+    });
+    let (e, store) = (Arc::clone(entry), platform.store());
     supervise(tree, "stream-lookups", stop.clone(), move |stop| {
         Box::pin(stored_streams::read_records(
             Arc::clone(&e),
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -11,7 +11,7 @@
         registration::Build,
         store::{Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::{context::Entry, unusable::UnusableObjects},
+    entry::{context::Entry, read_requests::ReadRequests, unusable::UnusableObjects},
     holding::lock,
     ident::StreamId,
     metrics,
@@ -23,7 +23,6 @@
     sync::{Arc, Mutex},
     time::Duration,
 };
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 /// Members of the control set that write: one may be frozen or cut off from the store when all others end.
@@ -45,10 +44,7 @@
 #[derive(Debug, Default)]
 pub struct StoredStreams {
     known: Mutex<HashMap<StreamId, Build>>,
-    /// Number of the last read that a request waits for.
-    wanted: watch::Sender<u64>,
-    /// Number of the last read that has ended.
-    read: watch::Sender<u64>,
+    reads: ReadRequests,
 }
 
 impl Entry {
@@ -58,11 +54,7 @@
         if let Some(build) = known() {
             return Some(build);
         }
-        let mut read = self.stored.read.subscribe();
-        self.stored.wanted.send_modify(|n| *n += 1);
-        let wanted = *self.stored.wanted.borrow();
-        let done = read.wait_for(|n| *n >= wanted);
-        if tokio::time::timeout(READ_TIMEOUT, done).await.is_err() {
+        if !self.stored.reads.wait(READ_TIMEOUT).await {
             warn!(wait_ms = READ_TIMEOUT.as_millis() as u64; "routing: the records of begun streams were not read in time");
         }
         known()
@@ -87,11 +79,10 @@
     store: S,
     stop: CancellationToken,
 ) -> Result<(), ChildError> {
-    let mut wanted = entry.stored.wanted.subscribe();
     let mut unusable = UnusableObjects::new(ObjectKind::Streams);
+    let mut wanted = entry.stored.reads.subscribe();
     let read = async {
-        while wanted.changed().await.is_ok() {
-            let number = *wanted.borrow_and_update();
+        while let Some(number) = wanted.next().await {
             match store.list(ObjectKind::Streams).await {
                 Ok(listing) => {
                     let known = parse_records(&mut unusable, &listing);
@@ -100,7 +91,7 @@
                 }
                 Err(e) => warn!(error:% = e; "the records of begun streams can't be read"),
             }
-            entry.stored.read.send_replace(number);
+            entry.stored.reads.finish(number);
             tokio::time::sleep(READ_INTERVAL).await;
         }
     };
--- a/src/path/beginning.rs
+++ b/src/path/beginning.rs
@@ -24,10 +24,12 @@
             StreamBeginning::Earlier(id) => self.entry.find_begun(StreamId::of(id)).await,
             StreamBeginning::Unnamed => None,
         };
-        let (source, build) = match (begun, self.only_build()) {
-            (Some(build), _) => ("entries", build),
-            (None, Some(build)) => ("only-build", build),
-            (None, None) => ("store", self.stored_build().await?),
+        let (source, build) = if let Some(build) = begun {
+            ("entries", build)
+        } else if let Some(build) = self.certain_build().await {
+            ("only-build", build)
+        } else {
+            ("store", self.stored_build().await?)
         };
         info!(request = &*self.head.id, build:% = build, source = source; "routing: resumed stream bound to a build");
         let mut targets = self.route.targets.iter();
@@ -48,7 +50,19 @@
         stored.ok_or(RefusalReason::UnknownBeginning)
     }
 
-    /// Returns the only build that can have begun a stream of this route.
+    /// Returns the only build that can have begun the stream, once the registered upstreams were read again: this entry may
+    /// have stood still or been cut off while another build began streams.
+    async fn certain_build(&self) -> Option<Build> {
+        self.only_build()?;
+        let asked = BootInstant::now();
+        self.entry.read_builds().await;
+        let build = self.only_build()?;
+        lock(&self.entry.builds)
+            .is_read_since(asked)
+            .then_some(build)
+    }
+
+    /// Returns the only build that can have begun a stream of this route, as far as this entry knows.
     fn only_build(&self) -> Option<Build> {
         let targets = self.route.targets.iter();
         let services: Vec<&Arc<str>> = targets.map(|t| &t.service).collect();
--- a/tests/build_memory.rs
+++ b/tests/build_memory.rs
@@ -29,6 +29,7 @@
     a_single_build_is_certain_only_where_nothing_is_missing,
     a_release_forth_and_back_is_uncertain_until_streams_have_ended,
     a_view_that_is_not_confirmed_is_uncertain,
+    what_was_read_before_a_request_proves_its_beginning,
     builds_of_any_peer_make_a_beginning_uncertain,
     builds_that_came_and_went_unseen_make_a_beginning_uncertain,
     a_lookup_takes_less_than_a_microsecond,
@@ -135,6 +136,20 @@
         assert!(only(&history, START + Duration::from_secs(6)).is_none());
     }
 
+    /// Guards against an entry that stood still while another build joined, and goes on with a stream of that build.
+    pub(super) fn what_was_read_before_a_request_proves_its_beginning() {
+        let mut history = history(&["v1"]);
+        let asked = START + Duration::from_secs(3);
+        assert!(only(&history, asked).is_some());
+        assert!(!history.is_read_since(asked), "never read");
+        history.confirm_read(START + Duration::from_secs(2), asked);
+        assert!(!history.is_read_since(asked), "the read began before");
+        history.confirm_read(asked, asked + Duration::from_millis(5));
+        assert!(history.is_read_since(asked));
+        history.confirm_read(START, asked + Duration::from_millis(6));
+        assert!(history.is_read_since(asked), "a slow earlier read");
+    }
+
     pub(super) fn builds_that_came_and_went_unseen_make_a_beginning_uncertain() {
         let mut history = history(&["v1"]);
         let after = START + Duration::from_secs(10);
