fix: a member whose contact lapses for a moment doesn't follow the store again

Callers would see nothing at once; entries outside the control set lose a source, or read the store themselves.

Cause: by reading: where a probe was late, but the next answered call had been sent in time, what was read counted as lost and nothing listed it again while its watch went on.

Change: one place marks what was read as outdated, and the followers list again each time; once as contact lapses, and once as it comes back after a gap.

--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -17,11 +17,16 @@
     /// have changed unnoticed.
     pub fn store_answered(&self, sent: BootInstant) {
         if lock(&self.contact).record_answer(sent) {
-            lock(&self.registry).store_lost();
-            self.contact_gaps.send_modify(|n| *n += 1);
+            self.contact_interrupted();
         }
     }
 
+    /// Marks what was read from the store as possibly outdated, until it is listed again.
+    fn contact_interrupted(&self) {
+        lock(&self.registry).store_lost();
+        self.contact_gaps.send_modify(|n| *n += 1);
+    }
+
     /// Returns a counter of the interruptions of the contact with the store.
     pub fn contact_gaps(&self) -> watch::Receiver<u64> {
         self.contact_gaps.subscribe()
@@ -62,10 +67,10 @@
         }
         let now = BootInstant::now();
         let contact = *lock(&entry.contact);
-        if !contact.is_fresh(now) {
-            lock(&entry.registry).store_lost();
-        }
         let is_fresh = contact.is_fresh(now);
+        if was_fresh && !is_fresh {
+            entry.contact_interrupted();
+        }
         if is_fresh != was_fresh {
             let age_ms = contact.age(now).unwrap_or_default().as_millis() as u64;
             info!(fresh = is_fresh, age_ms = age_ms; "contact with the store changed");
