fix: an entry asks the same peer for registrations again though it is silent

Callers would see: requests to upstreams that leave, at an entry outside the control set that can't reach the one member that it reads from while its relay still hears that member.

Cause: by reading: since the peer to read from stays the same, a silent one was asked again and again; before, another was drawn each time.

Change: a peer that did not respond is asked for 10 s only if there is no other that follows the store.

--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -11,7 +11,7 @@
 };
 use log::info;
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio_util::sync::CancellationToken;
 
 /// Delay before each request, and interval between checks whether one is needed.
@@ -27,6 +27,10 @@
 /// kilobytes. A peer that is silent for longer may lack changes that others know.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Time for which a peer that did not respond is read from only if there is no other: this entry alone may be cut off from
+/// it, while others still hear it.
+const SILENT_TIME: Duration = Duration::from_secs(10);
+
 /// Timeout of a response that is sent at once.
 const BUILDS_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -61,10 +65,12 @@
 
 async fn poll_peers(entry: &Arc<Entry>) {
     let mut mark = StateVersion::default();
+    let mut silent: HashMap<SocketAddr, BootInstant> = HashMap::new();
     loop {
         tokio::time::sleep(REQUEST_INTERVAL).await;
         entry.expire_registrations();
-        let Some(address) = source(entry) else {
+        silent.retain(|_, since| BootInstant::now().since(*since) < SILENT_TIME);
+        let Some(address) = source(entry, &silent) else {
             mark = StateVersion::default();
             continue;
         };
@@ -73,13 +79,15 @@
         if let Some(response) = response {
             mark = response.mark;
             apply(entry, address, response);
+        } else {
+            silent.insert(address, BootInstant::now());
         }
     }
 }
 
 /// Reads the builds of the registered upstreams from an entry that follows the store; returns whether one has sent them.
 pub async fn observe_peer_builds(entry: &Arc<Entry>) -> bool {
-    let Some(address) = best_source(entry, false) else {
+    let Some(address) = best_source(entry, &HashMap::new(), false) else {
         return false;
     };
     let mark = StateVersion::default();
@@ -99,7 +107,7 @@
 }
 
 /// Returns the peer to read from, if this entry doesn't follow the store itself.
-fn source(entry: &Entry) -> Option<SocketAddr> {
+fn source(entry: &Entry, silent: &HashMap<SocketAddr, BootInstant>) -> Option<SocketAddr> {
     let is_empty = {
         let registry = lock(&entry.registry);
         if registry.follows_store() {
@@ -107,11 +115,16 @@
         }
         registry.all().next().is_none()
     };
-    best_source(entry, is_empty)
+    best_source(entry, silent, is_empty)
 }
 
-/// Returns the peer to read from: one that follows the store, members of the control set first, or any other if `or_any`.
-fn best_source(entry: &Entry, or_any: bool) -> Option<SocketAddr> {
+/// Returns the peer to read from: one that follows the store, or any other if `or_any`. Those that were not `silent` and
+/// members of the control set come first.
+fn best_source(
+    entry: &Entry,
+    silent: &HashMap<SocketAddr, BootInstant>,
+    or_any: bool,
+) -> Option<SocketAddr> {
     let control = entry.control.load();
     let peers = lock(&entry.peers);
     let live = peers.live(BootInstant::now());
@@ -120,7 +133,8 @@
         let is_member = control.members.contains(&info.name);
         let is_local = *info.data_centre == *entry.config.data_centre;
         let rank = pair_hash(&entry.config.id, &info.name);
-        (info.follows, is_member, is_local, rank)
+        let has_answered = !silent.contains_key(&info.link);
+        (info.follows, has_answered, is_member, is_local, rank)
     });
     best.filter(|info| info.follows || or_any)
         .map(|info| info.link)
