fix: two entries send orders with one fencing number after the store's return

Cause: a generation, a lease and a holder record were believed whatever era of the store they came from. The next generation was the one of the record plus one, the own name in a record counted as proof, and a new era neither ended the right to send orders nor led to a read.

Change: generations carry the era in their upper bits, so that those of an era are above all earlier ones. A new era ends the lease until it is renewed and the records are read again. Who might send orders up to the end of the earlier era claims its engines again at once; anybody else waits until no lease of that era can be left, or a member record says that somebody has waited. Why it works: at most one entry has the right at the end of an era, and a conditional write in the new one decides; without that right the wait outlasts any lease.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,5 +20,6 @@
 pub mod routes;
 pub mod run_time;
 pub mod shutdown;
+pub mod store_eras;
 pub mod stream_record;
 pub mod takeover;
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::build_history::BuildReport,
+    decide::{build_history::BuildReport, store_eras},
     edge::registration::AdapterKey,
     ident::{Generation, UpstreamId, rendezvous},
     refused_subject::RefusedSubject,
@@ -15,7 +15,7 @@
 
 /// Delay before the first order if another VM held the upstream: its lease ended at least two seconds earlier (see
 /// `order_lease::TIMING`), and the platform requires three seconds between two holders.
-const DELAY_AFTER_OTHER_VM: Duration = Duration::from_millis(3_500);
+pub const DELAY_AFTER_OTHER_VM: Duration = Duration::from_millis(3_500);
 
 /// Delay before the first order if an earlier process of this VM held the upstream: its connections are closed, and
 /// its last orders have arrived by then.
@@ -41,6 +41,9 @@
     /// Builds that have served, for the same entries.
     #[serde(default)]
     pub builds: Option<StoredBuilds>,
+    /// Era of the store in which no lease of an earlier one is left, if the process knows it.
+    #[serde(default)]
+    pub settled: Option<u64>,
 }
 
 /// Builds that an entry had seen when it wrote its record.
@@ -88,8 +91,8 @@
     Skip,
     /// This process already holds it.
     Held,
-    /// Create its first holder record.
-    Create,
+    /// Create its first holder record with this generation.
+    Create(Generation),
     /// Replace its holder record with this generation.
     Replace(Generation),
 }
@@ -103,27 +106,60 @@
     pub incarnation: u64,
 }
 
+/// What the store's present era says about the holder record of one upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RecordEra {
+    /// Number of the era.
+    pub present: u64,
+    /// Whether no lease of an earlier era is left.
+    pub is_settled: bool,
+    /// Whether this process held the upstream at the end of the earlier era, so that nobody else can hold it by then.
+    pub was_holder: bool,
+}
+
+impl RecordEra {
+    /// Returns whether `record` was written in the present era.
+    pub fn wrote(&self, record: Option<&HolderRecord>) -> bool {
+        record.is_some_and(|r| store_eras::is_of_era(r.generation, self.present))
+    }
+}
+
 /// Decides the next step for `upstream`; `eligible` are the VMs that may hold it, including this one.
+///
+/// A record of an earlier era, or its absence, says nothing about who has held the upstream since the store's copy was
+/// made: that is whoever held it last, or anybody once all leases of that era have ended.
 pub fn next_step(
     own: OwnProcess<'_>,
     upstream: &UpstreamId,
     record: Option<&HolderRecord>,
     state: HolderState,
+    era: RecordEra,
     eligible: &[Arc<str>],
 ) -> TakeoverStep {
+    let next = store_eras::next_generation(record.map(|r| r.generation), era.present);
+    let is_present = era.wrote(record);
+    if !is_present && era.was_holder {
+        return match record {
+            None => TakeoverStep::Create(next),
+            Some(_) => TakeoverStep::Replace(next),
+        };
+    }
+    if !is_present && !era.is_settled {
+        return TakeoverStep::Skip;
+    }
     let Some(record) = record else {
         let first = is_top_ranked(own, upstream, eligible.iter());
         return if first {
-            TakeoverStep::Create
+            TakeoverStep::Create(next)
         } else {
             TakeoverStep::Skip
         };
     };
     if &*record.holder == own.name {
-        return if record.incarnation == own.incarnation {
+        return if is_present && record.incarnation == own.incarnation {
             TakeoverStep::Held
         } else {
-            TakeoverStep::Replace(record.generation + 1)
+            TakeoverStep::Replace(next)
         };
     }
     if state == HolderState::Live {
@@ -131,7 +167,7 @@
     }
     let others = eligible.iter().filter(|n| **n != record.holder);
     if is_top_ranked(own, upstream, others) {
-        TakeoverStep::Replace(record.generation + 1)
+        TakeoverStep::Replace(next)
     } else {
         TakeoverStep::Skip
     }
@@ -151,8 +187,12 @@
 pub fn first_order_at(
     own: &str,
     earlier: Option<&HolderRecord>,
+    era: RecordEra,
     taken_at: BootInstant,
 ) -> BootInstant {
+    if era.was_holder && !era.wrote(earlier) {
+        return taken_at + DELAY_AFTER_OWN_VM;
+    }
     match earlier {
         None => taken_at,
         Some(record) if &*record.holder == own => taken_at + DELAY_AFTER_OWN_VM,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -19,7 +19,7 @@
         routes::RouteTable,
         run_time::RunTimes,
         shutdown::Shutdown,
-        takeover::LateOrder,
+        store_eras::StoreEras,
     },
     edge::{
         codec::Codec,
@@ -130,6 +130,8 @@
     pub contact_gaps: watch::Sender<u64>,
     /// Lease that allows this entry to send orders.
     pub order_lease: Mutex<OrderLease>,
+    /// Eras of the store.
+    pub store_eras: Mutex<StoreEras>,
     /// Counter of changes that peers must learn of at once; each increment triggers an update.
     pub update_trigger: watch::Sender<u64>,
     /// Notified when upstreams appear or go.
@@ -191,6 +193,7 @@
             contact: Mutex::default(),
             contact_gaps: watch::Sender::new(0),
             order_lease: Mutex::default(),
+            store_eras: Mutex::default(),
             update_trigger: watch::Sender::new(0),
             registry_changed: Notify::new(),
             seeds: Mutex::new(config.peers.0.clone()),
@@ -410,17 +413,6 @@
         [self.own_loads(), others].into_iter().sum()
     }
 
-    /// Returns orders that may still be executed, of this entry and of earlier holders of its engines.
-    pub fn late_orders(&self) -> Vec<LateOrder> {
-        let controllers = lock(&self.controllers);
-        let own = controllers.values().flat_map(ControllerHandle::late_orders);
-        let mut all: HashSet<LateOrder> = own.collect();
-        drop(controllers);
-        let inherited = lock(&self.late_orders);
-        all.extend(inherited.pending(BootInstant::now()).cloned());
-        all.into_iter().collect()
-    }
-
     /// Sends a command to the controller of `upstream`; returns false if this entry does not hold it.
     pub fn send_to_controller(&self, upstream: &str, command: Command) -> bool {
         let controllers = lock(&self.controllers);
--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -4,14 +4,21 @@
     clock::BootInstant,
     decide::{
         order_lease::TIMING,
-        takeover::{self, HolderRecord, HolderState, MemberRecord, OwnProcess, TakeoverStep},
+        store_eras,
+        takeover::{
+            self, HolderRecord, HolderState, MemberRecord, OwnProcess, RecordEra, TakeoverStep,
+        },
     },
     edge::{
         orders::OrderClient,
         registration::Registration,
         store::{Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::{context::Entry, controller, unusable::UnusableObjects},
+    entry::{
+        context::Entry,
+        controller, store_return,
+        unusable::{UnusableObjects, read_records},
+    },
     holding::lock,
     ident::UpstreamId,
     lease::{LeaseObserver, Renewal},
@@ -80,6 +87,10 @@
     stopped: HashMap<(Arc<str>, u64), BootInstant>,
     /// Records that this entry wrote, with the earliest time of its first order.
     claimed: HashMap<UpstreamId, (HolderRecord, BootInstant)>,
+    /// Era of the store at the last poll.
+    era: u64,
+    /// Engines that this process held when that era began, and has not claimed again.
+    held_before: HashSet<UpstreamId>,
 }
 
 /// Holder record and its store revision.
@@ -106,10 +117,14 @@
         members: HashMap::new(),
         stopped: HashMap::new(),
         claimed: HashMap::new(),
+        era: 0,
+        held_before: HashSet::new(),
     };
+    let (entry, store) = (Arc::clone(&holder.entry), holder.store.clone());
     tokio::select! {
         () = stop.cancelled() => {}
         () = holder.run() => {}
+        () = store_return::follow_eras(&entry, &store) => {}
     }
     lock(&holder.entry.controllers).clear();
     Ok(())
@@ -181,9 +196,14 @@
     async fn poll(&mut self, scope: Scope) -> Result<(), StoreError> {
         let sent = BootInstant::now();
         let members = self.store.list(ObjectKind::Members).await?;
-        self.observe_members(&members, sent);
         let holders_sent = BootInstant::now();
         let holders = self.store.list(ObjectKind::Holders).await?;
+        let era = lock(&self.entry.store_eras).present();
+        if members.at.era != era || holders.at.era != era {
+            return Err(StoreError::Unknown);
+        }
+        self.enter_era(era);
+        self.observe_members(&members, sent);
         let mut records: HashMap<UpstreamId, StoredRecord> = HashMap::new();
         let mut unreadable = Vec::new();
         for (object, record) in read_records(&mut self.unusable_holders, &holders) {
@@ -213,8 +233,18 @@
         Ok(())
     }
 
+    /// Forgets what was concluded from the records of an earlier era.
+    fn enter_era(&mut self, era: u64) {
+        if era != self.era {
+            self.era = era;
+            self.observer = LeaseObserver::new(TIMING);
+            self.claimed.clear();
+            self.held_before = self.entry.end_earlier_controllers(era);
+        }
+    }
+
     /// Restores the record of an engine if this entry certainly still holds it. Otherwise returns a record of an unknown
-    /// holder. Each takeover is a write, so that no generation so far exceeds the object's revision.
+    /// holder.
     async fn replace_unreadable(&mut self, object: &Object) -> StoredRecord {
         let id: UpstreamId = Arc::from(object.name.as_str());
         self.unreadable
@@ -223,7 +253,7 @@
         let unknown = HolderRecord {
             holder: Arc::from(UNKNOWN_HOLDER),
             incarnation: 0,
-            generation: object.revision,
+            generation: store_eras::unreadable_generation(object.revision, self.era),
         };
         let generation = lock(&self.entry.controllers).get(&id).map(|c| c.generation);
         // With a lease without gap since the last read, nobody else can have taken the engine over.
@@ -260,6 +290,9 @@
         self.members = records.collect();
         for record in self.members.values() {
             self.entry.restore_refused(&record.refused);
+            if let Some(era) = record.settled {
+                lock(&self.entry.store_eras).learn_settled(era);
+            }
         }
         let renewals = self.members.iter().map(|(name, record)| {
             let renewal = Renewal {
@@ -327,24 +360,31 @@
             name: &self.entry.config.id,
             incarnation: self.entry.incarnation,
         };
-        match takeover::next_step(
-            own,
-            &engine.id,
-            record,
-            state,
-            &self.entry.control.load().members,
-        ) {
+        let era = self.record_era(&engine.id);
+        if era.wrote(record) {
+            self.held_before.remove(&engine.id);
+        }
+        let members = &self.entry.control.load().members;
+        match takeover::next_step(own, &engine.id, record, state, era, members) {
             TakeoverStep::Skip => {}
             TakeoverStep::Held => {
                 if let Some(record) = record {
                     self.start_controller(engine, record);
                 }
             }
-            TakeoverStep::Create => self.take_over(engine, 1, None).await,
+            TakeoverStep::Create(generation) => self.take_over(engine, generation, None).await,
             TakeoverStep::Replace(generation) => self.take_over(engine, generation, held).await,
         }
     }
 
+    fn record_era(&self, engine: &UpstreamId) -> RecordEra {
+        RecordEra {
+            present: self.era,
+            is_settled: lock(&self.entry.store_eras).is_settled(BootInstant::now()),
+            was_holder: self.held_before.contains(engine),
+        }
+    }
+
     fn state(&self, engine: &UpstreamId, record: &HolderRecord) -> HolderState {
         let now = BootInstant::now();
         if let Some(since) = self.unreadable.get(engine) {
@@ -394,9 +434,13 @@
             }
         };
         let earlier = held.map(|(r, _)| r);
-        let first_order_at =
-            takeover::first_order_at(&self.entry.config.id, earlier, BootInstant::now());
+        let (own, era) = (&self.entry.config.id, self.record_era(&engine.id));
+        let first_order_at = takeover::first_order_at(own, earlier, era, BootInstant::now());
         match written {
+            // The store may have returned with an older copy since the records were read: the next poll shows what was written.
+            Ok(_object) if self.store.era().latest() != self.era => {
+                info!(upstream = &*engine.id, generation = generation; "placement: the store returned during a takeover");
+            }
             Ok(_object) => {
                 info!(upstream = &*engine.id, generation = generation, earlier = earlier.map_or("", |r| &*r.holder); "placement: engine taken over");
                 self.inherit_late_orders(earlier);
@@ -452,28 +496,3 @@
         lock(&self.entry.controllers).insert(Arc::clone(&engine.id), handle);
     }
 }
-
-/// Decodes the records of a listing; `None` for each that can't be used.
-fn read_records<'a, T: serde::de::DeserializeOwned>(
-    unusable: &mut UnusableObjects,
-    listing: &'a Listing,
-) -> Vec<(&'a Object, Option<T>)> {
-    let present = listing.objects.iter().map(|o| o.name.as_str()).collect();
-    unusable.retain(&present);
-    let mut records = Vec::new();
-    for object in &listing.objects {
-        match object.decode() {
-            Ok(record) => {
-                unusable.remove(&object.name);
-                records.push((object, Some(record)));
-            }
-            Err(e) => {
-                unusable.insert(&object.name, &e);
-                records.push((object, None));
-            }
-        }
-    }
-    unusable.insert_unnamed(listing.unnamed);
-    unusable.report();
-    records
-}
--- a/src/entry/late_orders.rs
+++ b/src/entry/late_orders.rs
@@ -4,8 +4,10 @@
     clock::BootInstant,
     decide::{residency::LATE_ORDER_WINDOW, takeover::LateOrder},
     edge::registration::AdapterKey,
+    entry::{context::Entry, controller_handle::ControllerHandle},
+    holding::lock,
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Inherited orders, and until when the engine may execute each.
 #[derive(Debug, Default)]
@@ -33,3 +35,16 @@
         pending.map(|(order, _)| order)
     }
 }
+
+impl Entry {
+    /// Returns orders that may still be executed, of this entry and of earlier holders of its engines.
+    pub fn late_orders(&self) -> Vec<LateOrder> {
+        let controllers = lock(&self.controllers);
+        let own = controllers.values().flat_map(ControllerHandle::late_orders);
+        let mut all: HashSet<LateOrder> = own.collect();
+        drop(controllers);
+        let inherited = lock(&self.late_orders);
+        all.extend(inherited.pending(BootInstant::now()).cloned());
+        all.into_iter().collect()
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 pub mod renew;
 pub mod run;
 pub mod send_log;
+pub mod store_return;
 pub mod stored_streams;
 pub mod unusable;
 pub mod update;
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -50,6 +50,7 @@
             late: Vec::new(),
             refused: Vec::new(),
             builds: None,
+            settled: None,
         },
         entry,
         store,
@@ -71,12 +72,17 @@
 impl<S: Store> Renewer<S> {
     async fn run(&mut self) {
         loop {
+            let era = self.store.era().latest();
             self.is_member = self.entry.is_control_member();
             // Outside the control set the record is only used for discovery by other entries, and is written once.
             if self.is_member || self.revision.is_none() {
                 self.renew().await;
             }
-            tokio::time::sleep(RENEWAL_INTERVAL).await;
+            // A lease ends when the store returns with an older copy.
+            tokio::select! {
+                () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
+                () = self.store.era().wait_for_other(era) => {}
+            }
         }
     }
 
@@ -85,6 +91,7 @@
         self.record.late = self.entry.late_orders();
         self.record.refused = self.entry.quarantine.refused();
         self.record.builds = Some(self.entry.stored_builds());
+        self.record.settled = self.entry.settled_era();
         let sent = BootInstant::now();
         let written = self.write().await;
         match &written {
@@ -101,23 +108,30 @@
     async fn write(&mut self) -> Result<Object, StoreError> {
         let name = &self.entry.config.id.clone();
         // Unknown until the store responds: a cancelled renewal may have been written.
-        let revision = match self.revision.take() {
-            Some(revision) => revision,
-            None => match self.store.get(ObjectKind::Members, name).await {
-                Ok(object) => {
-                    self.inherit(&object);
-                    object.revision
-                }
-                Err(StoreError::NotFound) => {
-                    let content = json!(self.record);
-                    return self.store.create(ObjectKind::Members, name, &content).await;
-                }
-                Err(e) => return Err(e),
-            },
-        };
-        let (revision, content) = (Some(revision), json!(self.record));
+        if let Some(revision) = self.revision.take() {
+            match self.replace(name, revision).await {
+                // An older copy of the store has another revision of the record, or none.
+                Err(StoreError::Conflict(_) | StoreError::NotFound) => {}
+                result => return result,
+            }
+        }
+        match self.store.get(ObjectKind::Members, name).await {
+            Ok(object) => {
+                self.inherit(&object);
+                self.replace(name, object.revision).await
+            }
+            Err(StoreError::NotFound) => {
+                let content = json!(self.record);
+                self.store.create(ObjectKind::Members, name, &content).await
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    async fn replace(&self, name: &str, revision: u64) -> Result<Object, StoreError> {
+        let content = json!(self.record);
         self.store
-            .replace(ObjectKind::Members, name, revision, &content)
+            .replace(ObjectKind::Members, name, Some(revision), &content)
             .await
     }
 
--- a/src/entry/unusable.rs
+++ b/src/entry/unusable.rs
@@ -1,7 +1,11 @@
 //! Objects in the store that can't be used: logs each once, and counts it.
 
-use crate::{edge::store::ObjectKind, metrics};
+use crate::{
+    edge::store::{Listing, Object, ObjectKind},
+    metrics,
+};
 use log::warn;
+use serde::de::DeserializeOwned;
 use std::{
     collections::HashSet,
     fmt::{Display, Write},
@@ -101,3 +105,28 @@
     let _ = write!(out, "{value}");
     out.text
 }
+
+/// Decodes the records of a listing; `None` for each that can't be used.
+pub fn read_records<'a, T: DeserializeOwned>(
+    unusable: &mut UnusableObjects,
+    listing: &'a Listing,
+) -> Vec<(&'a Object, Option<T>)> {
+    let present = listing.objects.iter().map(|o| o.name.as_str()).collect();
+    unusable.retain(&present);
+    let mut records = Vec::new();
+    for object in &listing.objects {
+        match object.decode() {
+            Ok(record) => {
+                unusable.remove(&object.name);
+                records.push((object, Some(record)));
+            }
+            Err(e) => {
+                unusable.insert(&object.name, &e);
+                records.push((object, None));
+            }
+        }
+    }
+    unusable.insert_unnamed(listing.unnamed);
+    unusable.report();
+    records
+}
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -10,7 +10,8 @@
         retry_budget::{RetryLimits, ServiceRetryBudget},
         routes::{self, RouteTable},
         takeover::{
-            self, HolderRecord, HolderState, LateOrder, MemberRecord, OwnProcess, TakeoverStep,
+            self, HolderRecord, HolderState, LateOrder, MemberRecord, OwnProcess, RecordEra,
+            TakeoverStep,
         },
     },
     edge::{
@@ -115,10 +116,10 @@
 mod case {
     use super::{
         AdapterKey, Arc, Choice, Deployment, Duration, HashSet, HolderRecord, HolderState,
-        LateOrder, LateOrders, MemberRecord, Outliers, OwnProcess, Phase, Plan, Registry,
-        RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget, SocketAddr,
-        TakeoverStep, UpstreamId, at, candidates, ids, load_balancing, registration, route, routes,
-        takeover,
+        LateOrder, LateOrders, MemberRecord, Outliers, OwnProcess, Phase, Plan, RecordEra,
+        Registry, RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget,
+        SocketAddr, TakeoverStep, UpstreamId, at, candidates, ids, load_balancing, registration,
+        route, routes, takeover,
     };
 
     pub(super) fn the_longest_prefix_wins() {
@@ -396,13 +397,17 @@
                 incarnation: 7,
                 generation: 3,
             };
+            let era = RecordEra {
+                is_settled: true,
+                ..RecordEra::default()
+            };
             let steps = |record: Option<&HolderRecord>, state| {
                 let all = names.iter().map(|name| {
                     let own = OwnProcess {
                         name,
                         incarnation: 9,
                     };
-                    takeover::next_step(own, &upstream, record, state, &names)
+                    takeover::next_step(own, &upstream, record, state, era, &names)
                 });
                 all.collect::<Vec<TakeoverStep>>()
             };
@@ -410,7 +415,7 @@
             assert_eq!(
                 creates
                     .iter()
-                    .filter(|s| **s == TakeoverStep::Create)
+                    .filter(|s| **s == TakeoverStep::Create(1))
                     .count(),
                 1
             );
@@ -434,7 +439,8 @@
             incarnation: 1,
             generation: 1,
         };
-        let wait = |own, earlier| takeover::first_order_at(own, earlier, at(0)).since(at(0));
+        let era = RecordEra::default();
+        let wait = |own, earlier| takeover::first_order_at(own, earlier, era, at(0)).since(at(0));
         assert_eq!(wait("entry-2", None), Duration::ZERO);
         assert!(wait("entry-2", Some(&record)) > Duration::from_secs(3));
         assert!(wait("entry-1", Some(&record)) < Duration::from_secs(1));
@@ -449,6 +455,7 @@
         };
         let record = MemberRecord {
             builds: None,
+            settled: None,
             incarnation: 1,
             counter: 4,
             link: SocketAddr::from(([10, 0, 0, 1], 80)),
