fix: streams whose first event has just come are lost when all entries end

Cause: the first event was passed on before it was known outside the process which build had begun the stream. The writers stored new beginnings each 200 ms.

Writers write at once when asked, each 30 ms at most. In a new era of the store, recent streams are written again. Why it works: a caller that has an event finds the stream in the store.

--- a/src/decide/stream_record.rs
+++ b/src/decide/stream_record.rs
@@ -2,7 +2,7 @@
 //!
 //! | load pattern | response |
 //! |---|---|
-//! | all VMs lose power while two builds serve | the streams begun so far are in the store, but for those of the last moments |
+//! | all VMs lose power while two builds serve | a stream is in the store before its caller gets an event; only where that takes too long it may be missing |
 //! | hundreds of streams begin each second | a record holds those of a few seconds, so that each write is small; later records take the place of the oldest |
 //! | more streams begin than a record holds | the rest is dropped and counted; such a stream is unknown, and is not taken up by another build |
 //! | a record is cut off or comes from another writer | it names no stream |
@@ -69,6 +69,12 @@
         format!("{writer}.{}", self.period % RECORDS)
     }
 
+    /// Returns whether the record names `build` as the one that began `stream`.
+    pub fn contains(&self, build: &Build, stream: StreamId) -> bool {
+        let batch = self.batches.get(build);
+        batch.is_some_and(|streams| streams.contains(&stream))
+    }
+
     /// Adds a stream; returns false if the record is full.
     pub fn add(&mut self, build: &Build, stream: StreamId) -> bool {
         if self.count >= CAPACITY {
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -27,6 +27,9 @@
 /// Path of requests for the build that began a stream.
 pub const BEGUN_PATH: &str = "/begun";
 
+/// Path of requests to store the build that began a stream.
+pub const STORE_BEGUN_PATH: &str = "/store-begun";
+
 /// Description of an entry for its peers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PeerInfo {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod controller_handle;
 pub mod detour;
 pub mod directory;
+pub mod durable_beginnings;
 pub mod ensure;
 pub mod follow;
 pub mod holder;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -9,9 +9,10 @@
         control,
         controller_handle::Command,
         detour::{self, DETOUR_PATH},
+        durable_beginnings,
         messages::{
             BEGUN_PATH, DEPLOYMENT_PATH, ENSURE_PATH, EnsureRequest, EnsureResult, MISSING_PATH,
-            PEER_PATH, PeerAck, PeerUpdate, REGISTRATIONS_PATH,
+            PEER_PATH, PeerAck, PeerUpdate, REGISTRATIONS_PATH, STORE_BEGUN_PATH,
         },
         registrations,
         send_log::SendRecord,
@@ -226,6 +227,7 @@
         ENSURE_PATH => serve_ensure(&entry, sender, receiver).await,
         MISSING_PATH => receive_missing(&entry, sender, receiver).await,
         BEGUN_PATH => begun_streams::serve(&entry, sender, receiver).await,
+        STORE_BEGUN_PATH => durable_beginnings::serve(&entry, sender, receiver).await,
         REGISTRATIONS_PATH => registrations::serve(&entry, sender, receiver).await,
         _ => serve_deployment(&entry, sender, receiver).await,
     };
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -242,6 +242,11 @@
         all.into_values().collect()
     }
 
+    /// Returns the live entry named `name`.
+    pub fn find_live(&self, name: &str, now: BootInstant) -> Option<&PeerInfo> {
+        self.heard(now).find(|info| *info.name == *name)
+    }
+
     /// Returns the entries as peers describe them whose last updates are recent.
     pub fn heard(&self, now: BootInstant) -> impl Iterator<Item = &PeerInfo> {
         let direct = self.direct(now);
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -1,7 +1,8 @@
 //! Stores which build began each recent stream, and looks up streams that no entry remembers.
 //!
-//! Only two members of the control set write, each for all entries, and only while several builds serve. Records are read
-//! only for a stream that is taken up and unknown.
+//! Only two members of the control set write, each for all entries, and only while several builds serve: at once what
+//! entries ask them to store (see `durable_beginnings`), and soon what else began before. Records are read only for a stream
+//! that is taken up and unknown.
 
 use crate::{
     clock::{self, BootInstant},
@@ -11,7 +12,10 @@
         registration::Build,
         store::{Listing, Object, ObjectKind, Store, StoreError},
     },
-    entry::{context::Entry, read_requests::ReadRequests, unusable::UnusableObjects},
+    entry::{
+        context::Entry, durable_beginnings::PausedWriters, read_requests::ReadRequests,
+        unusable::UnusableObjects,
+    },
     holding::lock,
     ident::StreamId,
     metrics,
@@ -23,14 +27,21 @@
     sync::{Arc, Mutex},
     time::Duration,
 };
+use tokio::{
+    sync::{Notify, oneshot},
+    time::Instant,
+};
 use tokio_util::sync::CancellationToken;
 
 /// Members of the control set that write: one may be frozen or cut off from the store when all others end.
-const WRITERS: usize = 2;
+pub const WRITERS: usize = 2;
 
-/// Interval between writes; a loss of power makes the streams begun since the last one unknown.
+/// Interval between writes of streams that no entry has asked to store: most began before the second build appeared.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Minimum time between two writes, so that streams that begin at the same time share one.
+const MIN_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Age of the oldest streams that are written when a second build appears: streams end sooner.
 const MAX_AGE: Duration = Duration::from_secs(20);
 
@@ -45,6 +56,34 @@
 pub struct StoredStreams {
     known: Mutex<HashMap<StreamId, Build>>,
     reads: ReadRequests,
+    /// Streams to be stored, for which entries hold the first event back.
+    writes: Mutex<Vec<WantedWrite>>,
+    write_wanted: Notify,
+    /// Writers that have failed to store streams in time.
+    pub paused_writers: Mutex<PausedWriters>,
+}
+
+/// A stream to be stored.
+#[derive(Debug)]
+struct WantedWrite {
+    stream: StreamId,
+    build: Build,
+    is_stored: oneshot::Sender<bool>,
+}
+
+impl StoredStreams {
+    /// Stores the build that began a stream with this entry's next write; returns whether that has succeeded.
+    pub async fn write(&self, stream: StreamId, build: &Build) -> bool {
+        let (is_stored, result) = oneshot::channel();
+        let build = build.clone();
+        lock(&self.writes).push(WantedWrite {
+            stream,
+            build,
+            is_stored,
+        });
+        self.write_wanted.notify_one();
+        result.await.unwrap_or(false)
+    }
 }
 
 impl Entry {
@@ -133,6 +172,8 @@
     revision: Option<u64>,
     /// Whether the record has streams that are not stored.
     is_changed: bool,
+    /// Era of the store at the last write.
+    era: u64,
 }
 
 /// Writes the streams that begin while several builds serve, until `stop`.
@@ -151,6 +192,7 @@
         next: 0,
         revision: None,
         is_changed: false,
+        era: 0,
     };
     let _stopped = stop.run_until_cancelled(writer.run()).await;
     Ok(())
@@ -159,44 +201,68 @@
 impl<S: Store> RecordWriter<S> {
     async fn run(&mut self) {
         loop {
-            tokio::time::sleep(WRITE_INTERVAL).await;
-            if self.entry.writes_streams() {
-                self.write().await;
+            let started = Instant::now();
+            tokio::select! {
+                () = tokio::time::sleep(WRITE_INTERVAL) => {}
+                () = self.entry.stored.write_wanted.notified() => {}
+            }
+            tokio::time::sleep_until(started + MIN_INTERVAL).await;
+            let wanted = std::mem::take(&mut *lock(&self.entry.stored.writes));
+            if !wanted.is_empty() || self.entry.writes_streams() {
+                let is_stored = self.write(&wanted).await;
+                for write in wanted {
+                    // The caller may have left, or the entry may have waited long enough.
+                    let _closed = write.is_stored.send(is_stored);
+                }
             }
         }
     }
 
-    async fn write(&mut self) {
+    /// Writes new streams and the `wanted` ones; returns whether the latter are stored.
+    async fn write(&mut self, wanted: &[WantedWrite]) -> bool {
         let now_ms = clock::unix_ms();
         if !self.record.covers(now_ms) && !self.is_changed {
             self.record = StreamRecord::at(now_ms);
             self.revision = None;
         }
-        self.add_new_streams();
+        let era = self.store.era().latest();
+        if self.era != era {
+            // The store may have returned with an older copy, which lacks the latest records.
+            self.era = era;
+            self.next = 0;
+        }
+        let all_fit = self.add_new_streams(wanted);
         if !self.is_changed {
-            return;
+            return all_fit;
         }
         match self.store_record().await {
             Ok(object) => {
                 self.revision = Some(object.revision);
                 self.is_changed = false;
+                all_fit
             }
             Err(e) => {
                 warn!(error:% = e, period = self.record.period; "the record of begun streams was not written");
                 self.revision = None;
+                false
             }
         }
     }
 
-    fn add_new_streams(&mut self) {
+    /// Adds new streams to the record; returns whether there was room for all.
+    fn add_new_streams(&mut self, wanted: &[WantedWrite]) -> bool {
         let now = BootInstant::now();
         let begun = lock(&self.entry.begun);
         let new = begun.since(self.next);
         let recent = new.filter(|s| now.since(s.at) < MAX_AGE);
+        let recent = recent.map(|s| (s.id, &*s.build));
+        let wanted = wanted.iter().map(|w| (w.stream, &w.build));
         let mut dropped = 0;
-        for stream in recent {
-            self.is_changed = true;
-            dropped += u64::from(!self.record.add(&stream.build, stream.id));
+        for (stream, build) in recent.chain(wanted) {
+            if !self.record.contains(build, stream) {
+                self.is_changed = true;
+                dropped += u64::from(!self.record.add(build, stream));
+            }
         }
         self.next = begun.next();
         drop(begun);
@@ -204,6 +270,7 @@
             metrics::dropped_streams(dropped);
             warn!(dropped = dropped, capacity = CAPACITY; "routing: too many streams begin to store the build of each");
         }
+        dropped == 0
     }
 
     async fn store_record(&mut self) -> Result<Object, StoreError> {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -189,7 +189,13 @@
                 }),
             };
             match received {
-                Ok(Some(data)) => return self.forward_chunk(data),
+                Ok(Some(data)) => {
+                    let received = BootInstant::now();
+                    if self.timings.first.is_none() {
+                        self.begin(received).await;
+                    }
+                    return self.forward_chunk(data, received);
+                }
                 Ok(None) => {}
                 Err(broken) => {
                     if !self.recover(broken).await {
@@ -238,14 +244,15 @@
         }
     }
 
-    fn forward_chunk(&mut self, data: Bytes) -> RelayStep {
-        let now = BootInstant::now();
-        if self.timings.first.is_none() {
-            self.record_prefill(now);
-            self.record_beginning();
-            let taken = now.since(self.request.arrived);
-            metrics::first_chunk(self.request.route.kind.as_str(), taken.as_secs_f64());
-        }
+    /// Records the first chunk, which was received at `now`, before it is passed on.
+    async fn begin(&mut self, now: BootInstant) {
+        self.record_prefill(now);
+        self.record_beginning().await;
+        let taken = BootInstant::now().since(self.request.arrived);
+        metrics::first_chunk(self.request.route.kind.as_str(), taken.as_secs_f64());
+    }
+
+    fn forward_chunk(&mut self, data: Bytes, now: BootInstant) -> RelayStep {
         self.timings.record(now);
         let started = *self.started.get_or_insert(now);
         if !self.proven && now.since(started) >= PROVEN_AFTER {
@@ -267,12 +274,12 @@
     }
 
     /// Binds a stream that may be resumed to the build that brings its first event.
-    fn record_beginning(&mut self) {
+    async fn record_beginning(&mut self) {
         if let Some(source) = self.source.as_ref().filter(|_| self.resumable) {
             let build = source.upstream.build();
-            self.request
-                .entry
-                .record_begun(&self.request.head.id, &build);
+            let (entry, id) = (&self.request.entry, &self.request.head.id);
+            entry.record_begun(id, &build);
+            entry.store_beginning(id, &build).await;
             self.request.build = Some(build);
         }
     }
