fix: bytes without end on many connections fill the memory of an entry

What was seen (operators' report): a faulty upstream sends bytes that are no answer, without end; the VM that had called it keeps them and runs out of memory, and the requests of other callers there end with it.

Cause: each buffer had a bound, their sum had none. Answers to orders and reports were read up to 16 MB each, events of streams that may be resumed up to 1 MB each; the kernel's buffers grew by themselves for callers that don't read, and so did a link's window of 1 MB a stream.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of an entry.
 
 use crate::{
+    byte_budget::ByteBudget,
     clock::{self, BootInstant},
     configs::entry::EntryConfig,
     decide::{
@@ -30,6 +31,7 @@
         control::ControlView,
         controller_handle::{Command, ControllerHandle},
         late_orders::LateOrders,
+        links::Links,
         messages::{PeerInfo, Reach},
         peers::Peers,
         read_requests::ReadRequests,
@@ -39,7 +41,6 @@
     },
     holding::lock,
     ident::{Revision, UpstreamId, rendezvous},
-    link::Link,
     path::pool::Pool,
     quarantine::Quarantine,
     refused_subject::RefusedSubject,
@@ -118,6 +119,8 @@
     pub detours: TaskTracker,
     /// Requests of callers in flight.
     pub requests: TaskTracker,
+    /// Bytes that are buffered from upstreams.
+    pub upstream_bytes: ByteBudget,
     /// Connections to upstreams.
     pub pool: Arc<Pool>,
     /// Controllers of the engines that this entry holds.
@@ -140,7 +143,8 @@
     pub seeds: Mutex<Vec<SocketAddr>>,
     /// Link addresses of entries that have a member record in the store.
     pub member_links: Mutex<Vec<SocketAddr>>,
-    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    /// Links to the other entries.
+    pub links: Links,
     /// Shutdown under way, if any.
     shutdown: watch::Sender<Option<Shutdown>>,
     /// Peers from which a configuration is being fetched.
@@ -187,6 +191,7 @@
             paths: Mutex::default(),
             detours: TaskTracker::new(),
             requests: TaskTracker::new(),
+            upstream_bytes: ByteBudget::default(),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             load_limit: Mutex::default(),
@@ -198,7 +203,7 @@
             registry_changed: Notify::new(),
             seeds: Mutex::new(config.peers.0.clone()),
             member_links: Mutex::default(),
-            links: Mutex::default(),
+            links: Links::default(),
             shutdown: watch::Sender::new(None),
             fetching: Mutex::default(),
             orders_stopped: AtomicBool::new(false),
@@ -375,16 +380,6 @@
         lock(&self.paths).path(upstream, BootInstant::now()) == Path::Direct
     }
 
-    /// Returns the link to the entry at `address`, and creates it if needed.
-    pub fn link(&self, address: SocketAddr) -> Arc<Link> {
-        let mut links = lock(&self.links);
-        let link = links.entry(address).or_insert_with(|| {
-            let key = Arc::from(self.config.key.as_str());
-            Arc::new(Link::new(address, self.config.link.ip(), key))
-        });
-        Arc::clone(link)
-    }
-
     /// Prevents any further order.
     pub fn stop_orders(&self) {
         self.orders_stopped.store(true, Ordering::SeqCst);
--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -109,7 +109,7 @@
         body: request.body().to_vec(),
         left_ms: left.as_millis() as u64,
     };
-    let link = entry.link(address);
+    let link = entry.relay_link(address);
     let mut receiver = match link.open(DETOUR_PATH, &message).await {
         Ok(receiver) => receiver,
         // A request that is too large for a message was not sent either.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod holder;
 pub mod late_orders;
 pub mod limits;
+pub mod links;
 pub mod messages;
 pub mod order_run;
 pub mod peer_link;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -69,7 +69,7 @@
     config: EntryConfig,
     tree: &mut SubsystemHandle,
 ) -> Result<(), ChildError> {
-    let callers = TcpListener::bind(config.callers).await?;
+    let callers = http_server::listen(config.callers)?;
     let directory = TcpListener::bind(config.directory).await?;
     let ready = TcpListener::bind(config.ready).await?;
     let links = TcpListener::bind(config.link).await?;
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,10 +1,11 @@
 //! HTTP client for requests to the platform and to upstreams.
 
-use crate::direct_stream::DirectStream;
-use bytes::Bytes;
+use crate::{byte_budget::ByteBudget, direct_stream::DirectStream};
+use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{
         Client,
@@ -42,6 +43,13 @@
 /// Largest response body that is buffered, in bytes.
 pub const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Largest response head, in bytes.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Receive buffer of a connection, in bytes. The kernel's own choice grows to megabytes for a peer that sends without end, and
+/// counts as memory of the process.
+const RECEIVE_BUFFER: u32 = 64 << 10;
+
 /// Connector for TCP connections.
 #[derive(Clone, Debug)]
 pub struct Connector(HttpConnector);
@@ -82,6 +90,7 @@
     connector.0.set_keepalive_interval(Some(KEEPALIVE));
     Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .build(connector)
 }
 
@@ -91,6 +100,7 @@
     let mut connector = HttpConnector::new();
     connector.set_local_address(local);
     connector.set_nodelay(true);
+    connector.set_recv_buffer_size(Some(RECEIVE_BUFFER as usize));
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_tcp_user_timeout(Some(user_timeout));
     Connector(connector)
@@ -199,6 +209,27 @@
     })
 }
 
+/// Limits of a call.
+#[derive(Clone, Debug)]
+pub struct CallLimits {
+    /// Largest body of the response, in bytes.
+    pub body_bytes: usize,
+    /// Budget of the bodies of all calls that share it.
+    pub budget: ByteBudget,
+    /// Time from sending to the end of the response.
+    pub time: Duration,
+}
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: MAX_BODY_BYTES,
+            budget: ByteBudget::new(MAX_BODY_BYTES),
+            time: CONNECT_TIMEOUT,
+        }
+    }
+}
+
 /// Sends a request and reads the complete response within `limit`.
 ///
 /// # Errors
@@ -208,7 +239,11 @@
     request: http::Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<BufferedResponse, CallError> {
-    call_if(client, request, limit, |_head| true).await
+    let limits = CallLimits {
+        time: limit,
+        ..CallLimits::default()
+    };
+    call_if(client, request, &limits, |_head| true).await
 }
 
 /// Like [`call`], for a request whose response can be told by its headers: `belongs` returns whether they are those of a
@@ -219,7 +254,7 @@
 pub async fn call_if(
     client: &HttpClient,
     mut request: http::Request<Full<Bytes>>,
-    limit: Duration,
+    limits: &CallLimits,
     belongs: impl FnOnce(&HeaderMap) -> bool,
 ) -> Result<BufferedResponse, CallError> {
     let connection = capture_connection(&mut request);
@@ -232,20 +267,40 @@
             }
             return Err(CallError::Unknown);
         }
-        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        let body = body.map_err(|_e| CallError::Unknown)?.to_bytes();
+        let body = read_body(body, limits).await?;
         Ok(BufferedResponse {
             status: head.status.as_u16(),
             headers: head.headers,
             body,
         })
     };
-    match tokio::time::timeout(limit, exchange).await {
+    match tokio::time::timeout(limits.time, exchange).await {
         Ok(result) => result,
         Err(_elapsed) => Err(CallError::Timeout),
     }
 }
 
+/// Reads a body to its end.
+///
+/// # Errors
+/// [`CallError::Unknown`]: it broke off, or is too large.
+async fn read_body(mut body: Incoming, limits: &CallLimits) -> Result<Bytes, CallError> {
+    let mut account = limits.budget.account();
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_e| CallError::Unknown)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let size = read.len() + data.len();
+        if size > limits.body_bytes || !account.resize(size) {
+            return Err(CallError::Unknown);
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
 /// Builds a request with a JSON body.
 pub fn json_request(method: &http::Method, uri: &str, body: Bytes) -> http::Request<Full<Bytes>> {
     let mut request = http::Request::new(Full::new(body));
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 use std::{
     io,
+    net::SocketAddr,
     panic::AssertUnwindSafe,
     sync::{
         Arc,
@@ -27,7 +28,7 @@
     },
     time::Duration,
 };
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio_util::sync::CancellationToken;
 
 /// Delay after a failed accept.
@@ -39,6 +40,28 @@
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Send buffer of a connection, in bytes. The kernel's own choice grows to megabytes for a caller that reads slowly, and counts
+/// as memory of the process.
+const SEND_BUFFER: u32 = 64 << 10;
+
+/// Connections that can wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Listens at `address` for callers that may read slowly.
+///
+/// # Errors
+/// The address could not be bound.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Limits of a server's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
--- a/src/link.rs
+++ b/src/link.rs
@@ -34,6 +34,10 @@
 /// Receive window of a stream, in bytes.
 const STREAM_WINDOW: u32 = 1 << 20;
 
+/// Receive window of a stream that carries a response of an upstream, in bytes. With hundreds of callers that read slowly, as
+/// many windows are full.
+const RELAY_WINDOW: u32 = 64 << 10;
+
 /// Receive window of a connection, in bytes.
 const CONNECTION_WINDOW: u32 = 16 << 20;
 
@@ -166,6 +170,7 @@
     address: SocketAddr,
     local: IpAddr,
     key: Arc<str>,
+    stream_window: u32,
     sender: Mutex<Option<SendRequest<Bytes>>>,
 }
 
@@ -176,10 +181,19 @@
             address,
             local,
             key,
+            stream_window: STREAM_WINDOW,
             sender: Mutex::new(None),
         }
     }
 
+    /// Creates a link for responses of upstreams, of which little is received ahead of the callers.
+    pub fn for_relays(address: SocketAddr, local: IpAddr, key: Arc<str>) -> Self {
+        Self {
+            stream_window: RELAY_WINDOW,
+            ..Self::new(address, local, key)
+        }
+    }
+
     /// Returns the address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -251,40 +265,41 @@
             return Ok(ready);
         }
         *cached = None;
-        let connected = timeout(CONNECT_TIMEOUT, connect(self.address, self.local)).await;
+        let connected = timeout(CONNECT_TIMEOUT, self.connect()).await;
         let sender = connected.map_err(|_e| LinkError::NotSent)??;
         let ready = sender.ready().await.map_err(|_e| LinkError::NotSent)?;
         *cached = Some(ready.clone());
         Ok(ready)
     }
-}
 
-async fn connect(address: SocketAddr, local: IpAddr) -> Result<SendRequest<Bytes>, LinkError> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    };
-    let socket = socket.map_err(|_e| LinkError::NotSent)?;
-    socket
-        .bind(SocketAddr::new(local, 0))
-        .map_err(|_e| LinkError::NotSent)?;
-    let stream = socket
-        .connect(address)
-        .await
-        .map_err(|_e| LinkError::NotSent)?;
-    stream.set_nodelay(true).map_err(|_e| LinkError::NotSent)?;
-    let (sender, connection) = h2::client::Builder::new()
-        .initial_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .handshake(stream)
-        .await
-        .map_err(|_e| LinkError::NotSent)?;
-    tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            debug!("connection to {address} closed: {e}");
-        }
-    });
-    Ok(sender)
+    async fn connect(&self) -> Result<SendRequest<Bytes>, LinkError> {
+        let address = self.address;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        };
+        let socket = socket.map_err(|_e| LinkError::NotSent)?;
+        socket
+            .bind(SocketAddr::new(self.local, 0))
+            .map_err(|_e| LinkError::NotSent)?;
+        let stream = socket
+            .connect(address)
+            .await
+            .map_err(|_e| LinkError::NotSent)?;
+        stream.set_nodelay(true).map_err(|_e| LinkError::NotSent)?;
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(self.stream_window)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .handshake(stream)
+            .await
+            .map_err(|_e| LinkError::NotSent)?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                debug!("connection to {address} closed: {e}");
+            }
+        });
+        Ok(sender)
+    }
 }
 
 /// A stream that a client opened.
--- a/src/path/event_buffer.rs
+++ b/src/path/event_buffer.rs
@@ -1,6 +1,6 @@
 //! Follows the events of a relayed stream.
 
-use crate::sse::MAX_EVENT_BYTES;
+use crate::{byte_budget::ByteAccount, sse::MAX_EVENT_BYTES};
 use bytes::{Bytes, BytesMut};
 
 /// Largest ID of a stream's first event: numbering begins with 0 or 1.
@@ -62,6 +62,8 @@
 pub enum EventFault {
     /// An event that is not ended yet is larger than allowed.
     TooLarge,
+    /// Too many bytes are buffered, of this event and of the responses to other requests.
+    NoRoom,
     /// An event is not the next one of the stream that the response continues.
     NotNext,
 }
@@ -71,6 +73,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::TooLarge => "event too large",
+            Self::NoRoom => "no room to buffer the event",
             Self::NotNext => "event does not continue the stream",
         }
     }
@@ -112,6 +115,8 @@
     buffering: Buffering,
     scanner: EventScanner,
     buffer: BytesMut,
+    /// Size of the buffer.
+    account: ByteAccount,
     /// Size of the incomplete event, in bytes.
     partial: usize,
     /// Whether the current upstream has sent a complete event.
@@ -124,12 +129,13 @@
 }
 
 impl EventBuffer {
-    /// Creates a buffer of a stream that continues after event `last`.
-    pub fn new(buffering: Buffering, last: Option<u64>) -> Self {
+    /// Creates a buffer of a stream that continues after event `last`; its size is recorded in `account`.
+    pub fn new(buffering: Buffering, last: Option<u64>, account: ByteAccount) -> Self {
         Self {
             buffering,
             scanner: EventScanner::default(),
             buffer: BytesMut::new(),
+            account,
             partial: 0,
             has_events: false,
             position: last.map_or(Position::Beginning, Position::After),
@@ -168,11 +174,14 @@
             }
             passed = kept + end;
         }
-        if passed == 0 {
+        let passed = (passed > 0).then(|| self.buffer.split_to(passed).freeze());
+        if !self.account.resize(self.buffer.len()) {
+            self.fault.get_or_insert(EventFault::NoRoom);
+        }
+        if passed.is_none() {
             self.check()?;
-            return Ok(None);
         }
-        Ok(Some(self.buffer.split_to(passed).freeze()))
+        Ok(passed)
     }
 
     /// Records the event between these positions of the buffer; false if it is not the next one.
@@ -215,11 +224,13 @@
 
     /// Discards an incomplete event, which another upstream will send again, and goes on with that one's bytes.
     pub fn resume(&mut self) {
-        *self = Self {
-            position: self.position,
-            continues: true,
-            ..Self::new(self.buffering, None)
-        };
+        self.buffer = BytesMut::new();
+        self.account.resize(0);
+        self.scanner = EventScanner::default();
+        self.partial = 0;
+        self.has_events = false;
+        self.continues = true;
+        self.fault = None;
     }
 
     /// Returns the ID of the last complete event.
--- a/src/path/pool.rs
+++ b/src/path/pool.rs
@@ -4,7 +4,7 @@
     clock::BootInstant,
     edge::registration::Registration,
     holding::lock,
-    http_client::{self, Connector, ListenerState},
+    http_client::{self, Connector, ListenerState, MAX_HEAD_BYTES},
     ident::UpstreamId,
     metrics,
 };
@@ -34,9 +34,6 @@
 /// Largest number of idle connections per upstream; an upstream limits its connections across all entries.
 const MAX_IDLE: usize = 24;
 
-/// Largest response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
 /// An idle connection.
 #[derive(Debug)]
 struct IdleConnection {
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -125,7 +125,10 @@
     };
     let last_event = request.head.last_event;
     let relay = Relay {
-        events: is_stream.then(|| EventBuffer::new(buffering, last_event)),
+        events: is_stream.then(|| {
+            let account = request.entry.upstream_bytes.account();
+            EventBuffer::new(buffering, last_event, account)
+        }),
         request,
         body: Some(body),
         framing: received.framing,
--- a/tests/event_buffer.rs
+++ b/tests/event_buffer.rs
@@ -1,7 +1,10 @@
 //! Events of a relayed stream, however its bytes are split and its lines end.
 
 use bytes::Bytes;
-use carobfield::path::event_buffer::{Buffering, EventBuffer};
+use carobfield::{
+    byte_budget::{ByteAccount, ByteBudget},
+    path::event_buffer::{Buffering, EventBuffer},
+};
 
 macro_rules! cases {
     ($($name:ident: $stream:literal, $complete:literal, $last:expr;)*) => {
@@ -51,7 +54,7 @@
 /// got the events up to `last`, and no others.
 fn assert_resumed(last: Option<u64>, stream: &str, passed: usize) {
     for size in 1..=stream.len() {
-        let mut buffer = EventBuffer::new(Buffering::CompleteEvents, last);
+        let mut buffer = EventBuffer::new(Buffering::CompleteEvents, last, account());
         buffer.resume();
         let mut events = Vec::new();
         for piece in stream.as_bytes().chunks(size) {
@@ -77,7 +80,7 @@
         "id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n",
     ] {
         for size in 1..=stream.len() {
-            let mut buffer = EventBuffer::new(Buffering::CompleteEvents, None);
+            let mut buffer = EventBuffer::new(Buffering::CompleteEvents, None, account());
             let mut events = Vec::new();
             for piece in stream.as_bytes().chunks(size) {
                 let some = buffer.push(Bytes::copy_from_slice(piece));
@@ -91,10 +94,14 @@
 }
 
 /// Checks, for every size of the received pieces, that the first `complete` bytes of `stream` are its complete events.
+fn account() -> ByteAccount {
+    ByteBudget::default().account()
+}
+
 fn assert_split(stream: &str, complete: usize, last: Option<u64>) {
     for size in 1..=stream.len().max(1) {
-        let mut kept = EventBuffer::new(Buffering::CompleteEvents, None);
-        let mut passed = EventBuffer::new(Buffering::None, None);
+        let mut kept = EventBuffer::new(Buffering::CompleteEvents, None, account());
+        let mut passed = EventBuffer::new(Buffering::None, None, account());
         let (mut events, mut bytes) = (Vec::new(), Vec::new());
         for piece in stream.as_bytes().chunks(size) {
             let piece = Bytes::copy_from_slice(piece);
@@ -114,7 +121,7 @@
 
 #[test]
 fn a_broken_stream_resumes_after_its_last_complete_event() {
-    let mut buffer = EventBuffer::new(Buffering::CompleteEvents, None);
+    let mut buffer = EventBuffer::new(Buffering::CompleteEvents, None, account());
     let push = |buffer: &mut EventBuffer, text: &'static str| {
         let data = buffer.push(Bytes::from_static(text.as_bytes()));
         data.expect("the event is small").unwrap_or_default()
