fix: an upstream that asks for a pause gets requests

Change: the pause is kept by process; while it lasts the upstream gets no first sends, retries, resumes, orders, reports, or requests passed on for other entries. Other upstreams take the requests, or the caller is refused at once with the time that is left.

That upstreams got requests before is by reading: the header was decoded nowhere; the tests were not run on the earlier code.

--- a/src/decide/order_sequence.rs
+++ b/src/decide/order_sequence.rs
@@ -46,7 +46,7 @@
                 self.advance(expected + 1);
             }
             OrderResponse::AlreadySatisfied => self.rejections = 0,
-            OrderResponse::Unknown => self.record_no_response(expected),
+            OrderResponse::Unknown | OrderResponse::HoldOff(_) => self.record_no_response(expected),
             OrderResponse::Busy => self.record_rejection(expected),
             OrderResponse::Fenced
             | OrderResponse::OtherProcess
--- a/src/edge/codec.rs
+++ b/src/edge/codec.rs
@@ -92,6 +92,8 @@
     pub brittle: Option<u32>,
     /// Whether the upstream announces that it is shutting down.
     pub leaving: bool,
+    /// Time for which the upstream wants nothing from this VM, in a rejection for want of room.
+    pub retry_after: Option<Duration>,
 }
 
 /// Request that a response names.
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -4,7 +4,7 @@
     edge::registration::{AdapterKey, HeldAdapter, HeldModel, Registration},
     ident::Generation,
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// Load or eviction command to an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -58,6 +58,8 @@
     NotSent,
     /// No response: the order may be executed now, or seconds later.
     Unknown,
+    /// The engine wants nothing for this time; like no response otherwise.
+    HoldOff(Duration),
 }
 
 impl OrderResponse {
@@ -72,6 +74,7 @@
             Self::Invalid => "invalid",
             Self::NotSent => "not-sent",
             Self::Unknown => "unknown",
+            Self::HoldOff(_) => "hold-off",
         }
     }
 }
@@ -113,6 +116,13 @@
     }
 }
 
+/// An engine did not send its report.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NoReport {
+    /// Time for which the engine wants nothing, if it says so.
+    pub retry_after: Option<Duration>,
+}
+
 /// Client for orders to engines.
 pub trait OrderClient: Clone + Send + Sync + 'static {
     /// Sends an order to the process that `upstream` describes.
@@ -123,9 +133,12 @@
         order: &Order,
     ) -> impl Future<Output = OrderResponse> + Send;
 
-    /// Fetches the engine's report; `None` if there was no valid response.
+    /// Fetches the engine's report.
+    ///
+    /// # Errors
+    /// There was no valid response.
     fn fetch_report(
         &self,
         upstream: &Registration,
-    ) -> impl Future<Output = Option<EngineReport>> + Send;
+    ) -> impl Future<Output = Result<EngineReport, NoReport>> + Send;
 }
--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -18,7 +18,7 @@
 pub struct ServingUpstreams {
     /// Those that take a request now.
     pub available: Vec<Arc<Registration>>,
-    /// Number of those that have named a limit which is used up.
+    /// Number of those that have named a limit which is used up, or asked for a pause.
     pub limited_count: usize,
     /// Time until the first of these takes another request.
     pub limited_for: Option<Duration>,
@@ -39,20 +39,24 @@
         let outliers = lock(&self.outliers);
         let limits = lock(&self.rate_limits);
         let brittle = lock(&self.brittle);
-        let wait = |id: &str| limits.wait(id, now).max(brittle.wait(id, now));
+        let hold_offs = lock(&self.hold_offs);
+        let wait = |r: &Registration| {
+            let limited = limits.wait(&r.id, now).max(brittle.wait(&r.id, now));
+            limited.max(hold_offs.wait(r, now))
+        };
         let wanted = registry
             .serving(service)
             .filter(|r| build.is_none_or(|b| r.build() == *b))
             .filter(|r| !excluded.contains(&r.id));
         let (mut available, limited): (Vec<_>, Vec<_>) =
-            wanted.cloned().partition(|r| wait(&r.id).is_zero());
+            wanted.cloned().partition(|r| wait(r).is_zero());
         if available.iter().any(|r| !outliers.is_ejected(&r.id, now)) {
             available.retain(|r| !outliers.is_ejected(&r.id, now));
         }
         ServingUpstreams {
             available,
             limited_count: limited.len(),
-            limited_for: limited.iter().map(|r| wait(&r.id)).min(),
+            limited_for: limited.iter().map(|r| wait(r)).min(),
         }
     }
 
@@ -87,8 +91,11 @@
         }
     }
 
-    /// Returns whether `upstream` takes another request now; always if it is not brittle.
+    /// Returns whether `upstream` takes another request now; always if it is not brittle and has not asked for a pause.
     pub fn is_within_allowance(&self, upstream: &Registration) -> bool {
+        if self.is_held_off(upstream) {
+            return false;
+        }
         let now = BootInstant::now();
         let peers = lock(&self.peers);
         let Some(allowance) = self.allowance(upstream, &peers, now) else {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -9,6 +9,7 @@
         brittle::BrittleUpstreams,
         build_history::BuildHistory,
         contact::Contact,
+        hold_offs::HoldOffs,
         load_limit::{LoadCounts, LoadLimit},
         order_lease::OrderLease,
         outliers::Outliers,
@@ -101,6 +102,8 @@
     pub rate_limits: Mutex<RateLimits>,
     /// Upstreams that are brittle.
     pub brittle: Mutex<BrittleUpstreams>,
+    /// Pauses that upstreams have asked for.
+    pub hold_offs: Mutex<HoldOffs>,
     /// Recent requests, to be passed on to peers.
     pub send_log: Mutex<SendLog>,
     /// Orders of earlier holders that got no response.
@@ -187,6 +190,7 @@
             }),
             rate_limits: Mutex::default(),
             brittle: Mutex::default(),
+            hold_offs: Mutex::default(),
             send_log: Mutex::default(),
             late_orders: Mutex::default(),
             begun: Mutex::default(),
@@ -446,6 +450,7 @@
         lock(&self.outliers).forget(id);
         lock(&self.rate_limits).forget(id);
         lock(&self.brittle).forget(id);
+        lock(&self.hold_offs).forget(id);
         lock(&self.paths).forget(id);
         self.usage.forget(id);
         lock(&self.prefill).forget(id);
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -15,6 +15,7 @@
     entry::{
         context::Entry,
         controller_handle::{COMMAND_QUEUE, Command, ControllerHandle},
+        hold_offs,
         messages::{EnsureRequest, EnsureResult},
         order_run::{EndedOrder, LateExecution, OrderOutcome, OrderRun, Presence},
         peers::HeldEngine,
@@ -152,7 +153,8 @@
         let now = BootInstant::now();
         tokio::time::sleep(self.first_order_at.since(now)).await;
         loop {
-            if let Some(report) = self.orders.fetch_report(&self.upstream).await {
+            let report = hold_offs::fetch_report(&self.entry, &self.orders, &self.upstream);
+            if let Some(report) = report.await {
                 let now = BootInstant::now();
                 // What the engine holds and its count of orders must come from one report: an order executed in between
                 // would be counted, but not its adapter.
--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -199,7 +199,7 @@
     let path = lock(&entry.paths).path(&request.upstream, BootInstant::now());
     let id = Arc::clone(&request.id);
     let Some((upstream, forwarded)) = upstream
-        .filter(|u| path == Path::Direct && u.is_serving())
+        .filter(|u| path == Path::Direct && u.is_serving() && !entry.is_held_off(u))
         .and_then(|u| Some((u, forwarded_request(request)?)))
     else {
         sender.send(&DetourPart::NotSent).await?;
@@ -246,8 +246,13 @@
     let (head, mut body) = exchange.response.into_parts();
     let keep_alive = pool::keep_alive_time(&head.headers);
     let read = entry.codec.response_head(id, head.status, &head.headers);
-    if read.leaving && read.request == NamedRequest::This && read.run != RunState::Misdirected {
-        entry.record_leaving(upstream, id);
+    if read.request == NamedRequest::This && read.run != RunState::Misdirected {
+        if read.leaving {
+            entry.record_leaving(upstream, id);
+        }
+        if let Some(pause) = read.retry_after {
+            entry.record_hold_off(upstream, pause, id);
+        }
     }
     let part = DetourPart::Head {
         status: head.status.as_u16(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 pub mod durable_beginnings;
 pub mod ensure;
 pub mod follow;
+pub mod hold_offs;
 pub mod holder;
 pub mod late_orders;
 pub mod limits;
--- a/src/entry/order_run.rs
+++ b/src/entry/order_run.rs
@@ -7,7 +7,7 @@
         orders::{EngineReport, Order, OrderClient, OrderIssuer, OrderResponse},
         registration::{AdapterKey, Registration},
     },
-    entry::context::Entry,
+    entry::{context::Entry, hold_offs},
     ident::Generation,
     metrics,
 };
@@ -201,7 +201,7 @@
                     attempts.accepted = true;
                     poll_delay(order, attempts.count)
                 }
-                OrderResponse::Unknown => {
+                OrderResponse::Unknown | OrderResponse::HoldOff(_) => {
                     attempts.pending = attempts.pending.max(number);
                     RETRY_DELAY
                 }
@@ -226,7 +226,7 @@
     async fn issue(&self, order: &Order) -> Result<(Option<u64>, OrderResponse), EngineReport> {
         let mut sequence = self.sequence.lock().await;
         let Some(number) = sequence.expected() else {
-            return match self.orders.fetch_report(&self.upstream).await {
+            return match self.fetch_report().await {
                 Some(report) => {
                     sequence.set_count(report.accepted_orders);
                     Err(report)
@@ -244,7 +244,7 @@
         let started = BootInstant::now();
         while BootInstant::now().since(started) < ADAPTER_TIMEOUT {
             tokio::time::sleep(REPORT_LAG).await;
-            let report = self.orders.fetch_report(&self.upstream).await;
+            let report = self.fetch_report().await;
             if report.is_some_and(|report| !report.is_loading(key)) {
                 return true;
             }
@@ -271,7 +271,7 @@
     }
 
     async fn poll_report(&self, order: &Order) -> OrderResponse {
-        let Some(report) = self.orders.fetch_report(&self.upstream).await else {
+        let Some(report) = self.fetch_report().await else {
             return OrderResponse::NotSent;
         };
         if report.satisfies(order) {
@@ -281,13 +281,23 @@
         }
     }
 
+    async fn fetch_report(&self) -> Option<EngineReport> {
+        hold_offs::fetch_report(&self.entry, &self.orders, &self.upstream).await
+    }
+
     async fn send(&self, order: &Order, number: u64) -> OrderResponse {
         let issuer = OrderIssuer {
             holder: &self.entry.config.id,
             generation: self.generation,
             expected_orders: Some(number),
         };
+        if self.entry.is_held_off(&self.upstream) {
+            return OrderResponse::NotSent;
+        }
         let response = self.orders.send(&self.upstream, issuer, order).await;
+        if let OrderResponse::HoldOff(pause) = response {
+            self.entry.record_hold_off(&self.upstream, pause, "order");
+        }
         metrics::order(order.as_str(), response.as_str());
         response
     }
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -252,6 +252,9 @@
             if head.leaving {
                 self.entry.record_leaving(upstream, &self.head.id);
             }
+            if let Some(pause) = head.retry_after {
+                self.entry.record_hold_off(upstream, pause, &self.head.id);
+            }
         }
         if head.run == RunState::NotRun {
             self.entry.record_rejection(&upstream.id);
