fix: an entry asks a peer over a connection that has gone silent for good

Cause: a request between entries that timed out left its connection in the cache, so that the next one went out on the same silent connection. An entry that reads the upstreams from members tried one peer after the other for 1.3 s each.

Change: a connection without a response for a second is not used again, a new source of registrations is asked over a new connection, and links have a TCP user timeout and keep-alive probes on both sides.

--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -54,6 +54,9 @@
 /// Timeout of a request to a holder to load an adapter.
 const ENSURE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time without a response after which a connection may have gone silent for good: the next request opens a new one.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+
 /// Timeout of a request for a configuration.
 const DEPLOYMENT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -144,7 +147,7 @@
         let mut received = 0;
         loop {
             if let Err(e) = self.receive_ack(&mut receiver).await {
-                link.reset().await;
+                link.reset();
                 return (received, Some(e));
             }
             received += 1;
@@ -355,6 +358,9 @@
         }
         Err(elapsed) => {
             debug!("request {path} to {address} timed out: {elapsed}");
+            if limit >= SILENT_AFTER {
+                entry.link(address).reset();
+            }
             None
         }
     }
--- a/src/entry/registrations.rs
+++ b/src/entry/registrations.rs
@@ -66,6 +66,7 @@
 async fn poll_peers(entry: &Arc<Entry>) {
     let mut mark = StateVersion::default();
     let mut silent: HashMap<SocketAddr, BootInstant> = HashMap::new();
+    let mut last = None;
     loop {
         tokio::time::sleep(REQUEST_INTERVAL).await;
         entry.expire_registrations();
@@ -74,6 +75,10 @@
             mark = StateVersion::default();
             continue;
         };
+        if last.replace(address) != Some(address) {
+            // An idle connection may have gone silent, and the upstreams have been unknown for a while already.
+            entry.link(address).reset();
+        }
         let response: Option<Response> =
             peer_link::request(entry, address, REGISTRATIONS_PATH, &mark, RESPONSE_TIMEOUT).await;
         if let Some(response) = response {
--- a/src/link.rs
+++ b/src/link.rs
@@ -5,6 +5,7 @@
 use h2::{RecvStream, SendStream, client::SendRequest, server::SendResponse};
 use http::{Request, Response, StatusCode};
 use log::{debug, warn};
+use rustix::net::sockopt;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     fmt::{Display, Formatter},
@@ -28,6 +29,13 @@
 /// Timeout for the peer to accept a stream.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// `TCP_USER_TIMEOUT`: time without an acknowledgement after which a connection breaks. One that has gone silent looks alive
+/// otherwise, while new ones would work.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Idle time after which TCP probes show whether a connection is still alive, and the pause between them.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
 /// Largest number of concurrent streams on one connection.
 const MAX_STREAMS: u32 = 4_096;
 
@@ -220,9 +228,12 @@
         self.open_stream(path, first, false).await
     }
 
-    /// Drops the connection, so that the next stream opens a new one.
-    pub async fn reset(&self) {
-        *self.sender.lock().await = None;
+    /// Drops the connection, so that the next stream opens a new one. Streams that are open go on.
+    pub fn reset(&self) {
+        // Whoever has locked it is connecting anew.
+        if let Ok(mut cached) = self.sender.try_lock() {
+            *cached = None;
+        }
     }
 
     async fn open_stream<T: Serialize>(
@@ -241,9 +252,10 @@
             .map_err(|_e| LinkError::NotSent)?;
         let mut sender = Sender { stream };
         sender.send_message(first, last).await?;
-        let response = timeout(ACCEPT_TIMEOUT, response)
-            .await
-            .map_err(|_e| LinkError::Broken)?;
+        let Ok(response) = timeout(ACCEPT_TIMEOUT, response).await else {
+            self.reset();
+            return Err(LinkError::Broken);
+        };
         let response = match response {
             Ok(response) => response,
             Err(e) if e.reason() == Some(h2::Reason::REFUSED_STREAM) => {
@@ -286,7 +298,7 @@
             .connect(address)
             .await
             .map_err(|_e| LinkError::NotSent)?;
-        stream.set_nodelay(true).map_err(|_e| LinkError::NotSent)?;
+        set_options(&stream).map_err(|_e| LinkError::NotSent)?;
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(self.stream_window)
             .initial_connection_window_size(CONNECTION_WINDOW)
@@ -302,6 +314,16 @@
     }
 }
 
+/// Sets the options of a connection on either side.
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE)?;
+    sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT.as_millis() as u32)?;
+    Ok(())
+}
+
 /// A stream that a client opened.
 #[derive(Debug)]
 pub struct IncomingStream {
@@ -380,8 +402,8 @@
     H: Fn(IncomingStream) -> F,
     F: Future<Output = ()> + Send + 'static,
 {
-    if let Err(e) = stream.set_nodelay(true) {
-        debug!("cannot set TCP_NODELAY: {e}");
+    if let Err(e) = set_options(&stream) {
+        debug!("cannot set the options of a connection: {e}");
     }
     let handshake = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW)
