--- a/src/entry/durable_beginnings.rs
+++ b/src/entry/durable_beginnings.rs
@@ -68,7 +68,9 @@
         let failed = &writers[..stored_by.unwrap_or(writers.len())];
         let now = BootInstant::now();
         let mut paused = lock(&self.stored.paused_writers);
-        failed.iter().for_each(|w| paused.pause(&w.name, now));
+        for writer in failed {
+            paused.pause(&writer.name, now);
+        }
         drop(paused);
         if stored_by.is_none() {
             metrics::dropped_streams(1);
