fix: a dropped controller sends orders while requests wait for its answers

Cause: requests that wait for a controller hold its handle, so that it lives on after its engine was dropped. It asked only whether the entry may send orders at all, and sent with its earlier generation for half a second beside the next controller (log of a failed run: "order ended ... generation=1048577" up to 508 ms after "engine taken over ... generation=2097153").

Change: before each order, and when orders are planned, the entry must hold that engine with that generation.

--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -269,7 +269,7 @@
 
     /// Returns the orders that are due, and whether evictions find their adapters.
     fn plan(&mut self) -> Vec<(Order, Presence)> {
-        if !self.entry.may_send_orders() {
+        if !self.entry.may_order(&self.upstream.id, self.generation) {
             return Vec::new();
         }
         let now = BootInstant::now();
--- a/src/entry/order_run.rs
+++ b/src/entry/order_run.rs
@@ -182,7 +182,7 @@
             Order::LoadAdapter(..) | Order::EvictAdapter(_) => ADAPTER_TIMEOUT,
         };
         let mut attempts = Attempts::default();
-        while BootInstant::now().since(started) < timeout && self.entry.may_send_orders() {
+        while BootInstant::now().since(started) < timeout && self.may_order() {
             let (number, response) = if attempts.accepted {
                 self.poll(order).await
             } else {
@@ -281,6 +281,10 @@
         }
     }
 
+    fn may_order(&self) -> bool {
+        self.entry.may_order(&self.upstream.id, self.generation)
+    }
+
     async fn fetch_report(&self) -> Option<EngineReport> {
         hold_offs::fetch_report(&self.entry, &self.orders, &self.upstream).await
     }
@@ -291,7 +295,7 @@
             generation: self.generation,
             expected_orders: Some(number),
         };
-        if self.entry.is_held_off(&self.upstream) {
+        if self.entry.is_held_off(&self.upstream) || !self.may_order() {
             return OrderResponse::NotSent;
         }
         let response = self.orders.send(&self.upstream, issuer, order).await;
--- a/src/entry/store_return.rs
+++ b/src/entry/store_return.rs
@@ -6,7 +6,7 @@
     edge::store::Store,
     entry::{context::Entry, controller_handle::ControllerHandle},
     holding::lock,
-    ident::UpstreamId,
+    ident::{Generation, UpstreamId},
 };
 use log::info;
 use std::collections::{HashMap, HashSet};
@@ -27,6 +27,17 @@
         }
     }
 
+    /// Returns whether orders may be sent to `upstream` with `generation`. A controller may live on for a while after its engine
+    /// was dropped, as requests wait for its answers.
+    pub fn may_order(&self, upstream: &str, generation: Generation) -> bool {
+        let holds = {
+            let controllers = lock(&self.controllers);
+            let current = controllers.get(upstream);
+            current.is_some_and(|c| c.generation == generation)
+        };
+        holds && self.may_send_orders()
+    }
+
     /// Returns the era in which no lease of an earlier one is left, for this entry's record in the store.
     pub fn settled_era(&self) -> Option<u64> {
         lock(&self.store_eras).settled(BootInstant::now())
