fix: a stand-in runner fails to bind the address that it has just freed

Cause: the runner bound its address, freed it and bound it again with a small send buffer. A test beside it starts an entry as a process, and a child has copies of all listeners of its parent until it executes its program, so that the address was still in use at the second bind, which was not tried again.

Change: the send buffer is an option of web::bind_with, which binds once and tries again while the address is in use.

--- a/standin/src/web.rs
+++ b/standin/src/web.rs
@@ -141,6 +141,8 @@
     pub backlog: u32,
     /// Receive buffer of each connection, in bytes; `None` for that of the system.
     pub receive_buffer: Option<u32>,
+    /// Send buffer of each connection, in bytes; `None` for that of the system.
+    pub send_buffer: Option<u32>,
 }
 
 impl Default for ListenOptions {
@@ -148,6 +150,7 @@
         Self {
             backlog: BACKLOG,
             receive_buffer: None,
+            send_buffer: None,
         }
     }
 }
@@ -169,6 +172,9 @@
         if let Some(bytes) = options.receive_buffer {
             socket.set_recv_buffer_size(bytes)?;
         }
+        if let Some(bytes) = options.send_buffer {
+            socket.set_send_buffer_size(bytes)?;
+        }
         let bound = socket.bind(address);
         match bound.and_then(|()| socket.listen(options.backlog)) {
             Ok(listener) => return Ok(listener),
