fix: engines are ordered to load more adapters than their memory holds

Cause: weightsMb and adapterMb were read from the configuration and not used; the controller counted slots alone.

Change: the number of an engine's slots is the smaller of its adapterSlots and of what fits beside the weights of the base models that it has loaded by its own report, with the largest adapter size of these models.

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -9,9 +9,13 @@
 //! | an engine replaces a version | the older one keeps its slot until the load ends, also if the load fails or its order got no response |
 //! | a holder starts while loads of an earlier one are under way | they occupy slots that can't be freed before they end |
 //! | an engine lacks an adapter that it should hold | its slot stays occupied until the adapter is evicted, as the report may be older than the last load |
+//! | an engine's memory is smaller than its slots | it counts as an engine with as many slots as adapters fit beside the weights of its base models |
 //! | an engine holds an adapter that this holder did not order, from an earlier holder's late order | the engine's own list shows it, and it occupies a slot like any other |
 
-use crate::{clock::BootInstant, edge::registration::AdapterKey};
+use crate::{
+    clock::BootInstant,
+    edge::{deployment::EngineSpec, registration::AdapterKey},
+};
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
@@ -114,6 +118,20 @@
     Full,
 }
 
+/// Returns how many adapters an engine can hold that has loaded the given base models: it crashes if it is ordered to load more
+/// than its slots or its memory hold.
+pub fn adapter_slots(spec: &EngineSpec, has_model: impl Fn(&str) -> bool) -> usize {
+    let loaded = || spec.models.iter().filter(|m| has_model(&m.name));
+    let weights: f64 = loaded().map(|m| m.weights_mb).sum();
+    let largest = loaded().map(|m| m.adapter_mb).fold(0.0, f64::max);
+    let slots = spec.adapter_slots as usize;
+    if largest > 0.0 {
+        slots.min(((spec.capacity_mb - weights) / largest) as usize)
+    } else {
+        slots
+    }
+}
+
 /// Adapter slots of one engine process.
 #[derive(Debug)]
 pub struct Residency {
@@ -141,6 +159,11 @@
         }
     }
 
+    /// Sets the number of slots.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.slots = slots;
+    }
+
     /// Adds an adapter that the engine reports as resident.
     pub fn add(&mut self, key: AdapterKey, version: u32, now: BootInstant) {
         let slot = Slot::new(version, SlotState::Resident, now);
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -5,7 +5,7 @@
     decide::{
         load_limit::{LoadCounts, StartedLoad},
         order_sequence::OrderSequence,
-        residency::{Plan, Residency},
+        residency::{self, Plan, Residency},
     },
     edge::{
         deployment::EngineSpec,
@@ -58,6 +58,7 @@
     entry: Arc<Entry>,
     orders: O,
     upstream: Arc<Registration>,
+    spec: EngineSpec,
     generation: Generation,
     /// Earliest time of the first order.
     first_order_at: BootInstant,
@@ -96,6 +97,7 @@
         entry: Arc::clone(entry),
         orders: orders.clone(),
         upstream: Arc::clone(upstream),
+        spec: spec.clone(),
         generation,
         first_order_at,
         residency: Residency::new(spec.adapter_slots as usize),
@@ -108,8 +110,7 @@
         unsettled: HashSet::new(),
         due: Vec::new(),
     };
-    let models = spec.models.iter().map(|m| Arc::clone(&m.name)).collect();
-    tokio::spawn(controller.run(incoming, models));
+    tokio::spawn(controller.run(incoming));
     ControllerHandle {
         upstream: Arc::clone(upstream),
         generation,
@@ -121,9 +122,9 @@
 }
 
 impl<O: OrderClient> Controller<O> {
-    async fn run(mut self, mut incoming: mpsc::Receiver<Command>, models: Vec<Arc<str>>) {
+    async fn run(mut self, mut incoming: mpsc::Receiver<Command>) {
         let prepared = tokio::select! {
-            prepared = self.prepare(&models) => prepared,
+            prepared = self.prepare() => prepared,
             () = wait_closed(&incoming) => false,
         };
         if !prepared {
@@ -149,7 +150,7 @@
     }
 
     /// Waits until the first order is allowed, reads what the engine holds, and has it load its base model.
-    async fn prepare(&mut self, models: &[Arc<str>]) -> bool {
+    async fn prepare(&mut self) -> bool {
         let now = BootInstant::now();
         tokio::time::sleep(self.first_order_at.since(now)).await;
         loop {
@@ -164,10 +165,21 @@
                     self.residency.mark_late_order(&key, now);
                 }
                 let adapters = self.residency.residents().count();
-                info!(upstream = &*self.upstream.id, generation = self.generation, models = report.models.len(), adapters = adapters; "placement: engine taken");
-                return match models.first() {
-                    Some(model) if report.models.is_empty() => self.load_model(model).await,
-                    _ => true,
+                let missing = self
+                    .spec
+                    .models
+                    .first()
+                    .filter(|_| report.models.is_empty());
+                let missing = missing.map(|m| Arc::clone(&m.name));
+                let slots = residency::adapter_slots(&self.spec, |name| {
+                    missing.as_deref() == Some(name)
+                        || report.models.iter().any(|m| *m.name == *name)
+                });
+                self.residency.set_slots(slots);
+                info!(upstream = &*self.upstream.id, generation = self.generation, models = report.models.len(), adapters = adapters, slots = slots; "placement: engine taken");
+                return match missing {
+                    Some(model) => self.load_model(&model).await,
+                    None => true,
                 };
             }
             tokio::time::sleep(REPORT_POLL_INTERVAL).await;
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -2,8 +2,11 @@
 
 use carobfield::{
     clock::BootInstant,
-    decide::residency::{Plan, Residency},
-    edge::registration::AdapterKey,
+    decide::residency::{self, Plan, Residency},
+    edge::{
+        deployment::{BaseModel, EngineSpec},
+        registration::AdapterKey,
+    },
 };
 use std::time::Duration;
 
@@ -33,6 +36,10 @@
     a_late_replacement_keeps_both_slots,
     loads_of_an_earlier_holder_are_not_evicted,
     slots_are_never_exceeded,
+    memory_runs_out_before_the_slots,
+    memory_of_several_models_is_shared,
+    models_without_adapter_sizes_leave_the_slots,
+    a_model_larger_than_the_memory_leaves_no_slot,
 }
 
 /// Start time, well after the origin of the clock.
@@ -60,8 +67,28 @@
     residency
 }
 
+/// Returns an engine with 27 slots and 76,000 MB; `models` gives the sizes of each model's weights and of one adapter.
+fn spec(models: &[(&str, f64, f64)]) -> EngineSpec {
+    let models = models
+        .iter()
+        .map(|(name, weights_mb, adapter_mb)| BaseModel {
+            name: (*name).into(),
+            weights_mb: *weights_mb,
+            adapter_mb: *adapter_mb,
+            load: Duration::from_secs(2),
+        });
+    EngineSpec {
+        batch: 64,
+        cache_tokens: 157_002,
+        adapter_slots: 27,
+        capacity_mb: 76_000.0,
+        load_rate: 4.2,
+        models: models.collect(),
+    }
+}
+
 mod case {
-    use super::{AdapterKey, Plan, Residency, at, engine, key, none_in_use};
+    use super::{AdapterKey, Plan, Residency, at, engine, key, none_in_use, residency, spec};
     use arbtest::arbtest;
 
     pub(super) fn concurrent_requests_share_one_load() {
@@ -310,4 +337,26 @@
             .seed(seed << 32 | 0x2000);
         }
     }
+
+    /// Guards against orders to load more than `weightsMb` holds, at which an engine crashes (review, case 2).
+    pub(super) fn memory_runs_out_before_the_slots() {
+        let spec = spec(&[("base", 72_700.0, 165.0)]);
+        assert_eq!(residency::adapter_slots(&spec, |_| true), 20);
+    }
+
+    pub(super) fn memory_of_several_models_is_shared() {
+        let spec = spec(&[("a", 40_000.0, 100.0), ("b", 35_000.0, 300.0)]);
+        assert_eq!(residency::adapter_slots(&spec, |_| true), 3);
+        assert_eq!(residency::adapter_slots(&spec, |name| name == "a"), 27);
+    }
+
+    pub(super) fn models_without_adapter_sizes_leave_the_slots() {
+        let spec = spec(&[("base", 72_700.0, 0.0)]);
+        assert_eq!(residency::adapter_slots(&spec, |_| true), 27);
+    }
+
+    pub(super) fn a_model_larger_than_the_memory_leaves_no_slot() {
+        let spec = spec(&[("base", 77_000.0, 165.0)]);
+        assert_eq!(residency::adapter_slots(&spec, |_| true), 0);
+    }
 }
