fix: many uploads within the limits fill the memory of an entry

Cause: the whole body of a request is read before an upstream is chosen; each body had a bound, their sum had none. A body was copied once more at its end, and the kernel's receive buffers grew by themselves.

Change: one budget for callers' bodies, a share of the VM's memory (memory-mb), in which a declared size is reserved first. What finds no room is refused at once, not run, with Retry-After, and its rest is read and discarded so that the caller gets the response. Callers' connections have a receive buffer of 64 KB. The loop that reads a body stands once (bounded_body.rs).

--- a/src/byte_budget.rs
+++ b/src/byte_budget.rs
@@ -1,14 +1,14 @@
-//! Limit of the bytes that a process buffers from upstreams, over all its connections.
+//! Limit of the bytes that a process buffers, over all its connections.
 //!
-//! Each buffer is bounded by itself too, but a faulty upstream that sends bytes without end on hundreds of connections
-//! fills all of them at the same time.
+//! Each buffer is bounded by itself too, but a faulty upstream that sends bytes without end on hundreds of connections, or
+//! hundreds of callers that upload at once, fill all of them at the same time.
 
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
 
-/// Bytes that all buffers together may have beyond their free parts; VMs have some 260 MB.
+/// Bytes that all buffers of upstreams' bytes together may have beyond their free parts; VMs have some 260 MB.
 pub const TOTAL_BYTES: usize = 32 << 20;
 
 /// Bytes of each buffer that are not counted: sound responses need no more, and are not affected by faulty ones.
@@ -52,6 +52,11 @@
 }
 
 impl ByteAccount {
+    /// Records that the buffer has at least `bytes`; returns false, and records nothing, if the budget does not allow that.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        bytes.saturating_sub(FREE_BYTES) <= self.counted || self.resize(bytes)
+    }
+
     /// Records that the buffer has `bytes` now; returns false, and records nothing, if the budget does not allow that.
     pub fn resize(&mut self, bytes: usize) -> bool {
         let wanted = bytes.saturating_sub(FREE_BYTES);
--- a/src/caller_routes.rs
+++ b/src/caller_routes.rs
@@ -2,11 +2,13 @@
 
 use crate::{
     admission::{self, AdmittedRequest, Rejection},
+    bounded_body::{self, BodyError, BodySize},
+    byte_budget::ByteBudget,
     discovery,
     gateway::Context,
     handler_state,
     holding::lock,
-    http_server::{self, BodyError},
+    http_server,
     openai::Interface,
     responses::{self, Outcome},
 };
@@ -147,7 +149,14 @@
         let context = Arc::clone(&GatewayState::borrow_from(&state).0);
         let open = context.open_request();
         let head = request_head(&state);
-        let body = http_server::read_body(&mut state, context.config.body_bytes).await;
+        let size = BodySize {
+            limit: context.config.body_bytes,
+            ..BodySize::default()
+        };
+        // Only the size of each body is limited here.
+        let mut account = ByteBudget::new(usize::MAX).account();
+        let mut body = Body::take_from(&mut state);
+        let body = bounded_body::read(&mut body, size, &mut account).await;
         let response = match body {
             Ok(body) => match wait_for_min_revision(&context, &head).await {
                 Ok(()) => match admit(Arc::clone(&context), head, body).await {
@@ -156,7 +165,9 @@
                 },
                 Err(rejection) => responses::reject(&rejection),
             },
-            Err(BodyError::TooLarge) => responses::reject(&Rejection::too_large()),
+            Err(BodyError::TooLarge | BodyError::NoMemory) => {
+                responses::reject(&Rejection::too_large())
+            }
             Err(BodyError::Broken) => responses::reject(&Rejection::invalid("body", "broke off")),
         };
         Ok((state, response))
--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -38,6 +38,8 @@
     pub link: SocketAddr,
     /// Log settings.
     pub log: LogConfig,
+    /// Memory of the VM, in megabytes.
+    pub memory_mb: f64,
     /// Address for operators.
     pub operators: SocketAddr,
     /// Seed link addresses of other entries, which need not be running.
@@ -67,6 +69,7 @@
             key: String::from("carobfield"),
             link: local(8090),
             log: LogConfig::default(),
+            memory_mb: 256.0,
             operators: local(8091),
             peers: Addresses::default(),
             processor: 1.0,
@@ -92,6 +95,7 @@
         section.read("peers", &mut self.peers, findings);
         section.read("control-entries", &mut self.control_entries, findings);
         section.read("processor", &mut self.processor, findings);
+        section.read("memory-mb", &mut self.memory_mb, findings);
         section.read("first-start", &mut self.first_start, findings);
         if self.link == self.callers {
             findings.push(section.finding("link", "the same address as `callers`"));
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,11 +1,14 @@
 //! HTTP client for requests to the platform and to upstreams.
 
-use crate::{byte_budget::ByteBudget, direct_stream::DirectStream};
-use bytes::{Bytes, BytesMut};
+use crate::{
+    bounded_body::{self, BodySize},
+    byte_budget::ByteBudget,
+    direct_stream::DirectStream,
+};
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Uri};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper_util::{
     client::legacy::{
         Client,
@@ -224,7 +227,8 @@
     fn default() -> Self {
         Self {
             body_bytes: MAX_BODY_BYTES,
-            budget: ByteBudget::new(MAX_BODY_BYTES),
+            // A buffer may have twice the capacity of what was read.
+            budget: ByteBudget::new(2 * MAX_BODY_BYTES),
             time: CONNECT_TIMEOUT,
         }
     }
@@ -260,14 +264,20 @@
     let connection = capture_connection(&mut request);
     let exchange = async {
         let response = send(client, request).await?;
-        let (head, body) = response.into_parts();
+        let (head, mut body) = response.into_parts();
         if !belongs(&head.headers) {
             if let Some(connected) = &*connection.connection_metadata() {
                 connected.poison();
             }
             return Err(CallError::Unknown);
         }
-        let body = read_body(body, limits).await?;
+        let mut account = limits.budget.account();
+        let size = BodySize {
+            limit: limits.body_bytes,
+            ..BodySize::default()
+        };
+        let body = bounded_body::read(&mut body, size, &mut account).await;
+        let body = body.map_err(|_e| CallError::Unknown)?;
         Ok(BufferedResponse {
             status: head.status.as_u16(),
             headers: head.headers,
@@ -280,27 +290,6 @@
     }
 }
 
-/// Reads a body to its end.
-///
-/// # Errors
-/// [`CallError::Unknown`]: it broke off, or is too large.
-async fn read_body(mut body: Incoming, limits: &CallLimits) -> Result<Bytes, CallError> {
-    let mut account = limits.budget.account();
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_e| CallError::Unknown)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let size = read.len() + data.len();
-        if size > limits.body_bytes || !account.resize(size) {
-            return Err(CallError::Unknown);
-        }
-        read.extend_from_slice(&data);
-    }
-    Ok(read.freeze())
-}
-
 /// Builds a request with a JSON body.
 pub fn json_request(method: &http::Method, uri: &str, body: Bytes) -> http::Request<Full<Bytes>> {
     let mut request = http::Request::new(Full::new(body));
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -7,10 +7,10 @@
     helpers::http::Body,
     router::Router,
     service::call_handler,
-    state::{FromState, State, StateData},
+    state::{State, StateData},
 };
 use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::service::service_fn;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -44,10 +44,13 @@
 /// as memory of the process.
 const SEND_BUFFER: u32 = 64 << 10;
 
+/// Receive buffer of a connection, in bytes. What waits there to be read counts as memory of the process too.
+const RECEIVE_BUFFER: u32 = 64 << 10;
+
 /// Connections that can wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
-/// Listens at `address` for callers that may read slowly.
+/// Listens at `address` for callers that may read slowly, or upload at the same time.
 ///
 /// # Errors
 /// The address could not be bound.
@@ -58,6 +61,7 @@
     }?;
     socket.set_reuseaddr(true)?;
     socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -162,28 +166,6 @@
     Ok(())
 }
 
-/// Error of reading a request body.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BodyError {
-    /// The body exceeds the limit.
-    TooLarge,
-    /// The connection broke before the body was complete.
-    Broken,
-}
-
-/// Reads the complete request body, up to `limit` bytes.
-///
-/// # Errors
-/// See [`BodyError`].
-pub async fn read_body(state: &mut State, limit: usize) -> Result<Bytes, BodyError> {
-    let body = Body::take_from(state);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_broken) => Err(BodyError::Broken),
-    }
-}
-
 /// Returns a body with the given data.
 pub fn full_body(data: impl Into<Bytes>) -> Body {
     Full::new(data.into())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod authority;
+pub mod bounded_body;
 pub mod byte_budget;
 pub mod caller_routes;
 pub mod catalogue;
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -1,6 +1,8 @@
 //! Handles callers' requests: finds the route, reads the body, and attempts upstreams until one responds.
 
 use crate::{
+    bounded_body::{self, BodyError, BodySize},
+    byte_budget::ByteAccount,
     clock::BootInstant,
     decide::{routes, shutdown::Shutdown},
     edge::{
@@ -9,7 +11,7 @@
     },
     entry::context::Entry,
     holding::lock,
-    http_server::{self, BodyError, ConnectionUse},
+    http_server::ConnectionUse,
     ident::{UpstreamId, pair_hash},
     metrics,
     path::{
@@ -20,6 +22,7 @@
     },
     poison,
 };
+use bytes::Bytes;
 use futures_util::FutureExt;
 use gotham::{
     anyhow,
@@ -125,8 +128,8 @@
     if let Some(shutdown) = entry.shutdown() {
         log_late_arrival(&head, route, arrived, deadline, connection, shutdown);
     }
-    let body = tokio::select! {
-        body = read_body(state, &headers, limits, deadline) => body.map_err(refused)?,
+    let (body, account) = tokio::select! {
+        body = read_body(entry, state, &headers, limits, deadline) => body.map_err(refused)?,
         () = wait_until_exit(entry) => return Err(refused(RefusalReason::Stopping)),
     };
     let path_and_query = uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
@@ -144,6 +147,7 @@
         path_and_query,
         headers,
         body,
+        account,
         arrived,
         deadline,
         fingerprint,
@@ -186,21 +190,30 @@
     fields.sum::<usize>() + uri.path().len() + uri.query().map_or(0, str::len)
 }
 
+/// Reads a body into the memory that all of them may take up together.
 async fn read_body(
+    entry: &Entry,
     state: &mut State,
     headers: &HeaderMap,
     limits: Limits,
     deadline: BootInstant,
-) -> Result<bytes::Bytes, RefusalReason> {
+) -> Result<(Bytes, ByteAccount), RefusalReason> {
     let length = headers.get(header::CONTENT_LENGTH);
-    let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-    if length.is_some_and(|n| n > limits.body_bytes) {
-        return Err(RefusalReason::LargeBody);
-    }
+    let declared = length.and_then(|v| v.to_str().ok()?.parse().ok());
+    let size = BodySize {
+        declared: declared.unwrap_or_default(),
+        limit: limits.body_bytes,
+    };
     let left = deadline.since(BootInstant::now());
-    let read = http_server::read_body(state, limits.body_bytes);
+    let mut account = entry.upload_bytes.account();
+    let mut body = Body::take_from(state);
+    let read = bounded_body::read(&mut body, size, &mut account);
     match tokio::time::timeout(left, read).await {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(data)) => Ok((data, account)),
+        Ok(Err(BodyError::NoMemory)) => {
+            tokio::spawn(tokio::time::timeout(left, bounded_body::discard(body)));
+            Err(RefusalReason::NoMemory)
+        }
         Ok(Err(BodyError::TooLarge)) => Err(RefusalReason::LargeBody),
         Ok(Err(BodyError::Broken)) => Err(RefusalReason::BrokenBody),
         Err(_elapsed) => Err(RefusalReason::SlowBody),
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -1,6 +1,7 @@
 //! A caller's request and the selection of its upstream.
 
 use crate::{
+    byte_budget::ByteAccount,
     clock::BootInstant,
     decide::{
         load_balancing::{self, Candidate, Choice},
@@ -71,6 +72,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Size of the body.
+    pub account: ByteAccount,
     /// Time at which the request head was received.
     pub arrived: BootInstant,
     /// Deadline of the response.
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -14,6 +14,9 @@
 /// `Retry-After` when all upstreams are full; streams last one to two seconds, so a slot is likely to become free.
 const FULL_RETRY: Duration = Duration::from_millis(400);
 
+/// `Retry-After` when the bodies of other requests take up the memory for them; uploads last a few seconds.
+const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// Reason for an error response of the entry itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalReason {
@@ -25,6 +28,8 @@
     LargeHead,
     /// The request body exceeds the limit.
     LargeBody,
+    /// Bodies of other requests take up the memory of this entry.
+    NoMemory,
     /// The connection broke before the request body was complete.
     BrokenBody,
     /// The request body was not received before the deadline.
@@ -65,6 +70,7 @@
             Self::NoRoute => "no-route",
             Self::LargeHead => "large-head",
             Self::LargeBody => "large-body",
+            Self::NoMemory => "no-memory",
             Self::BrokenBody => "broken-body",
             Self::SlowBody => "slow-body",
             Self::NoUpstream => "no-upstream",
@@ -85,7 +91,10 @@
 
     /// Returns whether the request's body was not read to its end.
     pub fn is_about_body(self) -> bool {
-        matches!(self, Self::LargeBody | Self::BrokenBody | Self::SlowBody)
+        matches!(
+            self,
+            Self::LargeBody | Self::NoMemory | Self::BrokenBody | Self::SlowBody
+        )
     }
 
     fn status(self) -> StatusCode {
@@ -96,6 +105,7 @@
             Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::Starting
+            | Self::NoMemory
             | Self::NoUpstream
             | Self::NoSameBuild
             | Self::UnknownBeginning
@@ -115,6 +125,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Starting => Some(STARTING_RETRY),
+            Self::NoMemory => Some(NO_MEMORY_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
             Self::Full | Self::Refused => Some(FULL_RETRY),
             // Any other entry takes it now.
