--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -338,7 +338,7 @@
         }
     }
 
-    /// Guards against orders to load more than `weightsMb` holds, at which an engine crashes (review, case 2).
+    /// Guards against orders to load more than the memory of an engine holds, at which it crashes (review, case 2).
     pub(super) fn memory_runs_out_before_the_slots() {
         let spec = spec(&[("base", 72_700.0, 165.0)]);
         assert_eq!(residency::adapter_slots(&spec, |_| true), 20);
