--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -13,6 +13,11 @@
     time::Duration,
 };
 
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
+/// Share of the VM's memory that bodies of callers' requests may take up.
+const UPLOAD_SHARE: f64 = 0.35;
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct EntryConfig {
@@ -81,6 +86,11 @@
 }
 
 impl EntryConfig {
+    /// Returns how many bytes the bodies of callers' requests may take up together.
+    pub fn upload_bytes(&self) -> usize {
+        (self.memory_mb * BYTES_PER_MB * UPLOAD_SHARE) as usize
+    }
+
     /// Reads the section `entry`.
     pub fn read_process(&mut self, section: &mut Section, findings: &mut Findings) {
         section.require("id", &mut self.id, findings);
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -67,11 +67,6 @@
 /// it, and it may be large.
 const MAX_FETCHES: usize = 3;
 
-const BYTES_PER_MB: f64 = 1_048_576.0;
-
-/// Share of the VM's memory that bodies of callers' requests may take up.
-const UPLOAD_SHARE: f64 = 0.35;
-
 /// Shared state of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -208,9 +203,7 @@
             detours: TaskTracker::new(),
             requests: TaskTracker::new(),
             upstream_bytes: ByteBudget::default(),
-            upload_bytes: ByteBudget::new(
-                (config.memory_mb * BYTES_PER_MB * UPLOAD_SHARE) as usize,
-            ),
+            upload_bytes: ByteBudget::new(config.upload_bytes()),
             pool: Arc::new(Pool::new(config.callers.ip())),
             controllers: Mutex::default(),
             load_limit: Mutex::default(),
