feat: a refused route logs what the entry knows of its configuration

Change: the line "admission: no route matches" has the revision that was asked, the newest one heard of, the source, the age of the contact with the store, and whether a newer configuration may have the route; the line for keys has the same. One function judges both.

--- a/src/entry/currency.rs
+++ b/src/entry/currency.rs
@@ -5,6 +5,7 @@
     decide::pauses::Pauses,
     entry::{context::Entry, messages::ConfigurationSource},
     holding::lock,
+    ident::Revision,
 };
 use std::{
     sync::{
@@ -17,6 +18,19 @@
 /// Interval at which this process observes that it runs.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// What an entry knows of how current a configuration is.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigurationView {
+    /// Whether it is the newest one, as far as the entry can know.
+    pub is_current: bool,
+    /// Newest revision that this entry has or hears of.
+    pub newest: Revision,
+    /// Where this entry learns of new configurations.
+    pub source: ConfigurationSource,
+    /// Time since the store answered this entry, if it ever did.
+    pub contact_age: Option<Duration>,
+}
+
 /// How current the configuration of an entry is.
 #[derive(Debug)]
 pub struct Currency {
@@ -52,22 +66,24 @@
 }
 
 impl Entry {
-    /// Returns whether no configuration can have been in force for long that this entry doesn't have: it follows the store
-    /// itself, or hears from an entry that does, and hears of no newer one.
-    pub fn has_current_configuration(&self) -> bool {
+    /// Judges whether the configuration with `revision` is the newest one: no other can have been in force for long if this
+    /// entry follows the store itself, or hears from an entry that does, and hears of no newer one.
+    pub fn judge_configuration(&self, revision: Revision) -> ConfigurationView {
         let now = BootInstant::now();
-        if lock(&self.currency.pauses).is_recent(now) {
-            return false;
-        }
+        let is_paused = lock(&self.currency.pauses).is_recent(now);
         let source = self.configuration_source();
-        let revision = self.revision();
-        let peers = lock(&self.peers);
-        let is_behind = peers.heard(now).any(|info| info.revision > revision);
-        let mut sources = peers
-            .heard(now)
-            .map(|info| info.configuration)
-            .chain([source]);
-        !is_behind && sources.any(|s| s == ConfigurationSource::Store)
+        let mut view = ConfigurationView {
+            is_current: source == ConfigurationSource::Store,
+            newest: self.revision(),
+            source,
+            contact_age: lock(&self.contact).age(now),
+        };
+        for info in lock(&self.peers).heard(now) {
+            view.is_current |= info.configuration == ConfigurationSource::Store;
+            view.newest = view.newest.max(info.revision);
+        }
+        view.is_current &= view.newest <= revision && !is_paused;
+        view
     }
 
     /// Returns where this entry learns of new configurations at present.
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -138,9 +138,10 @@
     }
     let host = headers.get(header::HOST).and_then(|v| v.to_str().ok());
     let host = host.or(uri.host()).unwrap_or_default().to_owned();
-    let route = table
-        .find(&host, uri.path())
-        .ok_or_else(|| refused(RefusalReason::NoRoute))?;
+    let revision = table.deployment.revision;
+    let Some(route) = table.find(&host, uri.path()) else {
+        return Err(refused(no_route(entry, &head, revision)));
+    };
     let customer = match table.customers.sender(head.key, route.public) {
         Sender::Open | Sender::Anonymous => None,
         Sender::Customer(customer) => Some(customer),
@@ -150,7 +151,6 @@
                 body,
                 head.timeout.unwrap_or(route.timeout).min(route.timeout),
             );
-            let revision = table.deployment.revision;
             return Err(refused(unknown_key(entry, &head, revision)));
         }
     };
@@ -213,14 +213,26 @@
     })
 }
 
-/// Returns why a request is refused whose key no customer has.
+/// Returns why a request is refused for which the configuration with `revision` has no route.
+fn no_route(entry: &Entry, head: &RequestHead, revision: Revision) -> RefusalReason {
+    let view = entry.judge_configuration(revision);
+    info!(
+        request = &*head.id, revision = revision, certain = view.is_current, newest = view.newest, source:? = view.source,
+        contact_age:? = view.contact_age;
+        "admission: no route matches"
+    );
+    RefusalReason::NoRoute
+}
+
+/// Returns why a request is refused whose key no customer has in the configuration with `revision`.
 fn unknown_key(entry: &Entry, head: &RequestHead, revision: Revision) -> RefusalReason {
-    let is_certain = entry.has_current_configuration();
+    let view = entry.judge_configuration(revision);
     info!(
-        request = &*head.id, key = head.key.as_str(), revision = revision, certain = is_certain;
+        request = &*head.id, key = head.key.as_str(), revision = revision, certain = view.is_current, newest = view.newest,
+        source:? = view.source, contact_age:? = view.contact_age;
         "admission: no customer has the key"
     );
-    if is_certain {
+    if view.is_current {
         RefusalReason::UnknownKey
     } else {
         RefusalReason::UncertainKey
