fix: room at an engine is counted by adapter, not by copy

Cause: an engine counts copies, each version of an adapter that it holds or loads. A reservation for an order without a response was one per adapter: (1) a newer version after a load that is under way took the slot reserved for the older one; (2) a late replacement was handed to the next holder as one adapter, which the version at the engine already covered; (3) an order that the next one rules out freed the slots of another one that was accepted; (4) with several versions under way, the engine may hold another one than the last that was seen to load. Class: a resource counted in the wrong unit. Change: decide/reservations.rs has one reservation for each order, with the versions that it may leave; used slots are the distinct copies of slots and reservations. The record for the next holder names the version; earlier builds write and read it without. The controller's own set of unsettled orders is gone.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,6 +22,7 @@
 mod quota_account;
 pub mod rate_limit;
 pub mod registry;
+pub mod reservations;
 pub mod residency;
 pub mod retry_budget;
 pub mod routes;
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -6,6 +6,7 @@
 //! | a few adapters are hot and the rest come and go | the adapter with the lowest request rate is evicted, never one in use |
 //! | a miss must not wait for an eviction first | some slots are kept free in advance |
 //! | an order without a response may be executed later | its slot stays reserved for as long as that can happen; then the adapter is evicted again, because nothing tells whether the order was executed |
+//! | versions follow each other while orders get no response | each version that the engine may hold or load takes a slot of its own |
 //! | an engine replaces a version | the older one keeps its slot until the load ends, also if the load fails or its order got no response |
 //! | a holder starts while loads of an earlier one are under way | they occupy slots that can't be freed before they end |
 //! | an engine lacks an adapter that it should hold | its slot stays occupied until the adapter is evicted, as the report may be older than the last load |
@@ -14,6 +15,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::reservations::{CopyVersion, LateExecution, Reservations},
     edge::{deployment::EngineSpec, registration::AdapterKey},
 };
 use std::{
@@ -30,9 +32,6 @@
 /// Slots for each slot kept free in advance; smaller engines keep none.
 const SLOTS_PER_SPARE: usize = 8;
 
-/// Time for which an order without a response may still be executed; the platform states at most 12 s.
-pub const LATE_ORDER_WINDOW: Duration = Duration::from_secs(15);
-
 /// Minimum residency after a load, so that the requests that waited for the adapter find it: entries announce their
 /// requests to each other within 200 ms.
 const MIN_RESIDENCY: Duration = Duration::from_millis(250);
@@ -46,6 +45,9 @@
 /// Adapters that an engine still has in its host memory after their eviction, at least.
 const HOST_ADAPTERS: usize = 24;
 
+/// Version of an adapter that is evicted although it is not known which version the engine holds, if any; real ones are above.
+const UNKNOWN_VERSION: u32 = 0;
+
 /// State of an occupied slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SlotState {
@@ -60,13 +62,15 @@
 /// Slot occupied by an adapter.
 #[derive(Clone, Copy, Debug)]
 pub struct Slot {
-    /// Version that is resident or loading.
+    /// Version that is resident or loading; [`UNKNOWN_VERSION`] if an adapter is evicted of which any may be held.
     pub version: u32,
     /// State.
     pub state: SlotState,
     since: BootInstant,
     /// Older version that keeps a second slot until the load ends.
     replaces: Option<u32>,
+    /// Whether the engine may hold another version in place of this one, as a late order has brought it.
+    is_doubtful: bool,
 }
 
 impl Slot {
@@ -76,17 +80,25 @@
             state,
             since,
             replaces: None,
+            is_doubtful: false,
         }
     }
-}
 
-/// Reservation for orders without a response.
-#[derive(Clone, Copy, Debug)]
-struct Reservation {
-    /// Time until which they may be executed.
-    until: BootInstant,
-    /// Number of slots that versions of the adapter may occupy.
-    slots: usize,
+    /// Returns whether the engine's copy of `version` is one that this slot stands for.
+    fn has_copy(&self, version: CopyVersion) -> bool {
+        version.is_some_and(|v| v == self.version || Some(v) == self.replaces)
+    }
+
+    /// Returns the number of copies at the engine.
+    fn copies(&self) -> usize {
+        1 + usize::from(self.replaces.is_some())
+    }
+
+    /// Returns the version, where it is known.
+    fn known_version(&self) -> CopyVersion {
+        let is_known = self.version != UNKNOWN_VERSION && !self.is_doubtful;
+        is_known.then_some(self.version)
+    }
 }
 
 /// Exponentially decayed count of requests.
@@ -138,8 +150,8 @@
     slots: usize,
     occupied: HashMap<AdapterKey, Slot>,
     demand: HashMap<AdapterKey, Demand>,
-    /// Adapters with orders that got no response.
-    late: HashMap<AdapterKey, Reservation>,
+    /// Orders that got no response.
+    late: Reservations,
     /// Adapters that were loaded last, the latest first.
     recent: VecDeque<AdapterKey>,
     /// Time of recent evictions.
@@ -153,7 +165,7 @@
             slots,
             occupied: HashMap::new(),
             demand: HashMap::new(),
-            late: HashMap::new(),
+            late: Reservations::default(),
             recent: VecDeque::new(),
             evicted: HashMap::new(),
         }
@@ -171,10 +183,15 @@
     }
 
     /// Adds an adapter that the engine reports as loading, beside any older version that it holds; returns whether the
-    /// load was not known.
+    /// end of the load is to be observed.
     pub fn add_loading(&mut self, key: &AdapterKey, version: u32, now: BootInstant) -> bool {
         let before = self.occupied.get(key);
-        if before.is_some_and(|slot| slot.state != SlotState::Resident || slot.version >= version) {
+        if before.is_some_and(|slot| slot.has_copy(Some(version))) {
+            return false;
+        }
+        if before.is_some_and(|slot| slot.state != SlotState::Resident || slot.version > version) {
+            let copy = (Some(version), None);
+            self.late.add(key, copy, LateExecution::UnderWay, now);
             return false;
         }
         self.begin_load(key, version, now);
@@ -192,7 +209,7 @@
         let mut unknown = Vec::new();
         for (key, version) in adapters {
             let is_known = self.occupied.contains_key(key)
-                || self.late.contains_key(key)
+                || self.late.contains(key)
                 || self.evicted.contains_key(key);
             if !is_known {
                 self.add(key.clone(), version, now);
@@ -218,7 +235,7 @@
         in_use: impl Fn(&AdapterKey) -> bool,
     ) -> Plan {
         let taken = self.used_slots();
-        let reserved = self.late.contains_key(key) && !self.occupied.contains_key(key);
+        let is_counted = self.late.versions(key).contains(&Some(version));
         match self.occupied.get(key) {
             Some(slot) if slot.state == SlotState::Resident && slot.version >= version => {
                 Plan::Ready
@@ -227,7 +244,7 @@
             // An engine replaces a version only once the requests that use it have ended.
             Some(_) if in_use(key) => Plan::Full,
             _ if self.loading_count() >= MAX_CONCURRENT_LOADS => Plan::Wait,
-            _ if reserved || taken < self.slots => self.begin_load(key, version, now),
+            _ if is_counted || taken < self.slots => self.begin_load(key, version, now),
             _ => self.make_room(now, in_use),
         }
     }
@@ -248,17 +265,22 @@
 
     /// Returns adapters whose late orders can't be executed any more, to be evicted again; marks them as evicting.
     pub fn plan_late_evictions(&mut self, now: BootInstant) -> Vec<AdapterKey> {
-        let due = self.late.iter().filter(|(_, late)| now >= late.until);
-        let due: Vec<AdapterKey> = due.map(|(key, _)| key.clone()).collect();
         let mut absent = Vec::new();
-        for key in due {
-            self.late.remove(&key);
-            if self.occupied.contains_key(&key) {
-                continue;
+        for key in self.late.due(now) {
+            match self.occupied.get_mut(&key) {
+                Some(slot) if slot.state == SlotState::Resident => {
+                    let versions = self.late.remove(&key);
+                    slot.is_doubtful |= versions.iter().any(|v| *v != Some(slot.version));
+                }
+                // Until its order ends, the engine may have a copy that a late order left, beside that of the slot.
+                Some(_) => {}
+                None => {
+                    self.late.remove(&key);
+                    let slot = Slot::new(UNKNOWN_VERSION, SlotState::Evicting, now);
+                    self.occupied.insert(key.clone(), slot);
+                    absent.push(key);
+                }
             }
-            let slot = Slot::new(0, SlotState::Evicting, now);
-            self.occupied.insert(key.clone(), slot);
-            absent.push(key);
         }
         absent
     }
@@ -291,7 +313,7 @@
     ) -> impl Iterator<Item = (&AdapterKey, &Slot)> {
         self.occupied.iter().filter(|(key, slot)| {
             // Evicting an adapter that a late order may load again would free no slot.
-            slot.state == SlotState::Resident && !self.late.contains_key(*key) && !in_use(key)
+            slot.state == SlotState::Resident && !self.late.contains(key) && !in_use(key)
         })
     }
 
@@ -340,48 +362,52 @@
         self.recent.truncate(self.slots + HOST_ADAPTERS);
         let slot = Slot::new(version, SlotState::Resident, now);
         self.occupied.insert(key.clone(), slot);
+        self.late.drop_older(key);
     }
 
-    /// Records that the load of `key` was given up; `uncertain` if it may still be executed.
-    pub fn load_failed(&mut self, key: &AdapterKey, uncertain: bool, now: BootInstant) {
-        let slot = self.occupied.remove(key);
-        let older = slot.and_then(|slot| slot.replaces);
-        match older {
-            _ if uncertain => self.reserve(key, 1 + usize::from(older.is_some()), now),
+    /// Records that the load of `key` was given up; `late` tells whether it may still be executed.
+    pub fn load_failed(&mut self, key: &AdapterKey, late: LateExecution, now: BootInstant) {
+        let Some(slot) = self.occupied.remove(key) else {
+            return;
+        };
+        match slot.replaces {
+            _ if late != LateExecution::Never => {
+                let copies = (slot.known_version(), slot.replaces);
+                self.late.add(key, copies, late, now);
+            }
             Some(version) => self.add(key.clone(), version, now),
             None => {}
         }
     }
 
-    /// Records that an order for `key` got no response, even if a later one did; the first may still be executed.
-    pub fn mark_late_order(&mut self, key: &AdapterKey, now: BootInstant) {
-        self.reserve(key, 1, now);
+    /// Records that an order for `key` at `version` got no response, even if a later one did; the first may still be executed.
+    pub fn mark_late_order(
+        &mut self,
+        key: &AdapterKey,
+        version: CopyVersion,
+        late: LateExecution,
+        now: BootInstant,
+    ) {
+        self.late.add(key, (version, None), late, now);
     }
 
-    fn reserve(&mut self, key: &AdapterKey, slots: usize, now: BootInstant) {
-        let reserved = self.late.get(key).map_or(0, |late| late.slots);
-        let reservation = Reservation {
-            until: now + LATE_ORDER_WINDOW,
-            slots: slots.max(reserved),
-        };
-        self.late.insert(key.clone(), reservation);
+    /// Returns whether some late order is ruled out once the engine has accepted a later one.
+    pub fn has_unsettled_orders(&self) -> bool {
+        self.late.has_unsettled()
     }
 
-    /// Records that late orders for `key` can't be executed any more. One may have been, so the adapter is evicted
-    /// again unless it has a slot.
-    pub fn end_late_orders(&mut self, key: &AdapterKey, now: BootInstant) {
-        if let Some(late) = self.late.get_mut(key) {
-            late.until = now;
-        }
+    /// Records that the engine has accepted a later order than those that got no response. One of them may have been executed,
+    /// so its adapter is evicted again unless it has a slot.
+    pub fn settle_late_orders(&mut self, now: BootInstant) {
+        self.late.settle(now);
     }
 
-    /// Records that the eviction of `key` ended; `uncertain` if it may be executed only later.
-    pub fn eviction_ended(&mut self, key: &AdapterKey, uncertain: bool, now: BootInstant) {
-        self.occupied.remove(key);
+    /// Records that the eviction of `key` ended; `late` tells whether it may be executed only later.
+    pub fn eviction_ended(&mut self, key: &AdapterKey, late: LateExecution, now: BootInstant) {
+        let slot = self.occupied.remove(key);
         self.evicted.insert(key.clone(), now);
-        if uncertain {
-            self.mark_late_order(key, now);
-        }
+        let version = slot.and_then(|slot| slot.known_version());
+        self.mark_late_order(key, version, late, now);
     }
 
     /// Records that the eviction of `key` was not ordered, because the adapter came into use.
@@ -404,9 +430,10 @@
         true
     }
 
-    /// Returns the adapters with orders that may still be executed.
-    pub fn late_orders(&self) -> impl Iterator<Item = &AdapterKey> {
-        self.late.keys()
+    /// Returns the copies that orders may still leave at the engine.
+    pub fn late_copies(&self) -> impl Iterator<Item = (&AdapterKey, CopyVersion)> {
+        let keys = self.late.adapters();
+        keys.flat_map(|key| self.late.versions(key).into_iter().map(move |v| (key, v)))
     }
 
     /// Returns the resident adapters and their versions.
@@ -417,15 +444,15 @@
             .map(|(key, slot)| (key, slot.version))
     }
 
-    /// Returns the number of slots in use: by adapters in any state, by versions being replaced, and reserved for late
-    /// orders.
+    /// Returns the number of slots in use, one for each copy that the engine may have: of adapters in any state, of versions
+    /// being replaced, and of those that late orders may leave.
     pub fn used_slots(&self) -> usize {
-        let late = self.late.iter().map(|(key, late)| {
-            let counted = usize::from(self.occupied.contains_key(key));
-            late.slots - counted
+        let late = self.late_copies().filter(|(key, version)| {
+            let slot = self.occupied.get(*key);
+            !slot.is_some_and(|slot| slot.has_copy(*version))
         });
-        let replaced = self.occupied.values().filter(|s| s.replaces.is_some());
-        self.occupied.len() + late.sum::<usize>() + replaced.count()
+        let copies = self.occupied.values().map(Slot::copies);
+        copies.sum::<usize>() + late.count()
     }
 
     fn count(&self, state: SlotState) -> usize {
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::{build_history::BuildReport, store_eras},
+    decide::{build_history::BuildReport, reservations::CopyVersion, store_eras},
     edge::registration::AdapterKey,
     ident::{Generation, UpstreamId, rendezvous},
     refused_subject::RefusedSubject,
@@ -55,13 +55,16 @@
     pub at_ms: u64,
 }
 
-/// An order for an adapter that got no response and may be executed later.
+/// A copy of an adapter that an order without a response may still leave at an engine.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct LateOrder {
     /// Engine.
     pub upstream: UpstreamId,
     /// Adapter.
     pub key: AdapterKey,
+    /// Version of the copy; earlier builds record none.
+    #[serde(default)]
+    pub version: CopyVersion,
 }
 
 /// Holder record of an upstream in the store.
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -5,6 +5,7 @@
     decide::{
         load_limit::{LoadCounts, StartedLoad},
         order_sequence::OrderSequence,
+        reservations::{CopyVersion, LateExecution},
         residency::{self, Plan, Residency},
     },
     edge::{
@@ -17,7 +18,7 @@
         controller_handle::{COMMAND_QUEUE, Command, ControllerHandle},
         hold_offs,
         messages::{EnsureRequest, EnsureResult},
-        order_run::{EndedOrder, LateExecution, OrderOutcome, OrderRun, Presence},
+        order_run::{EndedOrder, OrderOutcome, OrderRun, Presence},
         peers::HeldEngine,
     },
     holding::lock,
@@ -26,7 +27,7 @@
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use log::{info, warn};
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -69,10 +70,8 @@
     loads: HashMap<AdapterKey, StartedLoad>,
     engine: Arc<Mutex<Arc<HeldEngine>>>,
     load_counts: Arc<Mutex<LoadCounts>>,
-    late_adapters: Arc<Mutex<Vec<AdapterKey>>>,
+    late_copies: Arc<Mutex<Vec<(AdapterKey, CopyVersion)>>>,
     sequence: Arc<tokio::sync::Mutex<OrderSequence>>,
-    /// Adapters whose orders got no response; the next accepted order rules them out.
-    unsettled: HashSet<AdapterKey>,
     /// Orders that show what became of loads under way and of missing adapters.
     due: Vec<(Order, Presence)>,
 }
@@ -94,7 +93,7 @@
         ..HeldEngine::default()
     };
     let engine = Arc::new(Mutex::new(Arc::new(engine)));
-    let late_adapters = Arc::default();
+    let late_copies = Arc::default();
     let load_counts = Arc::default();
     let controller = Controller {
         entry: Arc::clone(entry),
@@ -108,9 +107,8 @@
         loads: HashMap::new(),
         engine: Arc::clone(&engine),
         load_counts: Arc::clone(&load_counts),
-        late_adapters: Arc::clone(&late_adapters),
+        late_copies: Arc::clone(&late_copies),
         sequence: Arc::default(),
-        unsettled: HashSet::new(),
         due: Vec::new(),
     };
     tokio::spawn(controller.run(incoming));
@@ -120,7 +118,7 @@
         commands,
         engine,
         loads: load_counts,
-        late_adapters,
+        late_copies,
     }
 }
 
@@ -164,8 +162,10 @@
                 // would be counted, but not its adapter.
                 self.sequence.lock().await.set_count(report.accepted_orders);
                 self.merge_report(&report, now);
-                for key in lock(&self.entry.late_orders).adapters_at(&self.upstream.id, now) {
-                    self.residency.mark_late_order(&key, now);
+                let inherited = lock(&self.entry.late_orders).copies_at(&self.upstream.id, now);
+                for (key, version) in inherited {
+                    let late = LateExecution::UnderWay;
+                    self.residency.mark_late_order(&key, version, late, now);
                 }
                 let adapters = self.residency.residents().count();
                 let missing = self
@@ -357,19 +357,17 @@
 
     fn order_ended(&mut self, ended: &EndedOrder) {
         let now = BootInstant::now();
-        let is_late = ended.late != LateExecution::Never;
         self.learn_load_time(ended, now);
         match (&ended.order, ended.outcome) {
             (Order::LoadAdapter(key, version), OrderOutcome::Done) => {
                 self.residency
                     .load_succeeded(key, version.unwrap_or_default(), now);
-                if is_late {
-                    self.residency.mark_late_order(key, now);
-                }
+                self.residency
+                    .mark_late_order(key, *version, ended.late, now);
                 self.respond(key, EnsureResult::Ready);
             }
             (Order::LoadAdapter(key, _), _) => {
-                self.residency.load_failed(key, is_late, now);
+                self.residency.load_failed(key, ended.late, now);
                 // With a report, the load was not sent and is planned again.
                 if ended.report.is_none() {
                     self.respond(key, EnsureResult::Failed);
@@ -385,13 +383,16 @@
             // The engine may still execute an eviction without a response: the adapter counts as evicted, its slot
             // as occupied.
             (Order::EvictAdapter(key), outcome) => {
-                let is_done = outcome == OrderOutcome::Done;
+                let late = match (outcome, ended.late) {
+                    (OrderOutcome::Done, _) => LateExecution::Never,
+                    (_, LateExecution::UntilNext) => LateExecution::UntilNext,
+                    _ => LateExecution::UnderWay,
+                };
                 self.entry.forget_prompts(&self.upstream.id, key);
-                self.residency.eviction_ended(key, !is_done, now);
+                self.residency.eviction_ended(key, late, now);
             }
             (Order::LoadModel(_), _) => {}
         }
-        self.record_unsettled(ended);
         self.settle_orders(now);
         if let Some(report) = &ended.report {
             warn!(upstream = &*self.upstream.id, accepted = report.accepted_orders; "the engine's count of orders was unknown; its report was read again");
@@ -414,29 +415,15 @@
         }
     }
 
-    /// Records an order without a response that the next accepted order rules out.
-    fn record_unsettled(&mut self, ended: &EndedOrder) {
-        let key = match &ended.order {
-            Order::LoadAdapter(key, _) | Order::EvictAdapter(key) => key,
-            Order::LoadModel(_) => return,
-        };
-        if ended.late == LateExecution::UntilNext {
-            self.unsettled.insert(key.clone());
-        }
-    }
-
     /// Frees the slots of orders without a response once the engine has accepted a later order.
     fn settle_orders(&mut self, now: BootInstant) {
-        if self.unsettled.is_empty() {
+        if !self.residency.has_unsettled_orders() {
             return;
         }
         // If a running order holds the lock, this runs again when an order ends or at the next tick.
         let sequence = self.sequence.try_lock();
-        if sequence.map_or(true, |s| s.has_pending()) {
-            return;
-        }
-        for key in self.unsettled.drain() {
-            self.residency.end_late_orders(&key, now);
+        if sequence.is_ok_and(|s| !s.has_pending()) {
+            self.residency.settle_late_orders(now);
         }
     }
 
@@ -478,7 +465,8 @@
                 .collect(),
         };
         *lock(&self.load_counts) = self.count_loads();
-        *lock(&self.late_adapters) = self.residency.late_orders().cloned().collect();
+        let late = self.residency.late_copies();
+        *lock(&self.late_copies) = late.map(|(key, v)| (key.clone(), v)).collect();
         let mut engine = lock(&self.engine);
         if **engine != held {
             *engine = Arc::new(held);
--- a/src/entry/controller_handle.rs
+++ b/src/entry/controller_handle.rs
@@ -1,7 +1,7 @@
 //! Commands to the controller of an engine, and what the rest of the entry sees of it.
 
 use crate::{
-    decide::{load_limit::LoadCounts, takeover::LateOrder},
+    decide::{load_limit::LoadCounts, reservations::CopyVersion, takeover::LateOrder},
     edge::registration::{AdapterKey, Registration},
     entry::{
         messages::{EnsureRequest, EnsureResult},
@@ -40,7 +40,7 @@
     pub(super) commands: mpsc::Sender<Command>,
     pub(super) engine: Arc<Mutex<Arc<HeldEngine>>>,
     pub(super) loads: Arc<Mutex<LoadCounts>>,
-    pub(super) late_adapters: Arc<Mutex<Vec<AdapterKey>>>,
+    pub(super) late_copies: Arc<Mutex<Vec<(AdapterKey, CopyVersion)>>>,
 }
 
 impl ControllerHandle {
@@ -62,10 +62,11 @@
 
     /// Returns orders that the engine may still execute.
     pub fn late_orders(&self) -> Vec<LateOrder> {
-        let keys = lock(&self.late_adapters).clone();
-        let orders = keys.into_iter().map(|key| LateOrder {
+        let copies = lock(&self.late_copies).clone();
+        let orders = copies.into_iter().map(|(key, version)| LateOrder {
             upstream: Arc::clone(&self.upstream.id),
             key,
+            version,
         });
         orders.collect()
     }
--- a/src/entry/late_orders.rs
+++ b/src/entry/late_orders.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     clock::BootInstant,
-    decide::{residency::LATE_ORDER_WINDOW, takeover::LateOrder},
+    decide::{
+        reservations::{CopyVersion, LATE_ORDER_WINDOW},
+        takeover::LateOrder,
+    },
     edge::registration::AdapterKey,
     entry::{context::Entry, controller_handle::ControllerHandle},
     holding::lock,
@@ -23,10 +26,10 @@
         }
     }
 
-    /// Returns adapters at `upstream` whose orders may still be executed at `now`.
-    pub fn adapters_at(&self, upstream: &str, now: BootInstant) -> Vec<AdapterKey> {
+    /// Returns the copies that orders may still leave at `upstream`, as of `now`.
+    pub fn copies_at(&self, upstream: &str, now: BootInstant) -> Vec<(AdapterKey, CopyVersion)> {
         let here = self.pending(now).filter(|o| *o.upstream == *upstream);
-        here.map(|o| o.key.clone()).collect()
+        here.map(|o| (o.key.clone(), o.version)).collect()
     }
 
     /// Returns all orders that may still be executed at `now`.
--- a/src/entry/order_run.rs
+++ b/src/entry/order_run.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::order_sequence::OrderSequence,
+    decide::{order_sequence::OrderSequence, reservations::LateExecution},
     edge::{
         orders::{EngineReport, Order, OrderClient, OrderIssuer, OrderResponse},
         registration::{AdapterKey, Registration},
@@ -62,17 +62,6 @@
     Failed,
 }
 
-/// Whether the engine may still execute an order after it ended here.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LateExecution {
-    /// Execution is ruled out.
-    Never,
-    /// Possible until the engine accepts another order.
-    UntilNext,
-    /// Possible for some seconds: the order was accepted and its end was not observed.
-    UnderWay,
-}
-
 /// Order that ended, and its result.
 #[derive(Debug)]
 pub struct EndedOrder {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -6,19 +6,14 @@
         load_balancing::{self, Candidate, Choice},
         outliers::Outliers,
         registry::{Registry, RegistryChange},
-        residency::{Plan, Residency},
         retry_budget::{RetryLimits, ServiceRetryBudget},
         routes::{self, RouteTable},
-        takeover::{
-            self, HolderRecord, HolderState, LateOrder, MemberRecord, OwnProcess, RecordEra,
-            TakeoverStep,
-        },
+        takeover::{self, HolderRecord, HolderState, OwnProcess, RecordEra, TakeoverStep},
     },
     edge::{
         deployment::{Deployment, Route, RouteKind, Target},
-        registration::{AdapterKey, Phase, Registration},
+        registration::{Phase, Registration},
     },
-    entry::late_orders::LateOrders,
     ident::UpstreamId,
 };
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
@@ -48,7 +43,6 @@
     registrations_expired_in_an_outage_get_a_grace_period,
     an_engine_is_taken_over_by_one_entry,
     a_takeover_waits_for_the_earlier_holder,
-    late_orders_pass_to_the_next_holder,
 }
 
 fn at(ms: u64) -> BootInstant {
@@ -118,11 +112,10 @@
 
 mod case {
     use super::{
-        AdapterKey, Arc, Choice, Deployment, Duration, HashSet, HolderRecord, HolderState,
-        LateOrder, LateOrders, MemberRecord, Outliers, OwnProcess, Phase, Plan, RecordEra,
-        Registry, RegistryChange, Residency, RetryLimits, RouteTable, ServiceRetryBudget,
-        SocketAddr, TakeoverStep, UpstreamId, at, candidates, ids, load_balancing, registration,
-        route, routes, takeover,
+        Arc, Choice, Deployment, Duration, HashSet, HolderRecord, HolderState, Outliers,
+        OwnProcess, Phase, RecordEra, Registry, RegistryChange, RetryLimits, RouteTable,
+        ServiceRetryBudget, TakeoverStep, UpstreamId, at, candidates, ids, load_balancing,
+        registration, route, routes, takeover,
     };
 
     pub(super) fn the_longest_prefix_wins() {
@@ -448,41 +441,4 @@
         assert!(wait("entry-2", Some(&record)) > Duration::from_secs(3));
         assert!(wait("entry-1", Some(&record)) < Duration::from_secs(1));
     }
-
-    /// Guards against loads of a killed holder that the engine executes after the next process has evicted their
-    /// adapters (deploy/days/late-orders.toml).
-    pub(super) fn late_orders_pass_to_the_next_holder() {
-        let order = LateOrder {
-            upstream: UpstreamId::from("engine-1"),
-            key: AdapterKey::new("base", "a1"),
-        };
-        let record = MemberRecord {
-            builds: None,
-            settled: None,
-            incarnation: 1,
-            counter: 4,
-            link: SocketAddr::from(([10, 0, 0, 1], 80)),
-            stopped: false,
-            late: vec![order.clone()],
-            refused: Vec::new(),
-        };
-        let written = serde_json::to_string(&record).expect("a record");
-        let read: MemberRecord = serde_json::from_str(&written).expect("the record");
-        let mut orders = LateOrders::default();
-        orders.inherit(&read.late, at(0));
-        let pending = orders.adapters_at("engine-1", at(12_000));
-        assert_eq!(pending, std::slice::from_ref(&order.key));
-        assert!(orders.adapters_at("engine-2", at(0)).is_empty());
-        assert!(orders.adapters_at("engine-1", at(16_000)).is_empty());
-        // The next holder finds the adapter resident, but does not expect its eviction to free the slot.
-        let mut next = Residency::new(2);
-        next.add(order.key.clone(), 1, at(0));
-        next.add(AdapterKey::new("base", "a2"), 1, at(0));
-        for key in orders.adapters_at("engine-1", at(0)) {
-            next.mark_late_order(&key, at(0));
-        }
-        let cold = AdapterKey::new("base", "a9");
-        let plan = next.plan(&cold, 1, at(5_000), |_| false);
-        assert_eq!(plan, Plan::Evict(AdapterKey::new("base", "a2")));
-    }
 }
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -2,7 +2,10 @@
 
 use carobfield::{
     clock::BootInstant,
-    decide::residency::{self, Plan, Residency},
+    decide::{
+        reservations::LateExecution::{Never, UnderWay},
+        residency::{self, Plan, Residency},
+    },
     edge::{
         deployment::{BaseModel, EngineSpec},
         registration::AdapterKey,
@@ -35,6 +38,8 @@
     a_failed_replacement_leaves_the_older_version,
     a_late_replacement_keeps_both_slots,
     loads_of_an_earlier_holder_are_not_evicted,
+    a_newer_version_has_no_room_beside_a_load_under_way,
+    a_late_replacement_is_handed_over_as_one_copy,
     slots_are_never_exceeded,
     memory_runs_out_before_the_slots,
     memory_of_several_models_is_shared,
@@ -88,7 +93,9 @@
 }
 
 mod case {
-    use super::{AdapterKey, Plan, Residency, at, engine, key, none_in_use, residency, spec};
+    use super::{
+        AdapterKey, Never, Plan, Residency, UnderWay, at, engine, key, none_in_use, residency, spec,
+    };
     use arbtest::arbtest;
 
     pub(super) fn concurrent_requests_share_one_load() {
@@ -167,25 +174,25 @@
     pub(super) fn a_late_load_keeps_its_slot_until_it_is_evicted_again() {
         let mut r = engine(2, 1);
         assert_eq!(r.plan(&key(7), 1, at(0), none_in_use), Plan::Load);
-        r.load_failed(&key(7), true, at(1_000));
+        r.load_failed(&key(7), UnderWay, at(1_000));
         assert_eq!(r.used_slots(), 2);
         assert!(r.plan_late_evictions(at(12_000)).is_empty());
         assert_eq!(r.plan_late_evictions(at(20_000)), [key(7)]);
         assert_eq!(r.used_slots(), 2);
-        r.eviction_ended(&key(7), false, at(20_050));
+        r.eviction_ended(&key(7), Never, at(20_050));
         assert_eq!(r.used_slots(), 1);
     }
 
     /// Guards against emptying an engine: with one lost response per adapter, every eviction left its slot reserved.
     pub(super) fn adapters_with_late_orders_are_not_evicted_for_room() {
         let mut r = engine(3, 3);
-        r.mark_late_order(&key(0), at(0));
-        r.mark_late_order(&key(1), at(0));
+        r.mark_late_order(&key(0), Some(1), UnderWay, at(0));
+        r.mark_late_order(&key(1), Some(1), UnderWay, at(0));
         assert_eq!(
             r.plan(&key(9), 1, at(5_000), none_in_use),
             Plan::Evict(key(2))
         );
-        r.eviction_ended(&key(2), false, at(5_050));
+        r.eviction_ended(&key(2), Never, at(5_050));
         assert_eq!(r.plan(&key(9), 1, at(5_050), none_in_use), Plan::Load);
     }
 
@@ -193,7 +200,7 @@
     pub(super) fn a_reserved_adapter_may_be_loaded_again() {
         let mut r = engine(2, 1);
         assert_eq!(r.plan(&key(7), 1, at(0), none_in_use), Plan::Load);
-        r.load_failed(&key(7), true, at(1_000));
+        r.load_failed(&key(7), UnderWay, at(1_000));
         let in_use = |_: &AdapterKey| true;
         assert_eq!(r.plan(&key(8), 1, at(2_000), in_use), Plan::Full);
         assert_eq!(r.plan(&key(7), 1, at(2_000), in_use), Plan::Load);
@@ -202,7 +209,7 @@
     /// A newer version needs its own slot while the older one is resident.
     pub(super) fn a_resident_adapter_with_a_late_order_has_no_second_slot() {
         let mut r = engine(2, 2);
-        r.mark_late_order(&key(0), at(0));
+        r.mark_late_order(&key(0), Some(1), UnderWay, at(0));
         let other_in_use = |k: &AdapterKey| *k == key(1);
         assert_ne!(r.plan(&key(0), 2, at(5_000), other_in_use), Plan::Load);
     }
@@ -222,7 +229,7 @@
             r.plan(&key(9), 1, at(5_000), none_in_use),
             Plan::Evict(key(0))
         );
-        r.eviction_ended(&key(0), false, at(5_050));
+        r.eviction_ended(&key(0), Never, at(5_050));
         let evicted = key(0);
         assert!(
             r.merge_list([(&evicted, 1)].into_iter(), at(6_000))
@@ -236,7 +243,7 @@
         let mut r = engine(2, 1);
         let lost = key(0);
         assert!(r.adapter_missing(&lost, 1, at(5_000)));
-        r.eviction_ended(&lost, false, at(5_030));
+        r.eviction_ended(&lost, Never, at(5_030));
         assert!(r.merge_list([(&lost, 1)].into_iter(), at(5_400)).is_empty());
         assert_eq!(r.merge_list([(&lost, 1)].into_iter(), at(10_000)), [key(0)]);
     }
@@ -252,14 +259,14 @@
         assert!(r.adapter_missing(&key(0), 2, at(5_500)));
         assert_eq!((r.used_slots(), r.residents().count()), (1, 0));
         assert_eq!(r.plan(&key(0), 2, at(5_500), none_in_use), Plan::Wait);
-        r.eviction_ended(&key(0), false, at(5_600));
+        r.eviction_ended(&key(0), Never, at(5_600));
         assert_eq!(r.used_slots(), 0);
     }
 
     pub(super) fn a_failed_replacement_leaves_the_older_version() {
         let mut r = engine(2, 1);
         assert_eq!(r.plan(&key(0), 2, at(5_000), none_in_use), Plan::Load);
-        r.load_failed(&key(0), false, at(5_100));
+        r.load_failed(&key(0), Never, at(5_100));
         assert_eq!(r.used_slots(), 1);
         assert_eq!(r.residents().next(), Some((&key(0), 1)));
     }
@@ -267,13 +274,13 @@
     pub(super) fn a_late_replacement_keeps_both_slots() {
         let mut r = engine(3, 1);
         assert_eq!(r.plan(&key(0), 2, at(5_000), none_in_use), Plan::Load);
-        r.load_failed(&key(0), true, at(5_100));
+        r.load_failed(&key(0), UnderWay, at(5_100));
         assert_eq!(r.used_slots(), 2);
         assert_eq!(r.plan(&key(0), 2, at(5_200), none_in_use), Plan::Load);
         assert_eq!(r.used_slots(), 2);
-        r.load_failed(&key(0), true, at(5_300));
+        r.load_failed(&key(0), UnderWay, at(5_300));
         assert_eq!(r.plan_late_evictions(at(25_000)), [key(0)]);
-        r.eviction_ended(&key(0), false, at(25_050));
+        r.eviction_ended(&key(0), Never, at(25_050));
         assert_eq!(r.used_slots(), 0);
     }
 
@@ -290,6 +297,25 @@
         assert_eq!(r.plan(&key(9), 1, at(5_200), none_in_use), Plan::Load);
     }
 
+    /// The engine may still be loading version 1 as version 2 is ordered.
+    pub(super) fn a_newer_version_has_no_room_beside_a_load_under_way() {
+        let mut r = engine(2, 1);
+        assert_eq!(r.plan(&key(7), 1, at(0), none_in_use), Plan::Load);
+        r.load_failed(&key(7), UnderWay, at(6_000));
+        let plan = r.plan(&key(7), 2, at(6_500), none_in_use);
+        assert_eq!(plan, Plan::Evict(key(0)));
+    }
+
+    /// The next holder finds version 1 at the engine, and inherits the order for version 2.
+    pub(super) fn a_late_replacement_is_handed_over_as_one_copy() {
+        let mut r = Residency::new(3);
+        r.add(key(0), 1, at(0));
+        r.add(key(1), 1, at(0));
+        r.mark_late_order(&key(0), Some(2), UnderWay, at(0));
+        let in_use = |_: &AdapterKey| true;
+        assert_eq!(r.plan(&key(9), 1, at(100), in_use), Plan::Full);
+    }
+
     /// An engine that executes late orders never holds more adapters than it has slots.
     pub(super) fn slots_are_never_exceeded() {
         for seed in 0..200 {
@@ -311,13 +337,13 @@
                     assert!(held.len() <= slots, "{} held of {slots}", held.len());
                     for k in r.plan_late_evictions(at(now)) {
                         held.retain(|h| *h != k);
-                        r.eviction_ended(&k, false, at(now));
+                        r.eviction_ended(&k, Never, at(now));
                     }
                     let k = key(u.int_in_range(0..=9)?);
                     match r.plan(&k, 1, at(now), none_in_use) {
                         Plan::Load if u.ratio(1, 3)? => {
                             late.push((k.clone(), now + u.int_in_range(2_000..=12_000)?));
-                            r.load_failed(&k, true, at(now));
+                            r.load_failed(&k, UnderWay, at(now));
                         }
                         Plan::Load => {
                             if !held.contains(&k) {
@@ -327,7 +353,7 @@
                         }
                         Plan::Evict(victim) => {
                             held.retain(|h| *h != victim);
-                            r.eviction_ended(&victim, false, at(now));
+                            r.eviction_ended(&victim, Never, at(now));
                         }
                         Plan::Ready | Plan::Wait | Plan::Full => {}
                     }
