fix: a report hides a load that follows an eviction

Cause: an engine's report is read again because it has executed an order that this holder doesn't know of. It was filtered like the list of a heartbeat, which is seconds old: an adapter that was evicted in the last 4 s did not count, though the unknown order may be its load. A load of another version, beside one under way here, did not count either. Class: the age of a source is taken from another source. Change: `Residency::add_reported` counts all that a report names. What was evicted a moment ago is not offered to requests, but evicted again.

--- a/src/decide/reservations.rs
+++ b/src/decide/reservations.rs
@@ -73,6 +73,17 @@
         insert(self.orders.entry(key.clone()).or_default(), order);
     }
 
+    /// Reserves a slot for a copy at `version` until the adapter is evicted, which is due at once.
+    pub fn add_due(&mut self, key: &AdapterKey, version: u32, now: BootInstant) {
+        let order = Reservation {
+            version: Some(version),
+            older: None,
+            execution: LateExecution::UnderWay,
+            until: now,
+        };
+        insert(self.orders.entry(key.clone()).or_default(), order);
+    }
+
     /// Records that a load of `key` has ended, so that the engine holds no version that it held before.
     pub fn drop_older(&mut self, key: &AdapterKey) {
         for order in self.orders.get_mut(key).into_iter().flatten() {
--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -219,6 +219,25 @@
         unknown
     }
 
+    /// Adds an adapter that the engine's report names as held. The report shows what became of orders that this holder does
+    /// not know of, so that it counts in any case: an adapter that was evicted a moment ago may have been loaded again.
+    pub fn add_reported(&mut self, key: &AdapterKey, version: u32, now: BootInstant) {
+        let is_evicted = self.evicted.get(key);
+        let is_evicted = is_evicted.is_some_and(|at| now.since(*at) < MAX_LIST_AGE);
+        match self.occupied.get_mut(key) {
+            // The engine holds one version, beside those that are loading.
+            Some(slot) if slot.state == SlotState::Loading && !slot.has_copy(Some(version)) => {
+                slot.replaces = Some(version);
+            }
+            Some(_) => {}
+            None if self.late.versions(key).contains(&Some(version)) => {}
+            None if is_evicted || self.late.contains(key) => {
+                self.late.add_due(key, version, now);
+            }
+            None => self.add(key.clone(), version, now),
+        }
+    }
+
     /// Counts requests for an adapter.
     pub fn record_requests(&mut self, key: &AdapterKey, times: u32, now: BootInstant) {
         let demand = self.demand.entry(key.clone()).or_default();
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -197,8 +197,9 @@
 
     /// Adds the adapters of the engine's report. Loads that are under way are ordered again, which shows when they end.
     fn merge_report(&mut self, report: &EngineReport, now: BootInstant) {
-        let listed = report.adapters().map(|a| (&a.key, a.version));
-        self.residency.merge_list(listed, now);
+        for a in report.adapters() {
+            self.residency.add_reported(&a.key, a.version, now);
+        }
         for a in &report.loading {
             if self.residency.add_loading(&a.key, a.version, now) {
                 let order = Order::LoadAdapter(a.key.clone(), Some(a.version));
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -40,6 +40,7 @@
     loads_of_an_earlier_holder_are_not_evicted,
     a_newer_version_has_no_room_beside_a_load_under_way,
     a_late_replacement_is_handed_over_as_one_copy,
+    a_report_hides_a_load_that_follows_an_eviction,
     slots_are_never_exceeded,
     memory_runs_out_before_the_slots,
     memory_of_several_models_is_shared,
@@ -316,6 +317,22 @@
         assert_eq!(r.plan(&key(9), 1, at(100), in_use), Plan::Full);
     }
 
+    /// The engine executed a load that this holder does not know of, of an adapter that it has just evicted.
+    pub(super) fn a_report_hides_a_load_that_follows_an_eviction() {
+        let mut r = engine(2, 2);
+        let evicted = key(0);
+        assert_eq!(
+            r.plan(&key(9), 1, at(5_000), none_in_use),
+            Plan::Evict(key(0))
+        );
+        r.eviction_ended(&evicted, Never, at(5_050));
+        r.add_reported(&evicted, 1, at(5_400));
+        // The report may also be older than the eviction.
+        assert_eq!(r.residents().count(), 1);
+        assert_eq!(r.plan_late_evictions(at(5_450)), [key(0)]);
+        assert_ne!(r.plan(&key(9), 1, at(5_450), none_in_use), Plan::Load);
+    }
+
     /// An engine that executes late orders never holds more adapters than it has slots.
     pub(super) fn slots_are_never_exceeded() {
         for seed in 0..200 {
