fix: a holder that stops records none of its late orders

Cause: at a planned stop the controllers end and the last member record is written at the same moment. The record names the orders without a response as the controllers tell them, and there were none left: the next holder heard of none, and takes over soon after a planned stop. Change: `Entry::end_controllers` keeps what they still have reserved before it ends them. Evidence: `a_stopped_holder_records_no_late_orders` (platform/standin/tests/orders.rs) fails on: the record says "stopped":true,"late":[]. The engine still checks the count of orders that each expects, so that what was forgotten could rarely be executed.

--- a/src/entry/holder.rs
+++ b/src/entry/holder.rs
@@ -126,7 +126,7 @@
         () = holder.run() => {}
         () = store_return::follow_eras(&entry, &store) => {}
     }
-    lock(&holder.entry.controllers).clear();
+    holder.entry.end_controllers();
     Ok(())
 }
 
--- a/src/entry/late_orders.rs
+++ b/src/entry/late_orders.rs
@@ -40,6 +40,21 @@
 }
 
 impl Entry {
+    /// Ends all controllers. Their orders without a response stay in this entry's record in the store, for the next holders.
+    pub fn end_controllers(&self) {
+        let mut controllers = lock(&self.controllers);
+        for controller in controllers.values() {
+            self.keep_late_orders(controller);
+        }
+        controllers.clear();
+    }
+
+    /// Keeps the orders without a response of a controller that ends.
+    pub fn keep_late_orders(&self, controller: &ControllerHandle) {
+        let late = controller.late_orders();
+        lock(&self.late_orders).inherit(&late, BootInstant::now());
+    }
+
     /// Returns orders that may still be executed, of this entry and of earlier holders of its engines.
     pub fn late_orders(&self) -> Vec<LateOrder> {
         let controllers = lock(&self.controllers);
--- a/src/entry/store_return.rs
+++ b/src/entry/store_return.rs
@@ -43,13 +43,6 @@
         lock(&self.store_eras).settled(BootInstant::now())
     }
 
-    /// Keeps the unanswered orders of a controller that ends because its record was written in an earlier era: the record
-    /// in the store of this entry may lack them.
-    fn keep_late_orders(&self, controller: &ControllerHandle) {
-        let late = controller.late_orders();
-        lock(&self.late_orders).inherit(&late, BootInstant::now());
-    }
-
     /// Ends the controllers of engines that this entry holds by records of eras before `era`; returns the engines, if nobody
     /// else can have taken them over since.
     pub fn end_earlier_controllers(&self, era: u64) -> HashSet<UpstreamId> {
@@ -61,6 +54,7 @@
         drop(controllers);
         for (id, controller) in &ended {
             info!(upstream = &**id, generation = controller.generation, era = era, claimed = held_before; "placement: engine held by a record of an earlier era");
+            // The record of this entry in the store's copy may lack them.
             self.keep_late_orders(controller);
         }
         if held_before {
