fix: a version that is none is offered after a cancelled eviction

What callers saw: 421 of an engine and another attempt, where requests were sent for an adapter that the engine may not hold. Found by reading. Cause: an adapter that a late order may have loaded is evicted under version 0, as its version isn't known. If the eviction was cancelled, because the adapter came into use, it was published as resident at version 0. Change: it stays reserved, and is evicted later.

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -429,9 +429,16 @@
         self.mark_late_order(key, version, late, now);
     }
 
-    /// Records that the eviction of `key` was not ordered, because the adapter came into use.
-    pub fn eviction_cancelled(&mut self, key: &AdapterKey) {
-        if let Some(slot) = self.occupied.get_mut(key) {
+    /// Records that the eviction of `key` was not ordered, because the adapter came into use. Without a known version it can't be
+    /// offered to requests, and is evicted later.
+    pub fn eviction_cancelled(&mut self, key: &AdapterKey, now: BootInstant) {
+        let Some(slot) = self.occupied.get_mut(key) else {
+            return;
+        };
+        if slot.version == UNKNOWN_VERSION {
+            self.occupied.remove(key);
+            self.mark_late_order(key, None, LateExecution::UnderWay, now);
+        } else {
             slot.state = SlotState::Resident;
         }
     }
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -375,11 +375,11 @@
                 }
             }
             (Order::EvictAdapter(key), OrderOutcome::Kept) => {
-                self.residency.eviction_cancelled(key);
+                self.residency.eviction_cancelled(key, now);
             }
             // With a report, the eviction was not sent.
             (Order::EvictAdapter(key), _) if ended.report.is_some() => {
-                self.residency.eviction_cancelled(key);
+                self.residency.eviction_cancelled(key, now);
             }
             // The engine may still execute an eviction without a response: the adapter counts as evicted, its slot
             // as occupied.
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -41,6 +41,7 @@
     a_newer_version_has_no_room_beside_a_load_under_way,
     a_late_replacement_is_handed_over_as_one_copy,
     a_report_hides_a_load_that_follows_an_eviction,
+    a_version_that_is_none_is_offered_after_a_cancelled_eviction,
     slots_are_never_exceeded,
     memory_runs_out_before_the_slots,
     memory_of_several_models_is_shared,
@@ -333,6 +334,17 @@
         assert_ne!(r.plan(&key(9), 1, at(5_450), none_in_use), Plan::Load);
     }
 
+    /// An adapter that a late order may have loaded came into use before its eviction was ordered.
+    pub(super) fn a_version_that_is_none_is_offered_after_a_cancelled_eviction() {
+        let mut r = Residency::new(2);
+        assert_eq!(r.plan(&key(7), 1, at(0), none_in_use), Plan::Load);
+        r.load_failed(&key(7), UnderWay, at(6_000));
+        assert_eq!(r.plan_late_evictions(at(22_000)), [key(7)]);
+        r.eviction_cancelled(&key(7), at(22_400));
+        assert_eq!(r.residents().next(), None);
+        assert_eq!(r.used_slots(), 1);
+    }
+
     /// An engine that executes late orders never holds more adapters than it has slots.
     pub(super) fn slots_are_never_exceeded() {
         for seed in 0..200 {
--- a/tests/residency_engine.rs
+++ b/tests/residency_engine.rs
@@ -224,7 +224,7 @@
     fn evict(&mut self, key: &AdapterKey, fate: Fate, u: &mut Unstructured<'_>) -> Result<()> {
         let sent = self.send(&Order::Evict(key.clone()), fate, u)?;
         if sent.is_none() {
-            self.residency.eviction_cancelled(key);
+            self.residency.eviction_cancelled(key, at(self.now));
             self.read_report();
             return Ok(());
         }
