fix: an added route is denied by entries that may lack it

Cause: an entry that finds no route says so for certain, whatever it knows of newer configurations: cut off from the store, just started, just woken, or behind a peer whose revision it has heard of. For keys it asks first, and answers 503 if it can't know. Class: knowledge without its age. Change: the same judgement for routes: 503 `uncertain-route` with `Retry-After`, so that the caller comes back or goes elsewhere. An entry that is current, which is the usual case, still answers 404. Why this holds: no entry that is not current says 404, so whatever delays a change can no longer show as a denied route. Not covered: limits on heads and bodies (431, 413) are judged by the configuration in force as before.

--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -221,7 +221,11 @@
         contact_age:? = view.contact_age;
         "admission: no route matches"
     );
-    RefusalReason::NoRoute
+    if view.is_current {
+        RefusalReason::NoRoute
+    } else {
+        RefusalReason::UncertainRoute
+    }
 }
 
 /// Returns why a request is refused whose key no customer has in the configuration with `revision`.
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -20,8 +20,8 @@
 /// `Retry-After` when the bodies of other requests take up the memory for them; uploads last a few seconds.
 const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
 
-/// `Retry-After` of an entry that can't tell yet whether a key is unknown or newer than its configuration; it reads the
-/// store again, or hears from an entry that does, within this time.
+/// `Retry-After` of an entry that can't tell yet whether a route or a key is unknown or newer than its configuration; it reads
+/// the store again, or hears from an entry that does, within this time.
 const UNCERTAIN_RETRY: Duration = Duration::from_secs(1);
 
 /// Authentication scheme that a response with status 401 names.
@@ -34,6 +34,8 @@
     Starting,
     /// No route matches the host and path.
     NoRoute,
+    /// Like [`Self::NoRoute`], but a newer configuration may have a route.
+    UncertainRoute,
     /// No customer has the request's key, or it has none that can be read.
     UnknownKey,
     /// Like [`Self::UnknownKey`], but a newer configuration may have the key.
@@ -84,6 +86,7 @@
         match self {
             Self::Starting => "starting",
             Self::NoRoute => "no-route",
+            Self::UncertainRoute => "uncertain-route",
             Self::UnknownKey => "unknown-key",
             Self::UncertainKey => "uncertain-key",
             Self::LargeHead => "large-head",
@@ -132,6 +135,7 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::QuotaExceeded(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Starting
+            | Self::UncertainRoute
             | Self::UncertainKey
             | Self::NoMemory
             | Self::NoUpstream
@@ -153,7 +157,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Starting => Some(STARTING_RETRY),
-            Self::UncertainKey => Some(UNCERTAIN_RETRY),
+            Self::UncertainRoute | Self::UncertainKey => Some(UNCERTAIN_RETRY),
             Self::NoMemory => Some(NO_MEMORY_RETRY),
             Self::NoUpstream => Some(NO_UPSTREAM_RETRY),
             Self::Full | Self::Refused => Some(FULL_RETRY),
