fix: a lost response to a watch hides changes for seconds

Cause: an entry is current while probes are answered, but each kind of object has a watch on a connection of its own. When the response to a watch was lost, the entry waited for it for 4 s and 1.5 s more, said that it was current all the while, and others took its word. Class: knowledge without its age; one connection vouches for another. Change: a watch lasts 0.4 s (upstreams, whose heartbeats end it anyway), 0.8 s (configuration) or 2 s (versions), and its response is waited for 0.5 s longer; then the kind is listed again. So what hides a change is bounded by the watch itself, below the time in which it must take effect.

--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -157,12 +157,13 @@
     /// Lists every object of `kind`.
     fn list(&self, kind: ObjectKind) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
-    /// Waits up to `wait` for changes after `revision`.
+    /// Waits up to `wait` for changes after `revision`, and at most `limit` for the response.
     fn watch(
         &self,
         kind: ObjectKind,
         revision: u64,
         wait: Duration,
+        limit: Duration,
     ) -> impl Future<Output = Result<Changes, StoreError>> + Send;
 
     /// Reads one object.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -15,8 +15,8 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 use tokio_util::sync::CancellationToken;
 
-/// Longest duration of one watch; bounds how long a dead connection can hide changes.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time for the response to a watch beyond its duration; the store takes milliseconds, or a few hundred when it is slow.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 
 /// Delay between two watches of upstreams, so that heartbeats batch up: each call to the store costs money.
 const BATCH_DELAY: Duration = Duration::from_millis(500);
@@ -147,13 +147,14 @@
     async fn watch(&mut self, mut at: Position) {
         let mut gaps = self.entry.contact_gaps();
         let store = self.store.clone();
+        let time = watch_time(self.kind);
         let is_copy = BootInstant::now() < self.copy_until;
         let relist = tokio::time::sleep(if is_copy { COPY_CHECK } else { Duration::MAX });
         tokio::pin!(relist);
         while self.must_follow() {
             let sent = BootInstant::now();
             let changes = tokio::select! {
-                changes = store.watch(self.kind, at.revision, WATCH_TIMEOUT) => changes,
+                changes = store.watch(self.kind, at.revision, time, time + ANSWER_MARGIN) => changes,
                 _gap = gaps.changed() => {
                     info!(kind:? = self.kind; "contact with the store was interrupted; listing again");
                     return;
@@ -343,6 +344,17 @@
     }
 }
 
+/// Returns the longest duration of a watch of `kind`. Other calls may be answered while the response to a watch is lost, so with
+/// [`ANSWER_MARGIN`] and a listing this stays below the shortest time in which a change of the kind must take effect.
+fn watch_time(kind: ObjectKind) -> Duration {
+    match kind {
+        // Heartbeats end it sooner, and it begins only after `BATCH_DELAY`.
+        ObjectKind::Upstreams => Duration::from_millis(400),
+        ObjectKind::Versions => Duration::from_secs(2),
+        _ => Duration::from_millis(800),
+    }
+}
+
 /// Returns the delay with jitter, so that the retries of many entries spread.
 fn jittered(delay: Duration) -> Duration {
     delay.mul_f64(rand::random_range(0.5..1.0))
