fix: entries wait for members that only follow upstreams

Cause: an entry outside the control set reads nothing from the store while a member says that it follows. That word was about the registered upstreams; the members' watches of the configuration and of versions may fail on their own. Class: a statement about one thing is used for another. Change: an entry asks who follows the kind that it needs: the configuration by what the members say of it, versions by the word that now covers upstreams and versions. Messages between entries are unchanged, so that builds work side by side.

--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -1,7 +1,10 @@
 //! Keeps contact with the store while this entry follows it, so that a silent watch is noticed.
 
 use crate::{
-    clock::BootInstant, edge::store::Store, entry::context::Entry, holding::lock,
+    clock::BootInstant,
+    edge::store::{ObjectKind, Store},
+    entry::context::Entry,
+    holding::lock,
     supervisor::ChildError,
 };
 use log::{debug, info};
@@ -24,7 +27,9 @@
     /// Marks what was read from the store as possibly outdated, until it is listed again.
     fn contact_interrupted(&self) {
         lock(&self.registry).store_lost();
-        self.currency.set_followed(false);
+        for kind in [ObjectKind::Configuration, ObjectKind::Versions] {
+            self.currency.set_followed(kind, false);
+        }
         self.contact_gaps.send_modify(|n| *n += 1);
     }
 
@@ -33,10 +38,11 @@
         self.contact_gaps.subscribe()
     }
 
-    /// Returns whether this entry knows every change of the registered upstreams from the store by itself.
+    /// Returns whether this entry knows every change of the registered upstreams, and every new version of an adapter, from the
+    /// store by itself.
     pub fn follows_store(&self) -> bool {
         let is_fresh = lock(&self.contact).is_fresh(BootInstant::now());
-        is_fresh && lock(&self.registry).follows_store()
+        is_fresh && lock(&self.registry).follows_store() && self.currency.follows_versions()
     }
 }
 
--- a/src/entry/currency.rs
+++ b/src/entry/currency.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::BootInstant,
     decide::pauses::Pauses,
+    edge::store::ObjectKind,
     entry::{context::Entry, messages::ConfigurationSource},
     holding::lock,
     ident::Revision,
@@ -36,6 +37,8 @@
 pub struct Currency {
     /// Whether this entry watches the configuration in the store, and has listed it since the last interruption.
     follows: AtomicBool,
+    /// The same for versions of adapters.
+    follows_versions: AtomicBool,
     /// Pauses of this process.
     pauses: Mutex<Pauses>,
 }
@@ -45,15 +48,25 @@
     fn default() -> Self {
         Self {
             follows: AtomicBool::new(false),
+            follows_versions: AtomicBool::new(false),
             pauses: Mutex::new(Pauses::new(BootInstant::now())),
         }
     }
 }
 
 impl Currency {
-    /// Records whether this entry learns every change of the configuration from the store by itself.
-    pub fn set_followed(&self, follows: bool) {
-        self.follows.store(follows, Ordering::SeqCst);
+    /// Records whether this entry learns every change of `kind` from the store by itself. The registry does that for upstreams.
+    pub fn set_followed(&self, kind: ObjectKind, follows: bool) {
+        match kind {
+            ObjectKind::Configuration => self.follows.store(follows, Ordering::SeqCst),
+            ObjectKind::Versions => self.follows_versions.store(follows, Ordering::SeqCst),
+            _ => {}
+        }
+    }
+
+    /// Returns whether this entry learns every new version of an adapter from the store, while it is in contact.
+    pub fn follows_versions(&self) -> bool {
+        self.follows_versions.load(Ordering::SeqCst)
     }
 
     /// Observes whether this process runs. Waits for nothing else, as a wait would look like a pause.
@@ -96,11 +109,17 @@
         }
     }
 
-    /// Returns whether a member of the control set knows every change of the registered upstreams from the store.
-    pub fn has_peer_following_store(&self) -> bool {
+    /// Returns whether a member of the control set knows every change of `kind` from the store.
+    pub fn has_peer_following(&self, kind: ObjectKind) -> bool {
         let control = self.control.load();
         let peers = lock(&self.peers);
         let mut heard = peers.heard(BootInstant::now());
-        heard.any(|info| info.follows && control.members.contains(&info.name))
+        heard.any(|info| {
+            let follows = match kind {
+                ObjectKind::Configuration => info.configuration == ConfigurationSource::Store,
+                _ => info.follows,
+            };
+            follows && control.members.contains(&info.name)
+        })
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -103,22 +103,15 @@
                     }
                     self.era = Some(at.era);
                     self.apply_listing(&listing);
-                    self.mark_followed(true);
+                    self.entry.currency.set_followed(self.kind, true);
                     self.watch(at).await;
-                    self.mark_followed(false);
+                    self.entry.currency.set_followed(self.kind, false);
                 }
                 Err(e) => self.call_failed(&e).await,
             }
         }
     }
 
-    /// Records whether this entry follows the configuration.
-    fn mark_followed(&self, follows: bool) {
-        if self.kind == ObjectKind::Configuration {
-            self.entry.currency.set_followed(follows);
-        }
-    }
-
     /// Waits while other entries follow the store for this one. The first listing is read in any case, as peers may
     /// not be known yet.
     async fn wait_until_needed(&mut self) {
@@ -138,7 +131,7 @@
     /// contact with the store.
     fn must_follow(&self) -> bool {
         let is_due = BootInstant::now() >= self.retry_at;
-        let has_source = || self.entry.has_peer_following_store();
+        let has_source = || self.entry.has_peer_following(self.kind);
         self.era.is_none() || self.entry.is_control_member() || (is_due && !has_source())
     }
 
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -55,7 +55,7 @@
     pub processor: u32,
     /// Revision of the configuration in force.
     pub revision: Revision,
-    /// Whether it learns every change of the registered upstreams from the store.
+    /// Whether it learns every change of the registered upstreams and of the versions of adapters from the store.
     pub follows: bool,
     /// Where it learns of new configurations.
     pub configuration: ConfigurationSource,
