fix: a status that is none of a response reaches the caller

Cause: any status that the client library lets through was taken for a final one: 101, and all from 600 on. Class: an upstream's word is believed without a check that it is one. Change: a response whose status is not between 200 and 599 is none: the connection is closed, and the request counts as one that may have run. This is checked where a response comes from an upstream, so that it holds for streams, resumed streams, detours and the older path too.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::{HeaderMap, Uri};
+use http::{HeaderMap, StatusCode, Uri};
 use http_body_util::Full;
 use hyper_util::{
     client::legacy::{
@@ -195,21 +195,32 @@
     pub body: Bytes,
 }
 
+/// Returns whether a response with `status` is one: an informational status precedes the response, and the protocol has none from
+/// 600 on.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends a request and waits for the response head.
 ///
 /// # Errors
-/// See [`CallError`].
+/// See [`CallError`]; [`CallError::Unknown`] also if its status is none of a response.
 pub async fn send(
     client: &HttpClient,
     request: http::Request<Full<Bytes>>,
 ) -> Result<http::Response<hyper::body::Incoming>, CallError> {
-    client.request(request).await.map_err(|e| {
+    let response = client.request(request).await.map_err(|e| {
         if e.is_connect() {
             CallError::NotSent
         } else {
             CallError::Unknown
         }
-    })
+    })?;
+    if is_final(response.status()) {
+        Ok(response)
+    } else {
+        Err(CallError::Unknown)
+    }
 }
 
 /// Limits of a call.
--- a/src/path/transport.rs
+++ b/src/path/transport.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use log::info;
+use log::{info, warn};
 use std::{
     fmt::{Display, Formatter},
     sync::Arc,
@@ -110,6 +110,11 @@
             }
         };
         self.record_reached(&upstream.id);
+        let status = response.status();
+        if !http_client::is_final(status) {
+            warn!(upstream = &*upstream.id, status = status.as_u16(); "routing: the upstream's response has a status that is none");
+            return Err(SendError::Broken(None));
+        }
         let framing = Framing::of(&response);
         Ok(Exchange {
             response: response.map(|b| b.map_err(|_e| BrokenBody(None)).boxed_unsync()),
