fix: an answer during a probe delays the notice of a silent store

What callers saw: an entry that is cut off from the store in silence goes on with what it knew for up to 2 s, longer than it believes the store (1 s): requests to upstreams that shut down, 404 for an added route. Cause: whether the contact has lapsed was only checked at the end of a probe, and a probe without an answer takes 0.7 s. An answer to another call in between made the check too early, and the next one came a second later. Class: knowledge without its age. Change: the check has its own pace of 0.1 s. Probes are paced from one to the next, so that those of a slow store don't leave a gap. `an_answer_during_a_probe_delays_the_notice_of_a_silent_store` reproduces the order of events and fails before this change; `a_slow_store_is_taken_for_a_silent_one` guards its price.

--- a/src/entry/contact.rs
+++ b/src/entry/contact.rs
@@ -9,12 +9,15 @@
 };
 use log::{debug, info};
 use std::{sync::Arc, time::Duration};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
-/// Pause between two probes; several fit in the time for which contact is believed to last.
+/// Time from a probe to the next one; several fit in the time for which contact is believed to last.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval between checks whether the contact has lapsed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 impl Entry {
     /// Records that the store answered a call that was sent at `sent`. After an interruption, what was read before may
     /// have changed unnoticed.
@@ -59,6 +62,7 @@
         .run_until_cancelled(async {
             tokio::join!(
                 probe_repeatedly(&entry, &store),
+                notice_interruptions(&entry),
                 entry.currency.keep_ticking()
             )
         })
@@ -67,9 +71,10 @@
 }
 
 async fn probe_repeatedly<S: Store>(entry: &Entry, store: &S) {
-    let mut was_fresh = false;
+    let mut due = tokio::time::interval(PROBE_INTERVAL);
+    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        due.tick().await;
         if entry.is_control_member() || lock(&entry.registry).follows_store() {
             let sent = BootInstant::now();
             match store.probe().await {
@@ -77,6 +82,15 @@
                 Err(e) => debug!("probing the store failed: {e}"),
             }
         }
+    }
+}
+
+/// Checks whether the contact has lapsed. A probe without an answer takes most of the time for which contact is believed to last,
+/// so this doesn't wait for it.
+async fn notice_interruptions(entry: &Entry) {
+    let mut was_fresh = false;
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
         let now = BootInstant::now();
         let contact = *lock(&entry.contact);
         let is_fresh = contact.is_fresh(now);
