fix: a version that a report contradicts is taken for certain

Cause: an engine's report that names another version than the one recorded was passed over, as the adapter takes one slot either way. If its eviction then got no response, the reservation was for the recorded version, and a load of that version took its slot beside the other one. Change: the slot's version counts as doubtful, so that the reservation is for an unknown one. Evidence: `a_contradicted_version_is_reserved_by_its_late_eviction` (tests/residency.rs) fails without the change.

--- a/src/decide/residency.rs
+++ b/src/decide/residency.rs
@@ -225,11 +225,10 @@
         let is_evicted = self.evicted.get(key);
         let is_evicted = is_evicted.is_some_and(|at| now.since(*at) < MAX_LIST_AGE);
         match self.occupied.get_mut(key) {
+            Some(slot) if slot.has_copy(Some(version)) => {}
             // The engine holds one version, beside those that are loading.
-            Some(slot) if slot.state == SlotState::Loading && !slot.has_copy(Some(version)) => {
-                slot.replaces = Some(version);
-            }
-            Some(_) => {}
+            Some(slot) if slot.state == SlotState::Loading => slot.replaces = Some(version),
+            Some(slot) => slot.is_doubtful = true,
             None if self.late.versions(key).contains(&Some(version)) => {}
             None if is_evicted || self.late.contains(key) => {
                 self.late.add_due(key, version, now);
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -42,6 +42,7 @@
     a_late_replacement_is_handed_over_as_one_copy,
     a_report_hides_a_load_that_follows_an_eviction,
     a_version_that_is_none_is_offered_after_a_cancelled_eviction,
+    a_contradicted_version_is_reserved_by_its_late_eviction,
     slots_are_never_exceeded,
     memory_runs_out_before_the_slots,
     memory_of_several_models_is_shared,
@@ -345,6 +346,19 @@
         assert_eq!(r.used_slots(), 1);
     }
 
+    /// The report names version 2 in place of version 1, whose eviction then gets no response.
+    pub(super) fn a_contradicted_version_is_reserved_by_its_late_eviction() {
+        let mut r = engine(2, 2);
+        assert_eq!(
+            r.plan(&key(9), 1, at(5_000), none_in_use),
+            Plan::Evict(key(0))
+        );
+        r.add_reported(&key(0), 2, at(5_010));
+        r.eviction_ended(&key(0), UnderWay, at(5_050));
+        let other_in_use = |k: &AdapterKey| *k == key(1);
+        assert_ne!(r.plan(&key(0), 1, at(5_100), other_in_use), Plan::Load);
+    }
+
     /// An engine that executes late orders never holds more adapters than it has slots.
     pub(super) fn slots_are_never_exceeded() {
         for seed in 0..200 {
