--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -43,6 +43,7 @@
     a_report_hides_a_load_that_follows_an_eviction,
     a_version_that_is_none_is_offered_after_a_cancelled_eviction,
     a_contradicted_version_is_reserved_by_its_late_eviction,
+    a_version_held_beside_a_load_takes_no_slot,
     slots_are_never_exceeded,
     memory_runs_out_before_the_slots,
     memory_of_several_models_is_shared,
@@ -359,6 +360,14 @@
         assert_ne!(r.plan(&key(0), 1, at(5_100), other_in_use), Plan::Load);
     }
 
+    /// The report names version 1, which this holder does not know of, while version 2 loads.
+    pub(super) fn a_version_held_beside_a_load_takes_no_slot() {
+        let mut r = Residency::new(2);
+        assert_eq!(r.plan(&key(0), 2, at(0), none_in_use), Plan::Load);
+        r.add_reported(&key(0), 1, at(100));
+        assert_ne!(r.plan(&key(9), 1, at(100), none_in_use), Plan::Load);
+    }
+
     /// An engine that executes late orders never holds more adapters than it has slots.
     pub(super) fn slots_are_never_exceeded() {
         for seed in 0..200 {
