review: case 8, LOST is broken on a resumable route that is split between services

Claim: no stream of such a route can be taken up at another machine, at any time. Fault: decide/build_history.rs and path/beginning.rs: beginnings are shared and stored only while one service has two versions, and concluded only while all services of the route together have one.

--- a/review/standin-2/src/bin/one-era.rs
+++ b/review/standin-2/src/bin/one-era.rs
@@ -96,6 +96,7 @@
                 slots: 32,
                 step: Duration::from_millis(10),
                 events: 3,
+                id_step: 1,
             };
             Runner::start(kind, address(100 + n, 9000), &store)
                 .unwrap_or_else(|e| record.cannot_run(&e.to_string()))
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -42,6 +42,8 @@
     pub step: Duration,
     /// Events of a stream.
     pub events: u64,
+    /// Difference between the ids of two events.
+    pub id_step: u64,
 }
 
 /// A request that began to run.
@@ -244,14 +246,16 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for n in run.after + 1..=self.kind.events {
+        for n in run.after / self.kind.id_step + 1..=self.kind.events {
             thread::sleep(self.kind.step);
             if self.ended.load(Ordering::SeqCst) {
                 return false;
             }
             let event = format!(
-                "id: {n}\ndata: event {n} of software {} at {}\n\n",
-                self.kind.version, self.kind.id
+                "id: {}\ndata: event {n} of software {} at {}\n\n",
+                n * self.kind.id_step,
+                self.kind.version,
+                self.kind.id
             );
             if stream
                 .write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -55,6 +55,16 @@
     )
 }
 
+/// Returns the same with `/long/` split between the services `models` and `models-b`, in equal parts.
+pub fn split_configuration(version: u64) -> String {
+    let split = "\"trafficSplit\":[{\"service\":\"models\",\"weight\":50},{\"service\":\"models-b\",\"weight\":50}],\"maxAttempts\":2";
+    let text = configuration(version).replace("\"service\":\"models\",\"maxAttempts\":2", split);
+    let at = text.find("{\"name\":\"models\"").unwrap_or_default();
+    let end = text.find(",{\"name\":\"app\"").unwrap_or_default();
+    let second = text[at..end].replacen("models", "models-b", 1);
+    format!("{},{second}{}", &text[..end], &text[end..])
+}
+
 /// Starts all machines of a site for the first time, and waits until all are ready.
 pub fn start_entries(site: &Site, record: &Record) -> Vec<Entry> {
     let mut entries: Vec<Entry> = (0..site.entries).map(|n| Entry::new(site, n)).collect();
