--- a/review/standin-2/src/bin/joined-versions.rs
+++ b/review/standin-2/src/bin/joined-versions.rs
@@ -192,7 +192,9 @@
         thread::sleep(Duration::from_millis(500));
         entries[outside].start(false);
         record.add(&format!("{} has started again", entries[outside].name));
-        thread::sleep(DARK.saturating_sub(Duration::from_millis(500)));
+        let dark = std::env::var("DARK_MS").ok().and_then(|ms| ms.parse().ok());
+        let dark = dark.map_or(DARK, Duration::from_millis);
+        thread::sleep(dark.saturating_sub(Duration::from_millis(500)));
         for entry in entries
             .iter_mut()
             .enumerate()
