--- a/review/standin-2/src/bin/cut-watches.rs
+++ b/review/standin-2/src/bin/cut-watches.rs
@@ -47,6 +47,7 @@
                 step: Duration::from_millis(60),
                 events: 0,
                 id_step: 1,
+                spoils: 0,
             };
             Runner::start(kind, address(200 + n, 9000), &store)
                 .unwrap_or_else(|e| record.cannot_run(&e.to_string()))
--- a/review/standin-2/src/bin/gaps-in-ids.rs
+++ b/review/standin-2/src/bin/gaps-in-ids.rs
@@ -48,6 +48,7 @@
             .ok()
             .and_then(|n| n.parse().ok())
             .unwrap_or(ID_STEP),
+        spoils: 0,
     };
     Runner::start(kind, address(100 + n, 9000), store)
         .unwrap_or_else(|e| record.cannot_run(&e.to_string()))
--- a/review/standin-2/src/bin/joined-versions.rs
+++ b/review/standin-2/src/bin/joined-versions.rs
@@ -44,6 +44,7 @@
         step: Duration::from_millis(100),
         events: 60,
         id_step: 1,
+        spoils: 0,
     };
     Runner::start(kind, address(100 + n, 9000), store)
         .unwrap_or_else(|e| record.cannot_run(&e.to_string()))
--- a/review/standin-2/src/bin/one-era.rs
+++ b/review/standin-2/src/bin/one-era.rs
@@ -97,6 +97,7 @@
                 step: Duration::from_millis(10),
                 events: 3,
                 id_step: 1,
+                spoils: 0,
             };
             Runner::start(kind, address(100 + n, 9000), &store)
                 .unwrap_or_else(|e| record.cannot_run(&e.to_string()))
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -44,6 +44,8 @@
     pub events: u64,
     /// Difference between the ids of two events.
     pub id_step: u64,
+    /// One in this many answers of a plain service has a wrong byte in the name of its seal's header; 0 for none.
+    pub spoils: u64,
 }
 
 /// A request that began to run.
@@ -88,6 +90,7 @@
     adapters: Mutex<BTreeMap<String, (u64, Instant)>>,
     sequence: AtomicU64,
     beat: AtomicU64,
+    answers: AtomicU64,
     registered: AtomicBool,
     ended: AtomicBool,
 }
@@ -106,6 +109,7 @@
             adapters: Mutex::default(),
             sequence: AtomicU64::new(0),
             beat: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
             registered: AtomicBool::new(true),
             ended: AtomicBool::new(false),
         });
@@ -232,7 +236,14 @@
                 return Reply::Close;
             }
             let mut headers = echo();
-            headers.push(("X-Response-Seal".into(), format!("seal-{id}")));
+            let count = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            let is_spoiled = self.kind.spoils > 0 && count.is_multiple_of(self.kind.spoils);
+            let name = if is_spoiled {
+                "X-Response-Scal"
+            } else {
+                "X-Response-Seal"
+            };
+            headers.push((name.into(), format!("seal-{id}")));
             return Reply::Full(200, headers, format!("done {id}"));
         }
         Reply::Written(self.stream(stream, &run))
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -27,7 +27,7 @@
     )
 }
 
-/// Returns the operator's configuration: `/draft/` (streaming), `/long/` (streaming, resumable), `/status/` (unsafe).
+/// Returns the operator's configuration: `/draft/` (streaming), `/long/` (streaming, resumable), `/status/` (unsafe), `/feed/` (safe).
 pub fn configuration(version: u64) -> String {
     let route = |name: &str, kind: &str, service: &str, extra: &str| {
         format!(
@@ -48,6 +48,7 @@
             ",\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":300",
         ),
         route("status", "unsafe", "app", ",\"maxAttempts\":1"),
+        route("feed", "safe", "app", ",\"maxAttempts\":2"),
     ];
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"models\",\"healthPath\":\"/healthz\",\"maxConnections\":230,\"engine\":{{\"slots\":32,\"kvCapacity\":121476,\"adapterSlots\":4,\"weightsMb\":67000,\"loadsPerS\":6.2,\"models\":[{{\"name\":\"{MODEL}\",\"weightsMb\":65100,\"loadS\":1.9,\"adapters\":3000,\"adapterMb\":66}}]}}}},{{\"name\":\"app\",\"healthPath\":\"/healthz\",\"maxConnections\":96}}],\"limits\":{{\"maxHeaderBytes\":8192,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
