fix: a history of builds that has ended is not taken as complete up to now

Cause: BuildHistory kept the time from which on no build is missing and took its end for now. The history in a VM's member record ends when the record was written, which outside the control set happens once. A process that started 65 s later took it as complete for the last minute, in which the earlier build had been forgotten, and concluded that the present build had begun the streams. That conclusion went before the records in the store, which named the right build.

Change: both ends of the time without a missing build are kept; two such times are joined only if at most five seconds lie between them. A report proves the time up to the question that it answers, an unasked update of a peer proves nothing about the time since it was made. A record goes before any conclusion (decide/stream_origin.rs). Updates tell a change of the set of builds, not of its size. A refusal logs what it rests on.

The two cases of tests/build_memory.rs pass; they use an interface that did not exist before.

--- a/src/decide/build_history.rs
+++ b/src/decide/build_history.rs
@@ -5,7 +5,8 @@
 //! | an entry ends before it could report a stream | its beginning is certain where a single build has served since it can have begun |
 //! | a release, forth or back, with any number of builds | a build counts for [`RETENTION`] after its last upstream |
 //! | a stand-still or a cut of this entry while another build joins and begins streams elsewhere | what was known before the request came proves nothing: the registered upstreams are read again |
-//! | a start, or a store that this entry doesn't reach | nothing is certain unless a peer or the entry's record in the store has the history |
+//! | a start, or a store that this entry doesn't reach | nothing is certain unless a peer or the entry's record in the store has the history, and no time lies between |
+//! | a report that is read late, after a stand-still or out of a slow link | its builds count, but it proves nothing about the time since it was made |
 
 use crate::{clock::BootInstant, decide::begun_streams::RETENTION, edge::registration::Build};
 use serde::{Deserialize, Serialize};
@@ -32,27 +33,51 @@
     pub complete_ms: u64,
 }
 
+/// Time over which no build is missing.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    since: BootInstant,
+    until: BootInstant,
+}
+
+impl Span {
+    /// Returns both as one if nothing can have been missed between them, and otherwise the later one.
+    fn join(self, other: Self) -> Self {
+        let (earlier, later) = if self.until <= other.until {
+            (self, other)
+        } else {
+            (other, self)
+        };
+        let gap = later.since.since(earlier.until);
+        let since = if gap <= FRESHNESS {
+            later.since.min(earlier.since)
+        } else {
+            later.since
+        };
+        Self { since, ..later }
+    }
+}
+
 /// Builds of all services that have served recently.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct BuildHistory {
     /// Time at which each build was last seen.
     seen: HashMap<Build, BootInstant>,
-    /// Time from which on no build is missing.
-    complete_since: BootInstant,
-    /// Time at which the registered upstreams were last certain.
-    confirmed: Option<BootInstant>,
+    /// Whether no upstream had served before the first confirmation.
+    is_first_start: bool,
+    /// Time over which no build is missing, up to the last confirmation.
+    complete: Option<Span>,
     /// Begin of the last read of all registered upstreams.
     read: Option<BootInstant>,
 }
 
 impl BuildHistory {
-    /// Creates an empty history that misses nothing from `complete_since` on.
-    pub fn new(complete_since: BootInstant) -> Self {
+    /// Creates an empty history. `is_first_start`: the whole system starts for the first time, so that no upstream has served
+    /// before.
+    pub fn new(is_first_start: bool) -> Self {
         Self {
-            seen: HashMap::new(),
-            complete_since,
-            confirmed: None,
-            read: None,
+            is_first_start,
+            ..Self::default()
         }
     }
 
@@ -66,10 +91,17 @@
 
     /// Records that the registered upstreams are certain. After a gap, builds may have come and gone meanwhile.
     pub fn confirm(&mut self, now: BootInstant) {
-        if self.confirmed.is_some_and(|at| now.since(at) > FRESHNESS) {
-            self.complete_since = now;
-        }
-        self.confirmed = Some(now);
+        let is_first = self.complete.is_none() && self.is_first_start;
+        let since = if is_first {
+            BootInstant::default()
+        } else {
+            now
+        };
+        self.add_span(Span { since, until: now });
+    }
+
+    fn add_span(&mut self, span: Span) {
+        self.complete = Some(self.complete.map_or(span, |known| known.join(span)));
     }
 
     /// Records that all registered upstreams were read, and that the read began at `begun`.
@@ -83,13 +115,15 @@
         self.read.is_some_and(|begun| begun >= since)
     }
 
-    fn is_fresh(&self, now: BootInstant) -> bool {
-        self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS)
+    /// Returns the time over which no build is missing, up to now; `None` if the registered upstreams are not certain now.
+    fn complete_for(&self, now: BootInstant) -> Option<Duration> {
+        let span = self.complete?;
+        (now.since(span.until) <= FRESHNESS).then(|| now.since(span.since))
     }
 
     /// Returns whether no build is missing that can have begun a stream.
     fn is_certain(&self, now: BootInstant) -> bool {
-        self.is_fresh(now) && now.since(self.complete_since) >= RETENTION
+        self.complete_for(now).is_some_and(|time| time >= RETENTION)
     }
 
     /// Returns whether other entries must know which build began a stream, as they could not conclude it.
@@ -106,24 +140,27 @@
         });
         BuildReport {
             builds: builds.collect(),
-            // Up to now only if the registered upstreams are certain now.
-            complete_ms: if self.is_fresh(now) {
-                millis(self.complete_since)
-            } else {
-                0
-            },
+            complete_ms: self.complete_for(now).map_or(0, |t| t.as_millis() as u64),
         }
     }
 
-    /// Adds a report that is `age` old.
-    pub fn merge(&mut self, report: &BuildReport, age: Duration, now: BootInstant) {
-        let time = |ms| now - age - Duration::from_millis(ms);
+    /// Adds the builds of a report of any age.
+    pub fn merge(&mut self, report: &BuildReport, now: BootInstant) {
         for SeenBuild { build, age_ms } in &report.builds {
             let seen = self.seen.entry(build.clone()).or_default();
-            *seen = (*seen).max(time(*age_ms));
+            *seen = (*seen).max(now - Duration::from_millis(*age_ms));
         }
         self.seen.retain(|_, seen| now.since(*seen) <= RETENTION);
-        self.complete_since = self.complete_since.min(time(report.complete_ms));
+    }
+
+    /// Adds a report that was made after `asked`, so that its time without a missing build reaches up to then at least.
+    pub fn merge_reply(&mut self, report: &BuildReport, asked: BootInstant, now: BootInstant) {
+        self.merge(report, now);
+        let since = now - Duration::from_millis(report.complete_ms);
+        if since < asked {
+            let until = asked;
+            self.add_span(Span { since, until });
+        }
     }
 
     /// Returns the only build of `services` that can have begun a stream, if that is certain.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,7 @@
 pub mod shutdown;
 pub mod standing;
 pub mod store_eras;
+pub mod stream_origin;
 pub mod stream_record;
 pub mod takeover;
 pub mod upstream_queue;
--- a/src/entry/begun_streams.rs
+++ b/src/entry/begun_streams.rs
@@ -4,7 +4,6 @@
     clock::{self, BootInstant},
     decide::{
         begun_streams::{AddResult, BegunStream, CAPACITY},
-        build_history::BuildReport,
         takeover::StoredBuilds,
     },
     edge::registration::Build,
@@ -41,21 +40,13 @@
         }
     }
 
-    /// Adds the streams and the builds that a peer has reported.
-    pub fn apply_begun(
-        &self,
-        peer: Option<&Arc<str>>,
-        begun: &[BegunBatch],
-        builds: Option<&BuildReport>,
-    ) {
+    /// Adds the streams that a peer has reported.
+    pub fn apply_begun(&self, peer: Option<&Arc<str>>, begun: &[BegunBatch]) {
         for batch in begun {
             for stream in &batch.streams {
                 self.add_begun(*stream, &batch.build, peer.cloned());
             }
         }
-        if let Some(report) = builds {
-            lock(&self.builds).merge(report, Duration::ZERO, BootInstant::now());
-        }
     }
 
     /// Records the builds of the registered upstreams.
@@ -89,8 +80,9 @@
 
     /// Adds the builds that an earlier process has stored.
     pub fn restore_builds(&self, stored: &StoredBuilds) {
+        let now = BootInstant::now();
         let age = Duration::from_millis(clock::unix_ms().saturating_sub(stored.at_ms));
-        lock(&self.builds).merge(&stored.report, age, BootInstant::now());
+        lock(&self.builds).merge_reply(&stored.report, now - age, now);
     }
 
     /// Returns the build that began a stream, from this entry's memory or a peer's.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -185,11 +185,6 @@
             let seeds = config.peers.0.len();
             ServiceRetryBudget::after_restart(config.budget, seeds, BootInstant::now())
         };
-        let complete_since = if config.first_start {
-            BootInstant::default()
-        } else {
-            BootInstant::now()
-        };
         let incarnation = clock::unix_ms();
         let has_peers = config.peers.0.iter().any(|peer| *peer != config.link);
         Arc::new(Self {
@@ -222,7 +217,7 @@
             late_orders: Mutex::default(),
             begun: Mutex::default(),
             stored: StoredStreams::default(),
-            builds: Mutex::new(BuildHistory::new(complete_since)),
+            builds: Mutex::new(BuildHistory::new(config.first_start)),
             build_reads: ReadRequests::default(),
             paths: Mutex::default(),
             detours: TaskTracker::new(),
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -124,7 +124,7 @@
     pub rejections: Vec<(UpstreamId, u32)>,
     /// Streams that have begun, not sent to the receiver before; sent only while it could not conclude their builds.
     pub begun: Vec<BegunBatch>,
-    /// Builds that the sender has seen; in the first update, and whenever their number changes.
+    /// Builds that the sender has seen; in the first update, and whenever one comes or is forgotten.
     pub builds: Option<BuildReport>,
     /// Use of customers' quotas; only where there are any.
     pub quotas: Option<QuotaUpdate>,
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -123,6 +123,8 @@
     address: SocketAddr,
     builder: UpdateBuilder,
     changes: watch::Receiver<u64>,
+    /// Time before the first update was sent.
+    started: BootInstant,
 }
 
 impl<'a> UpdateSender<'a> {
@@ -132,6 +134,7 @@
             address,
             builder: UpdateBuilder::new(entry, address),
             changes: entry.update_trigger.subscribe(),
+            started: BootInstant::now(),
         }
     }
 
@@ -177,8 +180,11 @@
                 let name = lock(&self.entry.peers)
                     .by_link(self.address)
                     .map(|p| Arc::clone(&p.info.name));
-                self.entry
-                    .apply_begun(name.as_ref(), &ack.begun, ack.builds.as_ref());
+                self.entry.apply_begun(name.as_ref(), &ack.begun);
+                if let Some(report) = &ack.builds {
+                    let now = BootInstant::now();
+                    lock(&self.entry.builds).merge_reply(report, self.started, now);
+                }
                 Ok(())
             }
             Ok(Ok(None)) | Err(_) => Err(LinkError::Broken),
@@ -311,7 +317,10 @@
     for strike in &update.strikes {
         entry.record_strike(strike);
     }
-    entry.apply_begun(Some(&info.name), &update.begun, update.builds.as_ref());
+    entry.apply_begun(Some(&info.name), &update.begun);
+    if let Some(report) = &update.builds {
+        lock(&entry.builds).merge(report, now);
+    }
     for used in update.uses.iter().filter(|u| u.asked > 0) {
         let command = Command::Requested(used.key.clone(), used.asked);
         if !entry.send_to_controller(&used.upstream, command) && update.homed {
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::BootInstant,
     decide::{build_history::BuildReport, rate_limit},
-    edge::registration::AdapterKey,
+    edge::registration::{AdapterKey, Build},
     entry::{
         begun_streams,
         context::Entry,
@@ -62,8 +62,8 @@
     strikes: StrikeFeed,
     /// Number of the next begun stream to send.
     next_begun: u64,
-    /// Number of builds as last sent.
-    sent_builds: Option<usize>,
+    /// Builds as last sent.
+    sent_builds: Option<HashSet<Build>>,
     quotas: UseFeed,
 }
 
@@ -195,8 +195,9 @@
 
     fn new_builds(&mut self, now: BootInstant) -> Option<BuildReport> {
         let report = lock(&self.entry.builds).report(now);
-        let count = Some(report.builds.len());
-        let is_new = std::mem::replace(&mut self.sent_builds, count) != count;
+        let builds = Some(report.builds.iter().map(|b| b.build.clone()).collect());
+        let is_new = self.sent_builds != builds;
+        self.sent_builds = builds;
         is_new.then_some(report)
     }
 
--- a/src/path/beginning.rs
+++ b/src/path/beginning.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::BootInstant,
+    decide::stream_origin::{Origin, OriginSource, Question, find_origin},
     edge::{codec::StreamBeginning, registration::Build},
     holding::lock,
     ident::StreamId,
@@ -24,14 +25,13 @@
             StreamBeginning::Earlier(id) => self.entry.find_begun(StreamId::of(id)).await,
             StreamBeginning::Unnamed => None,
         };
-        let (source, build) = if let Some(build) = begun {
-            ("entries", build)
-        } else if let Some(build) = self.certain_build().await {
-            ("only-build", build)
-        } else {
-            ("store", self.stored_build().await?)
+        let source = OriginSource::Entries;
+        let origin = match begun {
+            Some(build) => Some(Origin { build, source }),
+            None => self.find_unremembered().await,
         };
-        info!(request = &*self.head.id, build:% = build, source = source; "routing: resumed stream bound to a build");
+        let Origin { build, source } = origin.ok_or(RefusalReason::UnknownBeginning)?;
+        info!(request = &*self.head.id, build:% = build, source = source.as_str(); "routing: resumed stream bound to a build");
         let mut targets = self.route.targets.iter();
         if !targets.any(|t| t.service == build.service) {
             return Err(RefusalReason::NoSameBuild);
@@ -41,32 +41,46 @@
         Ok(())
     }
 
-    /// Returns the build that began the stream, from the records in the store.
-    async fn stored_build(&self) -> Result<Build, RefusalReason> {
-        let stored = match &self.head.beginning {
-            StreamBeginning::Earlier(id) => self.entry.find_stored(StreamId::of(id)).await,
-            StreamBeginning::Here | StreamBeginning::Unnamed => None,
+    /// Returns the build that began a stream which no entry remembers.
+    async fn find_unremembered(&self) -> Option<Origin> {
+        let targets = self.route.targets.iter();
+        let services: Vec<&Arc<str>> = targets.map(|t| &t.service).collect();
+        let question = Question {
+            services: &services,
+            asked: BootInstant::now(),
         };
-        stored.ok_or(RefusalReason::UnknownBeginning)
-    }
-
-    /// Returns the only build that can have begun the stream, once the registered upstreams were read again: this entry may
-    /// have stood still or been cut off while another build began streams.
-    async fn certain_build(&self) -> Option<Build> {
-        self.only_build()?;
-        let asked = BootInstant::now();
-        self.entry.read_builds().await;
-        let build = self.only_build()?;
-        lock(&self.entry.builds)
-            .is_read_since(asked)
-            .then_some(build)
+        let is_concludable = {
+            let history = lock(&self.entry.builds);
+            history.only_build(&services, question.asked).is_some()
+        };
+        let read = async {
+            if is_concludable {
+                self.entry.read_builds().await;
+            }
+        };
+        let (stored, ()) = tokio::join!(self.find_stored(), read);
+        let is_stored = stored.is_some();
+        let now = BootInstant::now();
+        let (origin, report) = {
+            let history = lock(&self.entry.builds);
+            let origin = find_origin(question, stored, &history, now);
+            (origin, history.report(now))
+        };
+        if origin.is_none() {
+            info!(
+                request = &*self.head.id, stored = is_stored, builds:? = report.builds, complete_ms = report.complete_ms,
+                read = is_concludable;
+                "routing: the build that began a stream is unknown"
+            );
+        }
+        origin
     }
 
-    /// Returns the only build that can have begun a stream of this route, as far as this entry knows.
-    fn only_build(&self) -> Option<Build> {
-        let targets = self.route.targets.iter();
-        let services: Vec<&Arc<str>> = targets.map(|t| &t.service).collect();
-        let history = lock(&self.entry.builds);
-        history.only_build(&services, BootInstant::now()).cloned()
+    /// Returns the build that began the stream, from the records in the store.
+    async fn find_stored(&self) -> Option<Build> {
+        match &self.head.beginning {
+            StreamBeginning::Earlier(id) => self.entry.find_stored(StreamId::of(id)).await,
+            StreamBeginning::Here | StreamBeginning::Unnamed => None,
+        }
     }
 }
--- a/tests/build_memory.rs
+++ b/tests/build_memory.rs
@@ -32,6 +32,8 @@
     what_was_read_before_a_request_proves_its_beginning,
     builds_of_any_peer_make_a_beginning_uncertain,
     builds_that_came_and_went_unseen_make_a_beginning_uncertain,
+    a_reply_that_was_read_late_makes_a_beginning_certain,
+    an_update_that_was_read_late_makes_a_beginning_certain,
     a_lookup_takes_less_than_a_microsecond,
     a_begun_stream_takes_few_bytes_between_entries,
 }
@@ -51,7 +53,7 @@
 
 /// Returns a history that misses nothing, with `versions` registered and confirmed at [`START`].
 fn history(versions: &[&str]) -> BuildHistory {
-    let mut history = BuildHistory::new(BootInstant::default());
+    let mut history = BuildHistory::new(true);
     history.observe(versions.iter().map(|v| build(v)), START);
     history.confirm(START);
     history
@@ -99,16 +101,17 @@
         assert_eq!(only(&history(&["v1"]), START), Some(build("v1")));
         assert_eq!(only(&history(&[]), START), None);
         assert_eq!(only(&history(&["v1", "v1.1"]), START), None);
-        let mut started = BuildHistory::new(START);
+        let mut started = BuildHistory::new(false);
         started.observe([build("v1")].into_iter(), START);
         started.confirm(START);
         assert_eq!(only(&started, START), None, "a build may have left before");
         let later = START + Duration::from_secs(6);
         let stale = history(&["v1"]).report(later);
         started.confirm(START + Duration::from_secs(3));
-        started.merge(&stale, Duration::ZERO, later);
+        started.merge_reply(&stale, START, later);
         assert_eq!(only(&started, later), None, "the peer does not know either");
-        started.merge(&history(&["v1"]).report(START), Duration::ZERO, START);
+        let asked = START - Duration::from_millis(10);
+        started.merge_reply(&history(&["v1"]).report(START), asked, START);
         assert_eq!(only(&started, START), Some(build("v1")), "a peer knows");
     }
 
@@ -168,6 +171,41 @@
         assert!(!history.needs_beginnings(later));
     }
 
+    /// Guards against an entry that stood still for a while and then read a reply from before that: the builds that came and
+    /// went meanwhile are missing (review, case 7).
+    pub(super) fn a_reply_that_was_read_late_makes_a_beginning_certain() {
+        arbtest(|u| {
+            let before = history(&[]).report(START);
+            let stood_still = Duration::from_millis(u.int_in_range(0..=90_000)?);
+            let now = START + stood_still;
+            let mut own = BuildHistory::new(false);
+            let (asked, is_confirmed_first) = (START, u.arbitrary()?);
+            own.observe([build("v2")].into_iter(), now);
+            if is_confirmed_first {
+                own.confirm(now);
+            }
+            own.merge_reply(&before, asked, now);
+            own.confirm(now);
+            let is_read_at_once = stood_still <= Duration::from_secs(5);
+            assert_eq!(
+                only(&own, now).is_some(),
+                is_read_at_once,
+                "{stood_still:?}"
+            );
+            Ok(())
+        });
+    }
+
+    /// Guards against an entry that stood still and then read an update of a peer from before that, whose age nobody knows.
+    pub(super) fn an_update_that_was_read_late_makes_a_beginning_certain() {
+        let mut own = BuildHistory::new(false);
+        let later = START + Duration::from_secs(10);
+        own.observe([build("v2")].into_iter(), later);
+        own.confirm(later);
+        own.merge(&history(&[]).report(START), later);
+        assert_eq!(only(&own, later), None);
+    }
+
     pub(super) fn builds_of_any_peer_make_a_beginning_uncertain() {
         arbtest(|u| {
             let mut own = history(&["v1"]);
@@ -180,7 +218,7 @@
                 builds,
                 complete_ms: 0,
             };
-            own.merge(&report, Duration::ZERO, START);
+            own.merge_reply(&report, START, START);
             let is_recent = u128::from(age_ms) <= RETENTION.as_millis();
             assert_eq!(only(&own, START).is_none(), is_recent, "{age_ms}");
             Ok(())
