fix: which build begins a stream is always recorded, whatever could be concluded

Cause: while a single build served for certain, no entry told the others which build began its streams, as they could conclude it. The place that left the record out asked what could be concluded at that time, and a stream is taken up later, when another build may have appeared or all entries may have ended.

Change: decide/stream_origin.rs decides both sides, how soon and how widely a beginning is recorded and which build goes on. A single certain build only defers the record: the control set has it with the next updates, other entries ask their relay, and two writers store it within 0.4 s. The builds in member records, which stood in for these after a restart of all entries, are removed with the age that was taken from two readings of the Unix clock.

--- a/src/decide/build_history.rs
+++ b/src/decide/build_history.rs
@@ -5,7 +5,7 @@
 //! | an entry ends before it could report a stream | its beginning is certain where a single build has served since it can have begun |
 //! | a release, forth or back, with any number of builds | a build counts for [`RETENTION`] after its last upstream |
 //! | a stand-still or a cut of this entry while another build joins and begins streams elsewhere | what was known before the request came proves nothing: the registered upstreams are read again |
-//! | a start, or a store that this entry doesn't reach | nothing is certain unless a peer or the entry's record in the store has the history, and no time lies between |
+//! | a start, or a store that this entry doesn't reach | nothing is certain unless a peer that stayed up has the history |
 //! | a report that is read late, after a stand-still or out of a slow link | its builds count, but it proves nothing about the time since it was made |
 
 use crate::{clock::BootInstant, decide::begun_streams::RETENTION, edge::registration::Build};
@@ -122,16 +122,11 @@
     }
 
     /// Returns whether no build is missing that can have begun a stream.
-    fn is_certain(&self, now: BootInstant) -> bool {
+    pub fn is_certain(&self, now: BootInstant) -> bool {
         self.complete_for(now).is_some_and(|time| time >= RETENTION)
     }
 
-    /// Returns whether other entries must know which build began a stream, as they could not conclude it.
-    pub fn needs_beginnings(&self, now: BootInstant) -> bool {
-        !self.is_certain(now) || self.has_several()
-    }
-
-    /// Returns what has been seen, for another entry or a later process.
+    /// Returns what has been seen, for another entry.
     pub fn report(&self, now: BootInstant) -> BuildReport {
         let millis = |at| now.since(at).as_millis() as u64;
         let builds = self.seen.iter().map(|(build, seen)| SeenBuild {
--- a/src/decide/stream_origin.rs
+++ b/src/decide/stream_origin.rs
@@ -1,7 +1,14 @@
-//! Decides which build goes on with a stream that a caller takes up.
+//! Decides how the build that begins a stream is recorded, and which build goes on with a stream that a caller takes up.
+//!
+//! Every stream that may be taken up has a record, as nobody can tell while it begins what will be known when it is taken up: another
+//! build may appear, and all that could conclude the build may end.
 //!
 //! | load pattern | response |
 //! |---|---|
+//! | a single build serves; entries are killed as the first upstream of another one starts, or all lose power | the control set is told of each stream with its next updates, and the store has it within half a second: few records are lost |
+//! | a route is split between services of one build each | the same: a record does not depend on what could be concluded |
+//! | a store outage, or an entry that has just started: nothing can be concluded for a minute | all entries are told at once |
+//! | several builds serve | in addition, the store has the record before the caller gets the first event |
 //! | a caller takes a stream up at an entry that has heard of its beginning, from a peer or from the store | the record goes before any conclusion |
 //! | nobody has a record: the entry that began the stream ended before its next update | the only build that has served since it can have begun, if nothing is missing in the history of builds |
 //! | several builds have served, or the history has a gap | the stream is refused: one that is cut off does less harm than one of two builds |
@@ -9,6 +16,35 @@
 use crate::{clock::BootInstant, decide::build_history::BuildHistory, edge::registration::Build};
 use std::sync::Arc;
 
+/// How soon and how widely it is recorded which build begins a stream.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Recording {
+    /// The control set is told with the next updates, and the store soon.
+    Deferred,
+    /// All entries are told at once, and the store soon.
+    Shared,
+    /// All entries are told at once, and the store before the caller gets the first event.
+    Durable,
+}
+
+impl Recording {
+    /// Returns how streams that begin now are recorded.
+    pub fn choose(history: &BuildHistory, now: BootInstant) -> Self {
+        if history.has_several() {
+            Self::Durable
+        } else if history.is_certain(now) {
+            Self::Deferred
+        } else {
+            Self::Shared
+        }
+    }
+
+    /// Returns whether entries outside the control set are told as well, and at once.
+    pub fn is_for_all(self) -> bool {
+        self >= Self::Shared
+    }
+}
+
 /// What tells the build that began a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OriginSource {
--- a/src/decide/takeover.rs
+++ b/src/decide/takeover.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::BootInstant,
-    decide::{build_history::BuildReport, reservations::CopyVersion, store_eras},
+    decide::{reservations::CopyVersion, store_eras},
     edge::registration::AdapterKey,
     ident::{Generation, UpstreamId, rendezvous},
     refused_subject::RefusedSubject,
@@ -38,23 +38,11 @@
     /// What upstreams crashed under, for entries that start after all that know of them have ended.
     #[serde(default)]
     pub refused: Vec<RefusedSubject>,
-    /// Builds that have served, for the same entries.
-    #[serde(default)]
-    pub builds: Option<StoredBuilds>,
     /// Era of the store in which no lease of an earlier one is left, if the process knows it.
     #[serde(default)]
     pub settled: Option<u64>,
 }
 
-/// Builds that an entry had seen when it wrote its record.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct StoredBuilds {
-    /// The builds.
-    pub report: BuildReport,
-    /// Time of the report, in milliseconds since the Unix epoch.
-    pub at_ms: u64,
-}
-
 /// A copy of an adapter that an order without a response may still leave at an engine.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct LateOrder {
--- a/src/entry/begun_streams.rs
+++ b/src/entry/begun_streams.rs
@@ -1,10 +1,10 @@
 //! Shares with the other entries which build began a stream, and which builds have served.
 
 use crate::{
-    clock::{self, BootInstant},
+    clock::BootInstant,
     decide::{
         begun_streams::{AddResult, BegunStream, CAPACITY},
-        takeover::StoredBuilds,
+        stream_origin::Recording,
     },
     edge::registration::Build,
     entry::{
@@ -14,7 +14,7 @@
     },
     holding::lock,
     ident::StreamId,
-    link::{LinkError, Receiver, Sender},
+    link::{self, LinkError, Sender},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use log::warn;
@@ -24,11 +24,31 @@
 /// milliseconds.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Place of an entry that is told of begun streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Receiver {
+    /// In the control set, or not known yet.
+    Member,
+    /// Outside the control set: this entry is its relay.
+    Relayed,
+}
+
+impl Receiver {
+    /// Returns the place of an entry for which this one relays, or doesn't.
+    pub fn of(is_relayed: bool) -> Self {
+        if is_relayed {
+            Self::Relayed
+        } else {
+            Self::Member
+        }
+    }
+}
+
 impl Entry {
     /// Remembers that `build` sent the first event of the stream of `request`.
     pub fn record_begun(&self, request: &str, build: &Build) {
         self.add_begun(StreamId::of(request), build, None);
-        if self.shares_beginnings() {
+        if self.recording().is_for_all() {
             self.notify_peers();
         }
     }
@@ -55,36 +75,28 @@
         lock(&self.builds).observe(registered.into_iter(), BootInstant::now());
     }
 
-    /// Returns whether the other entries are told which build began a stream.
-    pub fn shares_beginnings(&self) -> bool {
-        lock(&self.builds).needs_beginnings(BootInstant::now())
+    /// Returns how it is recorded which build begins a stream.
+    pub fn recording(&self) -> Recording {
+        Recording::choose(&lock(&self.builds), BootInstant::now())
     }
 
-    /// Returns all streams that are remembered, if the other entries are told of them.
-    pub fn known_begun(&self) -> Vec<BegunBatch> {
-        if self.shares_beginnings() {
+    /// Returns all streams that are remembered, for a peer that has just connected.
+    pub fn known_begun(&self, receiver: Receiver) -> Vec<BegunBatch> {
+        if self.tells_beginnings_to(receiver) {
             batches(lock(&self.begun).since(0))
         } else {
             Vec::new()
         }
     }
 
-    /// Returns the builds that have served, for this entry's record in the store.
-    pub fn stored_builds(&self) -> StoredBuilds {
-        self.observe_builds();
-        StoredBuilds {
-            report: lock(&self.builds).report(BootInstant::now()),
-            at_ms: clock::unix_ms(),
+    /// Returns whether `receiver` is told which build began a stream. Outside the control set an entry can ask its relay.
+    pub fn tells_beginnings_to(&self, receiver: Receiver) -> bool {
+        match receiver {
+            Receiver::Member => true,
+            Receiver::Relayed => self.recording().is_for_all(),
         }
     }
 
-    /// Adds the builds that an earlier process has stored.
-    pub fn restore_builds(&self, stored: &StoredBuilds) {
-        let now = BootInstant::now();
-        let age = Duration::from_millis(clock::unix_ms().saturating_sub(stored.at_ms));
-        lock(&self.builds).merge_reply(&stored.report, now - age, now);
-    }
-
     /// Returns the build that began a stream, from this entry's memory or a peer's.
     pub async fn find_begun(self: &Arc<Self>, stream: StreamId) -> Option<Build> {
         if let Some(build) = self.begun_build(stream) {
@@ -136,7 +148,7 @@
 pub async fn serve(
     entry: &Entry,
     mut sender: Sender,
-    mut receiver: Receiver,
+    mut receiver: link::Receiver,
 ) -> Result<(), LinkError> {
     if let Some(stream) = receiver.next::<StreamId>().await? {
         sender.send(&entry.begun_build(stream)).await?;
--- a/src/entry/durable_beginnings.rs
+++ b/src/entry/durable_beginnings.rs
@@ -1,8 +1,9 @@
 //! Has the build that began a stream stored before the caller gets the first event, so that the stream can go on after all
-//! entries have ended at that moment. Only while several builds serve: otherwise the only build is certain.
+//! entries have ended at that moment. Only while several builds serve: otherwise it is stored soon after.
 
 use crate::{
     clock::BootInstant,
+    decide::stream_origin::Recording,
     edge::registration::Build,
     entry::{
         context::Entry,
@@ -54,7 +55,7 @@
 impl Entry {
     /// Waits until the store has the build that begins the stream of `request`, or for [`MAX_DELAY`].
     pub async fn store_beginning(self: &Arc<Self>, request: &str, build: &Build) {
-        if !lock(&self.builds).has_several() {
+        if self.recording() < Recording::Durable {
             return;
         }
         let writers = self.stream_writers();
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -122,7 +122,7 @@
     pub brittle: Vec<BrittleUpdate>,
     /// Requests that brittle upstreams rejected since the last update, of the same entries as `limited_sends`.
     pub rejections: Vec<(UpstreamId, u32)>,
-    /// Streams that have begun, not sent to the receiver before; sent only while it could not conclude their builds.
+    /// Streams that have begun, not sent to the receiver before; outside the control set only if all entries are told.
     pub begun: Vec<BegunBatch>,
     /// Builds that the sender has seen; in the first update, and whenever one comes or is forgotten.
     pub builds: Option<BuildReport>,
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -258,7 +258,7 @@
     while let Some(update) = receiver.next::<PeerUpdate>().await? {
         apply_update(entry, &update);
         let ack = if update.sequence == 0 {
-            first_ack(entry)
+            first_ack(entry, begun_streams::Receiver::of(update.homed))
         } else {
             PeerAck {
                 sequence: update.sequence,
@@ -271,12 +271,12 @@
 }
 
 /// Returns the acknowledgement of a first update, with what a peer that has just started needs to know at once.
-fn first_ack(entry: &Entry) -> PeerAck {
+fn first_ack(entry: &Entry, sender: begun_streams::Receiver) -> PeerAck {
     PeerAck {
         sequence: 0,
         control: entry.control_links(),
         strikes: entry.quarantine.known(),
-        begun: entry.known_begun(),
+        begun: entry.known_begun(sender),
         builds: Some(lock(&entry.builds).report(BootInstant::now())),
     }
 }
@@ -336,7 +336,7 @@
         || !update.limited_sends.is_empty()
         || !update.rejections.is_empty()
         || !update.held.is_empty()
-        || !update.begun.is_empty()
+        || (!update.begun.is_empty() && entry.recording().is_for_all())
         || update.quotas.is_some()
         || !update.others.is_empty();
     if is_relay && has_changes {
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -49,7 +49,6 @@
             stopped: false,
             late: Vec::new(),
             refused: Vec::new(),
-            builds: None,
             settled: None,
         },
         entry,
@@ -90,7 +89,6 @@
         self.record.counter += 1;
         self.record.late = self.entry.late_orders();
         self.record.refused = self.entry.quarantine.refused();
-        self.record.builds = Some(self.entry.stored_builds());
         self.record.settled = self.entry.settled_era();
         let sent = BootInstant::now();
         let written = self.write().await;
@@ -149,9 +147,6 @@
             self.record.late = self.entry.late_orders();
             self.entry.restore_refused(&earlier.refused);
             self.record.refused = self.entry.quarantine.refused();
-            if let Some(builds) = &earlier.builds {
-                self.entry.restore_builds(builds);
-            }
         }
     }
 
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -1,12 +1,14 @@
 //! Stores which build began each recent stream, and looks up streams that no entry remembers.
 //!
-//! Only two members of the control set write, each for all entries, and only while several builds serve: at once what
-//! entries ask them to store (see `durable_beginnings`), and soon what else began before. Records are read only for a stream
-//! that is taken up and unknown.
+//! Only two members of the control set write, each for all entries: at once what entries ask them to store (see
+//! `durable_beginnings`), and soon what else has begun. Records are read only for a stream that is taken up and unknown.
 
 use crate::{
     clock::{self, BootInstant},
-    decide::stream_record::{CAPACITY, StreamRecord},
+    decide::{
+        stream_origin::Recording,
+        stream_record::{CAPACITY, StreamRecord},
+    },
     edge::{
         codec::DecodeError,
         registration::Build,
@@ -36,13 +38,18 @@
 /// Members of the control set that write: one may be frozen or cut off from the store when all others end.
 pub const WRITERS: usize = 2;
 
-/// Interval between writes of streams that no entry has asked to store: most began before the second build appeared.
+/// Interval between writes of streams that no entry has asked to store, while several builds serve: most began before the
+/// second one appeared.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The same while a single build serves: each call to the store costs money, and what is not written yet is lost only if all
+/// entries end.
+const DEFERRED_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Minimum time between two writes, so that streams that begin at the same time share one.
 const MIN_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Age of the oldest streams that are written when a second build appears: streams end sooner.
+/// Age of the oldest streams that a new writer writes: streams end sooner.
 const MAX_AGE: Duration = Duration::from_secs(20);
 
 /// Minimum time between two reads of all records.
@@ -104,8 +111,16 @@
         let control = self.control.load();
         let mut writers = control.members.iter().take(WRITERS);
         // Where all entries leave at once, none of them is a member any more.
-        let is_writer = self.is_leaving() || writers.any(|name| **name == *self.config.id);
-        is_writer && lock(&self.builds).has_several()
+        let must_write = || control.members.is_empty() || self.recording() == Recording::Durable;
+        writers.any(|name| **name == *self.config.id) || (self.is_leaving() && must_write())
+    }
+
+    /// Returns the interval between writes of streams that no entry has asked to store.
+    fn write_interval(&self) -> Duration {
+        match self.recording() {
+            Recording::Deferred | Recording::Shared => DEFERRED_INTERVAL,
+            Recording::Durable => WRITE_INTERVAL,
+        }
     }
 }
 
@@ -176,7 +191,7 @@
     era: u64,
 }
 
-/// Writes the streams that begin while several builds serve, until `stop`.
+/// Writes the streams that begin, until `stop`.
 ///
 /// # Errors
 /// None; a failed write is repeated.
@@ -203,7 +218,7 @@
         loop {
             let started = Instant::now();
             tokio::select! {
-                () = tokio::time::sleep(WRITE_INTERVAL) => {}
+                () = tokio::time::sleep(self.entry.write_interval()) => {}
                 () = self.entry.stored.write_wanted.notified() => {}
             }
             tokio::time::sleep_until(started + MIN_INTERVAL).await;
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -9,7 +9,7 @@
     decide::{build_history::BuildReport, rate_limit},
     edge::registration::{AdapterKey, Build},
     entry::{
-        begun_streams,
+        begun_streams::{self, Receiver},
         context::Entry,
         held_changes::{self, SentEngine},
         messages::{
@@ -178,9 +178,10 @@
     }
 
     /// Returns the streams that have begun since the last update; the first one has all, as the peer may have missed them.
-    /// They wait while the receiver can conclude the build.
+    /// They wait while the receiver can ask this entry for them.
     fn new_begun(&mut self, peers: &Peers, scope: &Scope) -> Vec<BegunBatch> {
-        if !self.entry.shares_beginnings() {
+        let receiver = Receiver::of(scope.relays_for_receiver);
+        if !self.entry.tells_beginnings_to(receiver) {
             return Vec::new();
         }
         let begun = lock(&self.entry.begun);
--- a/tests/build_memory.rs
+++ b/tests/build_memory.rs
@@ -6,6 +6,7 @@
     decide::{
         begun_streams::{AddResult, BegunStreams, CAPACITY, RETENTION},
         build_history::{BuildHistory, BuildReport, SeenBuild},
+        stream_origin::Recording,
     },
     edge::registration::{Build, BuildVersion},
     entry::messages::BegunBatch,
@@ -63,10 +64,15 @@
     history.only_build(&[&engines()], now).cloned()
 }
 
+fn is_shared(history: &BuildHistory, now: BootInstant) -> bool {
+    Recording::choose(history, now).is_for_all()
+}
+
 mod case {
     use super::{
         AddResult, BegunBatch, BegunStreams, BuildHistory, BuildReport, CAPACITY, Duration,
-        Instant, RETENTION, START, SeenBuild, StreamId, arbtest, build, history, only, wire,
+        Instant, RETENTION, START, SeenBuild, StreamId, arbtest, build, history, is_shared, only,
+        wire,
     };
 
     pub(super) fn a_stream_keeps_the_build_that_began_it() {
@@ -129,7 +135,7 @@
             history.confirm(second(n));
             let is_certain = n < 2 || n > 9 + RETENTION.as_secs();
             assert_eq!(only(&history, second(n)).is_some(), is_certain, "at {n} s");
-            assert_eq!(history.needs_beginnings(second(n)), !is_certain, "at {n} s");
+            assert_eq!(is_shared(&history, second(n)), !is_certain, "at {n} s");
         }
     }
 
@@ -156,11 +162,11 @@
     pub(super) fn builds_that_came_and_went_unseen_make_a_beginning_uncertain() {
         let mut history = history(&["v1"]);
         let after = START + Duration::from_secs(10);
-        assert!(history.needs_beginnings(after), "not confirmed");
+        assert!(is_shared(&history, after), "not confirmed");
         history.observe([build("v1")].into_iter(), after);
         history.confirm(after);
         assert_eq!(only(&history, after), None);
-        assert!(history.needs_beginnings(after));
+        assert!(is_shared(&history, after));
         let mut later = after;
         for _ in 0..RETENTION.as_secs() {
             later = later + Duration::from_secs(1);
@@ -168,7 +174,7 @@
             history.confirm(later);
         }
         assert_eq!(only(&history, later), Some(build("v1")));
-        assert!(!history.needs_beginnings(later));
+        assert!(!is_shared(&history, later));
     }
 
     /// Guards against an entry that stood still for a while and then read a reply from before that: the builds that came and
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -43,7 +43,6 @@
             version: Some(1),
         };
         let record = MemberRecord {
-            builds: None,
             settled: None,
             incarnation: 1,
             counter: 4,
