fix: a late first view after the first start does not make a history complete

Cause: the history of a process of the first start of all counted as complete from the beginning of time with its first view of the upstreams, however late that came. An entry that stands still for seconds right after its start, while a build comes and goes, then took the next build for the only one.

Change: the first start covers the time up to the start of the process; the first view joins it within five seconds, the bound of any other gap, or begins anew.

--- a/src/decide/build_history.rs
+++ b/src/decide/build_history.rs
@@ -63,8 +63,6 @@
 pub struct BuildHistory {
     /// Time at which each build was last seen.
     seen: HashMap<Build, BootInstant>,
-    /// Whether no upstream had served before the first confirmation.
-    is_first_start: bool,
     /// Time over which no build is missing, up to the last confirmation.
     complete: Option<Span>,
     /// Begin of the last read of all registered upstreams.
@@ -72,11 +70,11 @@
 }
 
 impl BuildHistory {
-    /// Creates an empty history. `is_first_start`: the whole system starts for the first time, so that no upstream has served
-    /// before.
-    pub fn new(is_first_start: bool) -> Self {
+    /// Creates the history of a process that starts at `now` with the whole system, before which no upstream has served.
+    pub fn of_first_start(now: BootInstant) -> Self {
+        let since = BootInstant::default();
         Self {
-            is_first_start,
+            complete: Some(Span { since, until: now }),
             ..Self::default()
         }
     }
@@ -91,13 +89,8 @@
 
     /// Records that the registered upstreams are certain. After a gap, builds may have come and gone meanwhile.
     pub fn confirm(&mut self, now: BootInstant) {
-        let is_first = self.complete.is_none() && self.is_first_start;
-        let since = if is_first {
-            BootInstant::default()
-        } else {
-            now
-        };
-        self.add_span(Span { since, until: now });
+        let (since, until) = (now, now);
+        self.add_span(Span { since, until });
     }
 
     fn add_span(&mut self, span: Span) {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -185,6 +185,11 @@
             let seeds = config.peers.0.len();
             ServiceRetryBudget::after_restart(config.budget, seeds, BootInstant::now())
         };
+        let builds = if config.first_start {
+            BuildHistory::of_first_start(BootInstant::now())
+        } else {
+            BuildHistory::default()
+        };
         let incarnation = clock::unix_ms();
         let has_peers = config.peers.0.iter().any(|peer| *peer != config.link);
         Arc::new(Self {
@@ -217,7 +222,7 @@
             late_orders: Mutex::default(),
             begun: Mutex::default(),
             stored: StoredStreams::default(),
-            builds: Mutex::new(BuildHistory::new(config.first_start)),
+            builds: Mutex::new(builds),
             build_reads: ReadRequests::default(),
             paths: Mutex::default(),
             detours: TaskTracker::new(),
--- a/tests/build_memory.rs
+++ b/tests/build_memory.rs
@@ -6,7 +6,7 @@
     decide::{
         begun_streams::{AddResult, BegunStreams, CAPACITY, RETENTION},
         build_history::{BuildHistory, BuildReport, SeenBuild},
-        stream_origin::Recording,
+        stream_origin::{OriginSource, Question, Recording, find_origin},
     },
     edge::registration::{Build, BuildVersion},
     entry::messages::BegunBatch,
@@ -34,7 +34,10 @@
     builds_of_any_peer_make_a_beginning_uncertain,
     builds_that_came_and_went_unseen_make_a_beginning_uncertain,
     a_reply_that_was_read_late_makes_a_beginning_certain,
+    a_late_first_view_makes_a_beginning_certain,
     an_update_that_was_read_late_makes_a_beginning_certain,
+    a_conclusion_goes_before_a_record,
+    a_single_certain_build_leaves_no_stream_unrecorded,
     a_lookup_takes_less_than_a_microsecond,
     a_begun_stream_takes_few_bytes_between_entries,
 }
@@ -54,7 +57,7 @@
 
 /// Returns a history that misses nothing, with `versions` registered and confirmed at [`START`].
 fn history(versions: &[&str]) -> BuildHistory {
-    let mut history = BuildHistory::new(true);
+    let mut history = BuildHistory::of_first_start(START);
     history.observe(versions.iter().map(|v| build(v)), START);
     history.confirm(START);
     history
@@ -71,8 +74,8 @@
 mod case {
     use super::{
         AddResult, BegunBatch, BegunStreams, BuildHistory, BuildReport, CAPACITY, Duration,
-        Instant, RETENTION, START, SeenBuild, StreamId, arbtest, build, history, is_shared, only,
-        wire,
+        Instant, OriginSource, Question, RETENTION, Recording, START, SeenBuild, StreamId, arbtest,
+        build, engines, find_origin, history, is_shared, only, wire,
     };
 
     pub(super) fn a_stream_keeps_the_build_that_began_it() {
@@ -107,7 +110,7 @@
         assert_eq!(only(&history(&["v1"]), START), Some(build("v1")));
         assert_eq!(only(&history(&[]), START), None);
         assert_eq!(only(&history(&["v1", "v1.1"]), START), None);
-        let mut started = BuildHistory::new(false);
+        let mut started = BuildHistory::default();
         started.observe([build("v1")].into_iter(), START);
         started.confirm(START);
         assert_eq!(only(&started, START), None, "a build may have left before");
@@ -184,7 +187,7 @@
             let before = history(&[]).report(START);
             let stood_still = Duration::from_millis(u.int_in_range(0..=90_000)?);
             let now = START + stood_still;
-            let mut own = BuildHistory::new(false);
+            let mut own = BuildHistory::default();
             let (asked, is_confirmed_first) = (START, u.arbitrary()?);
             own.observe([build("v2")].into_iter(), now);
             if is_confirmed_first {
@@ -202,9 +205,20 @@
         });
     }
 
+    /// Guards against an entry that stands still right after the first start of all, while builds come and go.
+    pub(super) fn a_late_first_view_makes_a_beginning_certain() {
+        for (delay, is_certain) in [(1, true), (5, true), (6, false), (50, false)] {
+            let mut history = BuildHistory::of_first_start(START);
+            let now = START + Duration::from_secs(delay);
+            history.observe([build("v2")].into_iter(), now);
+            history.confirm(now);
+            assert_eq!(only(&history, now).is_some(), is_certain, "after {delay} s");
+        }
+    }
+
     /// Guards against an entry that stood still and then read an update of a peer from before that, whose age nobody knows.
     pub(super) fn an_update_that_was_read_late_makes_a_beginning_certain() {
-        let mut own = BuildHistory::new(false);
+        let mut own = BuildHistory::default();
         let later = START + Duration::from_secs(10);
         own.observe([build("v2")].into_iter(), later);
         own.confirm(later);
@@ -231,6 +245,41 @@
         });
     }
 
+    pub(super) fn a_conclusion_goes_before_a_record() {
+        let mut history = BuildHistory::of_first_start(START);
+        history.observe([build("v2")].into_iter(), START);
+        history.confirm_read(START, START);
+        let services = &[&engines()];
+        let question = Question {
+            services,
+            asked: START,
+        };
+        let found = |stored| find_origin(question, stored, &history, START);
+        let origin = found(Some(build("v1"))).expect("a record");
+        assert_eq!(
+            (origin.build, origin.source),
+            (build("v1"), OriginSource::Store)
+        );
+        let origin = found(None).expect("a conclusion");
+        assert_eq!(
+            (origin.build, origin.source),
+            (build("v2"), OriginSource::OnlyBuild)
+        );
+    }
+
+    /// Guards against records that are left out because the build could be concluded while the stream began.
+    pub(super) fn a_single_certain_build_leaves_no_stream_unrecorded() {
+        let mut history = BuildHistory::of_first_start(START);
+        history.observe([build("v1")].into_iter(), START);
+        history.confirm(START);
+        assert_eq!(Recording::choose(&history, START), Recording::Deferred);
+        history.observe([build("v2")].into_iter(), START);
+        assert_eq!(Recording::choose(&history, START), Recording::Durable);
+        let unconfirmed = BuildHistory::default();
+        let recording = Recording::choose(&unconfirmed, START);
+        assert_eq!(recording, Recording::Shared);
+    }
+
     pub(super) fn a_lookup_takes_less_than_a_microsecond() {
         let mut begun = BegunStreams::default();
         for n in 0..CAPACITY {
