refactor: name the peers' places, and compare builds without copies

Receiver in entry/begun_streams.rs shared its name with the link's receiver; it is PeerPlace now. new_builds compares the builds of each update with those sent before without copying them: updates go out many times a second, and upstreams without a version are a build each.

--- a/src/entry/begun_streams.rs
+++ b/src/entry/begun_streams.rs
@@ -14,7 +14,7 @@
     },
     holding::lock,
     ident::StreamId,
-    link::{self, LinkError, Sender},
+    link::{LinkError, Receiver, Sender},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use log::warn;
@@ -24,17 +24,17 @@
 /// milliseconds.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Place of an entry that is told of begun streams.
+/// Place of a peer in the exchange of updates.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Receiver {
+pub enum PeerPlace {
     /// In the control set, or not known yet.
     Member,
     /// Outside the control set: this entry is its relay.
     Relayed,
 }
 
-impl Receiver {
-    /// Returns the place of an entry for which this one relays, or doesn't.
+impl PeerPlace {
+    /// Returns the place of a peer for which this entry relays, or doesn't.
     pub fn of(is_relayed: bool) -> Self {
         if is_relayed {
             Self::Relayed
@@ -81,7 +81,7 @@
     }
 
     /// Returns all streams that are remembered, for a peer that has just connected.
-    pub fn known_begun(&self, receiver: Receiver) -> Vec<BegunBatch> {
+    pub fn known_begun(&self, receiver: PeerPlace) -> Vec<BegunBatch> {
         if self.tells_beginnings_to(receiver) {
             batches(lock(&self.begun).since(0))
         } else {
@@ -90,10 +90,10 @@
     }
 
     /// Returns whether `receiver` is told which build began a stream. Outside the control set an entry can ask its relay.
-    pub fn tells_beginnings_to(&self, receiver: Receiver) -> bool {
+    pub fn tells_beginnings_to(&self, receiver: PeerPlace) -> bool {
         match receiver {
-            Receiver::Member => true,
-            Receiver::Relayed => self.recording().is_for_all(),
+            PeerPlace::Member => true,
+            PeerPlace::Relayed => self.recording().is_for_all(),
         }
     }
 
@@ -148,7 +148,7 @@
 pub async fn serve(
     entry: &Entry,
     mut sender: Sender,
-    mut receiver: link::Receiver,
+    mut receiver: Receiver,
 ) -> Result<(), LinkError> {
     if let Some(stream) = receiver.next::<StreamId>().await? {
         sender.send(&entry.begun_build(stream)).await?;
--- a/src/entry/peer_link.rs
+++ b/src/entry/peer_link.rs
@@ -4,7 +4,7 @@
     clock::BootInstant,
     edge::registration::AdapterKey,
     entry::{
-        begun_streams,
+        begun_streams::{self, PeerPlace},
         context::Entry,
         control,
         controller_handle::Command,
@@ -258,7 +258,7 @@
     while let Some(update) = receiver.next::<PeerUpdate>().await? {
         apply_update(entry, &update);
         let ack = if update.sequence == 0 {
-            first_ack(entry, begun_streams::Receiver::of(update.homed))
+            first_ack(entry, PeerPlace::of(update.homed))
         } else {
             PeerAck {
                 sequence: update.sequence,
@@ -271,7 +271,7 @@
 }
 
 /// Returns the acknowledgement of a first update, with what a peer that has just started needs to know at once.
-fn first_ack(entry: &Entry, sender: begun_streams::Receiver) -> PeerAck {
+fn first_ack(entry: &Entry, sender: PeerPlace) -> PeerAck {
     PeerAck {
         sequence: 0,
         control: entry.control_links(),
--- a/src/entry/update.rs
+++ b/src/entry/update.rs
@@ -9,7 +9,7 @@
     decide::{build_history::BuildReport, rate_limit},
     edge::registration::{AdapterKey, Build},
     entry::{
-        begun_streams::{self, Receiver},
+        begun_streams::{self, PeerPlace},
         context::Entry,
         held_changes::{self, SentEngine},
         messages::{
@@ -180,7 +180,7 @@
     /// Returns the streams that have begun since the last update; the first one has all, as the peer may have missed them.
     /// They wait while the receiver can ask this entry for them.
     fn new_begun(&mut self, peers: &Peers, scope: &Scope) -> Vec<BegunBatch> {
-        let receiver = Receiver::of(scope.relays_for_receiver);
+        let receiver = PeerPlace::of(scope.relays_for_receiver);
         if !self.entry.tells_beginnings_to(receiver) {
             return Vec::new();
         }
@@ -196,10 +196,16 @@
 
     fn new_builds(&mut self, now: BootInstant) -> Option<BuildReport> {
         let report = lock(&self.entry.builds).report(now);
-        let builds = Some(report.builds.iter().map(|b| b.build.clone()).collect());
-        let is_new = self.sent_builds != builds;
-        self.sent_builds = builds;
-        is_new.then_some(report)
+        let is_sent = self.sent_builds.as_ref().is_some_and(|sent| {
+            let mut builds = report.builds.iter();
+            sent.len() == builds.len() && builds.all(|b| sent.contains(&b.build))
+        });
+        if is_sent {
+            return None;
+        }
+        let builds = report.builds.iter().map(|b| b.build.clone());
+        self.sent_builds = Some(builds.collect());
+        Some(report)
     }
 
     fn new_links(&mut self, peers: &Peers, now: BootInstant) -> Vec<SocketAddr> {
