fix: a success without the upstream's signature is not passed on

Cause: a response that names the request was passed on, whether it was signed or not; only the resume of a stream asked for the signature.

Change: classify_response counts a success without a signature as one that can't be used. What may be repeated is sent again, anything else gets 502, and the connection is closed.

--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -288,6 +288,13 @@
             }
             return AttemptOutcome::NotRun;
         }
+        if status.is_success() && !codec.is_signed(response.headers()) {
+            info!(
+                request = &*self.head.id, upstream = &*upstream.id, status = status.as_u16(), reused = reused;
+                "routing: success without a signature"
+            );
+            return AttemptOutcome::Uncertain(None);
+        }
         lock(&self.entry.outliers).record_success(&upstream.id);
         let keep_alive = pool::keep_alive_time(response.headers());
         remove_hop_by_hop_headers(response.headers_mut());
