refactor: a log field that was always false, and comments of the new tests

The line "the build that began a stream is unknown" had a field stored=, which is false whenever the line is written: a stored record would have been used. Whether the records could be read stands in the lines of the reader.

--- a/src/path/beginning.rs
+++ b/src/path/beginning.rs
@@ -59,7 +59,6 @@
             }
         };
         let (stored, ()) = tokio::join!(self.find_stored(), read);
-        let is_stored = stored.is_some();
         let now = BootInstant::now();
         let (origin, report) = {
             let history = lock(&self.entry.builds);
@@ -68,8 +67,7 @@
         };
         if origin.is_none() {
             info!(
-                request = &*self.head.id, stored = is_stored, builds:? = report.builds, complete_ms = report.complete_ms,
-                read = is_concludable;
+                request = &*self.head.id, builds:? = report.builds, complete_ms = report.complete_ms, read = is_concludable;
                 "routing: the build that began a stream is unknown"
             );
         }
--- a/tests/stream_origin.rs
+++ b/tests/stream_origin.rs
@@ -45,7 +45,7 @@
 /// Builds of the service.
 const VERSIONS: [&str; 3] = ["v1", "v1.1", "v2"];
 
-/// Shortest registration of a build: a shorter one may fall between two views of an entry.
+/// Shortest registration of a build, in ticks: a shorter one may fall between two views of an entry.
 const MIN_REGISTERED: u32 = 60;
 
 /// Longest time for which an upstream serves after its registration is removed, in ticks.
