--- a/review/standin-3/src/bin/detour-memory.rs
+++ b/review/standin-3/src/bin/detour-memory.rs
@@ -39,8 +39,10 @@
 const RUNNERS: u8 = 4;
 const UPLOADS: usize = 14;
 /// The same at entries that reach the runners.
-const UPLOADS_REST: usize = 8;
-const UPLOAD_TIME: Duration = Duration::from_millis(1_000);
+const UPLOADS_REST: usize = 4;
+/// Time that a runner works on a request.
+const WORK: Duration = Duration::from_millis(3_000);
+const UPLOAD_TIME: Duration = Duration::from_millis(2_400);
 const CUT_TIME: Duration = Duration::from_secs(5);
 
 static NEXT: AtomicUsize = AtomicUsize::new(1);
@@ -133,8 +135,6 @@
     }
 }
 
-fn env(n: &str, d: usize) -> usize { std::env::var(n).ok().and_then(|v| v.parse().ok()).unwrap_or(d) }
-
 async fn run() -> std::io::Result<Verdict> {
     let record = Record::create()?;
     let net = Net::new();
@@ -159,7 +159,7 @@
             model: None,
             adapter_slots: 0,
             max_requests: 64,
-            service_time: Duration::from_millis(env("WORK", 3_000) as u64),
+            service_time: WORK,
         };
         let runner = Runner::start(config, &stop).await?;
         store.put("servers", &runner.config.id, &runner.registration("ready", 0));
@@ -255,12 +255,12 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     while started.elapsed() + Duration::from_secs(2) < CUT_TIME {
         for (n, entry) in settings.iter().enumerate() {
-            let uploads = if n < CUT { env("UPLOADS", UPLOADS) } else { env("REST", UPLOADS_REST) };
+            let uploads = if n < CUT { UPLOADS } else { UPLOADS_REST };
             for _ in 0..uploads {
                 tokio::spawn(upload(entry.callers(), record.clone()));
             }
         }
-        tokio::time::sleep(Duration::from_millis(3_500)).await;
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
     }
     tokio::time::sleep(CUT_TIME.saturating_sub(started.elapsed())).await;
     for path in &proxies {
