review: two requests that are larger than a runner's memory stop all streams (case 12)

Runners reject such a request at once, but each attempt reserves the prefill of its whole prompt at its runner for all entries, which nothing takes back. All streams are refused from then on. Code at fault: path::job::reserve_prefill, path::front::proxy_request, decide::prefill.

--- a/review/standin-3/src/streams.rs
+++ b/review/standin-3/src/streams.rs
@@ -20,6 +20,15 @@
     pub last: Option<u64>,
 }
 
+/// Returns the text of a stream's request with a body of `length` bytes.
+pub fn request(id: &str, route: &str, path: usize, usage: &str, deadline: u64, headers: &str, length: usize) -> String {
+    let body = "p".repeat(length);
+    format!(
+        "POST /{route}/{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: {MODEL}\r\nX-Token-Usage: {usage}\r\n\
+         X-Prompt-Prefix: 0a{path:02x}:100\r\nX-Deadline-Ms: {deadline}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Sends a stream's request and reads events until the connection ends, or up to `limit` events.
 pub async fn stream(entry: SocketAddr, id: &str, path: usize, resumes: Option<(&str, u64)>, limit: u64) -> Received {
     let mut received = Received::default();
@@ -30,10 +39,7 @@
     let resumed = resumes.map_or(String::new(), |(begun, last)| {
         format!("Resumes: {begun}\r\nLast-Event-Id: {last}\r\n")
     });
-    let text = format!(
-        "POST /long-draft/{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: {MODEL}\r\nX-Token-Usage: 100,{EVENTS}\r\n\
-         X-Prompt-Prefix: 0a{path:02x}:100\r\nX-Deadline-Ms: 20000\r\n{resumed}Content-Length: 6\r\n\r\npermit"
-    );
+    let text = request(id, "long-draft", path, &format!("100,{EVENTS}"), 20_000, &resumed, 6);
     if socket.write_all(text.as_bytes()).await.is_err() {
         received.reason = String::from("not sent");
         return received;
