--- a/review/standin-3/src/bin/detour-memory.rs
+++ b/review/standin-3/src/bin/detour-memory.rs
@@ -7,14 +7,17 @@
     runner::{Runner, RunnerConfig},
 };
 use review_standin_3::{
-    EntryProcess, EntrySettings, Net, Record, Verdict, has_trouble, memory, peak_memory, rewrite_store,
-    temporary_dir, wait_ready,
+    EntryProcess, EntrySettings, Net, Record, Verdict, has_trouble, memory, peak_memory,
+    rewrite_store, temporary_dir, wait_ready,
 };
 use std::{
     collections::HashSet,
     net::SocketAddr,
     process::ExitCode,
-    sync::{Arc, Mutex, atomic::{AtomicBool, AtomicUsize, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 use tokio::{
@@ -77,7 +80,10 @@
     let id = NEXT.fetch_add(1, Ordering::Relaxed);
     let sent = async {
         let mut stream = TcpStream::connect(entry).await.ok()?;
-        stream.write_all(head(id, "large", BODY, 12_000).as_bytes()).await.ok()?;
+        stream
+            .write_all(head(id, "large", BODY, 12_000).as_bytes())
+            .await
+            .ok()?;
         let piece = vec![b'x'; 64 << 10];
         let started = Instant::now();
         for from in (0..BODY).step_by(piece.len()) {
@@ -88,13 +94,21 @@
         }
         read_answer(&mut stream).await
     };
-    let answer = tokio::time::timeout(Duration::from_secs(13), sent).await.ok().flatten();
+    let answer = tokio::time::timeout(Duration::from_secs(13), sent)
+        .await
+        .ok()
+        .flatten();
     let text = answer.map_or(String::from("no answer"), |(status, _)| status.to_string());
     record.line(&format!("upload {id:016x} at {entry}: {text}"));
 }
 
 /// Sends small requests one after the other on a kept connection; returns those that got no answer, as the connection ended.
-async fn keep_asking(entry: SocketAddr, record: Record, lost: Arc<Mutex<Vec<usize>>>, stop: Arc<AtomicBool>) {
+async fn keep_asking(
+    entry: SocketAddr,
+    record: Record,
+    lost: Arc<Mutex<Vec<usize>>>,
+    stop: Arc<AtomicBool>,
+) {
     while !stop.load(Ordering::Relaxed) {
         let Ok(mut stream) = TcpStream::connect(entry).await else {
             tokio::time::sleep(Duration::from_millis(200)).await;
@@ -103,7 +117,11 @@
         let mut earlier = 0;
         while !stop.load(Ordering::Relaxed) {
             let id = NEXT.fetch_add(1, Ordering::Relaxed);
-            if stream.write_all((head(id, "small", 2, 4_000) + "ok").as_bytes()).await.is_err() {
+            if stream
+                .write_all((head(id, "small", 2, 4_000) + "ok").as_bytes())
+                .await
+                .is_err()
+            {
                 break;
             }
             let answer = read_answer(&mut stream).await;
@@ -162,8 +180,17 @@
             service_time: WORK,
         };
         let runner = Runner::start(config, &stop).await?;
-        store.put("servers", &runner.config.id, &runner.registration("ready", 0));
-        let path = Proxy::start(net.address(210 + n, 9000), runner.config.address, stop.clone()).await?;
+        store.put(
+            "servers",
+            &runner.config.id,
+            &runner.registration("ready", 0),
+        );
+        let path = Proxy::start(
+            net.address(210 + n, 9000),
+            runner.config.address,
+            stop.clone(),
+        )
+        .await?;
         proxies.push(path);
         runners.push(runner);
     }
@@ -173,7 +200,11 @@
         for beat in 1.. {
             tokio::time::sleep(Duration::from_millis(1_200)).await;
             for runner in &heartbeats {
-                beating.put("servers", &runner.config.id, &runner.registration("ready", beat));
+                beating.put(
+                    "servers",
+                    &runner.config.id,
+                    &runner.registration("ready", beat),
+                );
             }
         }
     });
@@ -196,7 +227,10 @@
             first_start: true,
         };
         settings.push(entry.clone());
-        processes.lock().unwrap().push(EntryProcess::start(entry, &dir)?);
+        processes
+            .lock()
+            .unwrap()
+            .push(EntryProcess::start(entry, &dir)?);
     }
     if !wait_ready(&settings, Duration::from_secs(15)).await {
         return Ok(Verdict::NotRun);
@@ -219,7 +253,11 @@
                 if bytes > memory_mb(n) << 20 {
                     processes.lock().unwrap()[n].kill();
                     killed.lock().unwrap().push((n, Instant::now()));
-                    record.line(&format!("front-{n} has {} MB of {}: killed by the platform", bytes >> 20, memory_mb(n)));
+                    record.line(&format!(
+                        "front-{n} has {} MB of {}: killed by the platform",
+                        bytes >> 20,
+                        memory_mb(n)
+                    ));
                     let processes = Arc::clone(&processes);
                     std::thread::spawn(move || {
                         std::thread::sleep(Duration::from_millis(500));
@@ -271,20 +309,35 @@
     is_over.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let peaks = watcher.join().unwrap_or_default();
-    let ran: HashSet<String> = runners.iter().flat_map(|r| r.runs()).map(|r| r.id).collect();
+    let ran: HashSet<String> = runners
+        .iter()
+        .flat_map(|r| r.runs())
+        .map(|r| r.id)
+        .collect();
     let all_lost = lost.lock().unwrap().clone();
-    let passed: Vec<&usize> = all_lost.iter().filter(|id| ran.contains(&format!("{id:016x}"))).collect();
+    let passed: Vec<&usize> = all_lost
+        .iter()
+        .filter(|id| ran.contains(&format!("{id:016x}")))
+        .collect();
     for (n, peak) in peaks.iter().enumerate() {
         record.line(&format!("front-{n}: peak memory {} MB", peak >> 20));
     }
     let killed = killed.lock().unwrap().clone();
     let relays = killed.iter().filter(|(n, _)| *n >= CUT).count();
-    record.line(&format!("killed: {} times, {relays} of them entries of the other zone", killed.len()));
+    record.line(&format!(
+        "killed: {} times, {relays} of them entries of the other zone",
+        killed.len()
+    ));
     record.line(&format!(
         "requests from kept connections of the other zone that were passed on to a sound runner, and whose connections closed without an answer: {}",
         passed.len()
     ));
-    println!("kept connections closed without an answer: {}; kills {} (relays {relays}); peaks {:?} MB", passed.len(), killed.len(), peaks.map(|p| p >> 20));
+    println!(
+        "kept connections closed without an answer: {}; kills {} (relays {relays}); peaks {:?} MB",
+        passed.len(),
+        killed.len(),
+        peaks.map(|p| p >> 20)
+    );
     processes.lock().unwrap().clear();
     stop.cancel();
     if std::env::var("KEEP_LOGS").is_err() {
@@ -292,5 +345,9 @@
     } else {
         println!("{}", dir.display());
     }
-    Ok(if passed.len() > 3 { Verdict::Broken } else { Verdict::Held })
+    Ok(if passed.len() > 3 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin-3/src/bin/drill-streams.rs
+++ b/review/standin-3/src/bin/drill-streams.rs
@@ -63,7 +63,11 @@
             service_time: Duration::ZERO,
         };
         let engine = Runner::start(config, &stop).await?;
-        store.put("servers", &engine.config.id, &engine.registration("ready", 0));
+        store.put(
+            "servers",
+            &engine.config.id,
+            &engine.registration("ready", 0),
+        );
         engines.push(engine);
     }
     let beating = (Arc::clone(&store), engines.clone());
@@ -71,13 +75,19 @@
         for beat in 1.. {
             tokio::time::sleep(Duration::from_millis(1_200)).await;
             for engine in &beating.1 {
-                beating.0.put("servers", &engine.config.id, &engine.registration("ready", beat));
+                beating.0.put(
+                    "servers",
+                    &engine.config.id,
+                    &engine.registration("ready", beat),
+                );
             }
         }
     });
     // The store names its era in all its answers.
     store.restore(&store.back_up());
-    let seeds: Vec<SocketAddr> = (0..ENTRIES).map(|n| net.address(10 + n as u8, 8144)).collect();
+    let seeds: Vec<SocketAddr> = (0..ENTRIES)
+        .map(|n| net.address(10 + n as u8, 8144))
+        .collect();
     let mut settings = Vec::new();
     let mut processes = Vec::new();
     for n in 0..ENTRIES {
@@ -98,7 +108,9 @@
     }
     tokio::time::sleep(Duration::from_secs(12)).await;
     // Records in the store cover 4 s each; everything up to the power loss falls into one.
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let into = Duration::from_millis((now.as_millis() % 4_000) as u64);
     tokio::time::sleep(Duration::from_millis(4_050).saturating_sub(into)).await;
     let copy = store.back_up();
@@ -121,7 +133,11 @@
         store.set_outage(Outage::None);
         record.line("drill: the store has returned with the copy");
         for engine in &engines {
-            store.put("servers", &engine.config.id, &engine.registration("ready", 1_000));
+            store.put(
+                "servers",
+                &engine.config.id,
+                &engine.registration("ready", 1_000),
+            );
         }
     } else {
         tokio::time::sleep(AWAY).await;
@@ -134,7 +150,10 @@
     let mut ended = begun.join_all().await;
     ended.sort_by_key(|(n, _, _)| *n);
     for (n, id, received) in &ended {
-        record.line(&format!("stream {n} {id}: {}, events {:?} to {:?}", received.status, received.first, received.last));
+        record.line(&format!(
+            "stream {n} {id}: {}, events {:?} to {:?}",
+            received.status, received.first, received.last
+        ));
     }
     tokio::time::sleep(Duration::from_millis(700)).await;
     for process in &mut processes {
@@ -148,10 +167,19 @@
     tokio::time::sleep(STABLE_WINDOW + Duration::from_millis(500)).await;
     let (mut asked, mut went_on) = (0, 0);
     for (n, id, received) in &ended {
-        let Some(last) = received.last.filter(|l| *l < EVENTS - 10) else { continue };
+        let Some(last) = received.last.filter(|l| *l < EVENTS - 10) else {
+            continue;
+        };
         asked += 1;
         let again = format!("{:016x}", 0xb000 + n);
-        let answer = stream(settings[(n + 1) % ENTRIES].callers(), &again, *n, Some((id, last)), 3).await;
+        let answer = stream(
+            settings[(n + 1) % ENTRIES].callers(),
+            &again,
+            *n,
+            Some((id, last)),
+            3,
+        )
+        .await;
         let goes_on = answer.status == 200 && answer.first == Some(last + 1);
         went_on += usize::from(goes_on);
         record.line(&format!(
@@ -164,14 +192,22 @@
         let id = format!("{:016x}", 0xc000 + n);
         let answer = stream(settings[n % ENTRIES].callers(), &id, n, None, 3).await;
         new += usize::from(answer.first.is_some());
-        record.line(&format!("new stream {id}: {} {}, first event {:?}", answer.status, answer.reason, answer.first));
+        record.line(&format!(
+            "new stream {id}: {} {}, first event {:?}",
+            answer.status, answer.reason, answer.first
+        ));
     }
     for engine in &engines {
         for run in engine.runs() {
-            record.line(&format!("{} ran {} after event {}", engine.config.id, run.id, run.after));
+            record.line(&format!(
+                "{} ran {} after event {}",
+                engine.config.id, run.id, run.after
+            ));
         }
     }
-    let summary = format!("{went_on} of {asked} streams that were taken up went on; {new} of {STREAMS} new streams began");
+    let summary = format!(
+        "{went_on} of {asked} streams that were taken up went on; {new} of {STREAMS} new streams began"
+    );
     record.line(&summary);
     println!("{summary}");
     processes.clear();
@@ -185,5 +221,9 @@
         return Ok(Verdict::NotRun);
     }
     let (share, share_new) = (went_on as f64 / asked as f64, new as f64 / STREAMS as f64);
-    Ok(if share < share_new / 2.0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if share < share_new / 2.0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin-3/src/bin/large-prompts.rs
+++ b/review/standin-3/src/bin/large-prompts.rs
@@ -42,7 +42,11 @@
 static NEXT: AtomicUsize = AtomicUsize::new(1);
 
 /// Front of a runner that rejects requests larger than its memory as if it were full, and passes all others on.
-async fn reject_large(listen: SocketAddr, runner: SocketAddr, record: Record) -> std::io::Result<()> {
+async fn reject_large(
+    listen: SocketAddr,
+    runner: SocketAddr,
+    record: Record,
+) -> std::io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     tokio::spawn(async move {
         while let Ok((client, _)) = listener.accept().await {
@@ -55,7 +59,12 @@
     Ok(())
 }
 
-async fn serve(mut client: TcpStream, listen: SocketAddr, runner: SocketAddr, record: &Record) -> std::io::Result<()> {
+async fn serve(
+    mut client: TcpStream,
+    listen: SocketAddr,
+    runner: SocketAddr,
+    record: &Record,
+) -> std::io::Result<()> {
     client.set_nodelay(true)?;
     let mut upstream = TcpStream::connect(runner).await?;
     upstream.set_nodelay(true)?;
@@ -117,7 +126,10 @@
         let record = record.clone();
         sent.spawn(async move {
             let answer = stream(entry, &id, n as usize % 200, None, 8).await;
-            record.line(&format!("{id} at {entry}: {} {}, events to {:?}", answer.status, answer.reason, answer.last));
+            record.line(&format!(
+                "{id} at {entry}: {} {}, events to {:?}",
+                answer.status, answer.reason, answer.last
+            ));
             answer.status == 200 && answer.last.is_some()
         });
     }
@@ -128,16 +140,35 @@
 async fn send_large(entry: SocketAddr, record: &Record) {
     let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
     // Two bytes a token, as with the other requests of the site.
-    let text = request(&id, "draft", 7, &format!("{LARGE_PROMPT},80"), 12_000, "", 2 * LARGE_PROMPT as usize);
+    let text = request(
+        &id,
+        "draft",
+        7,
+        &format!("{LARGE_PROMPT},80"),
+        12_000,
+        "",
+        2 * LARGE_PROMPT as usize,
+    );
     let sent = async {
         let mut socket = TcpStream::connect(entry).await.ok()?;
         socket.write_all(text.as_bytes()).await.ok()?;
         let mut buffer = [0; 2_048];
         let n = socket.read(&mut buffer).await.ok()?;
-        Some(String::from_utf8_lossy(&buffer[..n]).lines().next()?.to_owned())
+        Some(
+            String::from_utf8_lossy(&buffer[..n])
+                .lines()
+                .next()?
+                .to_owned(),
+        )
     };
-    let answer = tokio::time::timeout(Duration::from_secs(13), sent).await.ok().flatten();
-    record.line(&format!("large request {id} at {entry}: {}", answer.unwrap_or_default()));
+    let answer = tokio::time::timeout(Duration::from_secs(13), sent)
+        .await
+        .ok()
+        .flatten();
+    record.line(&format!(
+        "large request {id} at {entry}: {}",
+        answer.unwrap_or_default()
+    ));
 }
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
@@ -178,12 +209,22 @@
             service_time: Duration::ZERO,
         };
         let engine = Runner::start(config, &stop).await?;
-        reject_large(net.address(210 + n, 9000), engine.config.address, record.clone()).await?;
+        reject_large(
+            net.address(210 + n, 9000),
+            engine.config.address,
+            record.clone(),
+        )
+        .await?;
         engines.push(engine);
     }
     let registration = move |engine: &Runner, beat: u64| {
         let mut registration = engine.registration("ready", beat);
-        let host = engine.config.id.trim_start_matches("i-engine-").parse::<u8>().unwrap_or(0);
+        let host = engine
+            .config
+            .id
+            .trim_start_matches("i-engine-")
+            .parse::<u8>()
+            .unwrap_or(0);
         registration["address"] = net.address(210 + host, 9000).to_string().into();
         registration
     };
@@ -195,11 +236,15 @@
         for beat in 1.. {
             tokio::time::sleep(Duration::from_millis(1_200)).await;
             for engine in &beating.1 {
-                beating.0.put("servers", &engine.config.id, &registration(engine, beat));
+                beating
+                    .0
+                    .put("servers", &engine.config.id, &registration(engine, beat));
             }
         }
     });
-    let seeds: Vec<SocketAddr> = (0..ENTRIES).map(|n| net.address(10 + n as u8, 8144)).collect();
+    let seeds: Vec<SocketAddr> = (0..ENTRIES)
+        .map(|n| net.address(10 + n as u8, 8144))
+        .collect();
     let mut settings = Vec::new();
     let mut processes = Vec::new();
     for n in 0..ENTRIES {
@@ -220,7 +265,9 @@
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
     let (asked, served) = traffic(&settings, MEASURED, &record).await;
-    record.line(&format!("before the final fault: {served} of {asked} served"));
+    record.line(&format!(
+        "before the final fault: {served} of {asked} served"
+    ));
     for process in &mut processes {
         process.kill();
     }
@@ -259,5 +306,9 @@
     if served * 4 < asked || asked_after == 0 {
         return Ok(Verdict::NotRun);
     }
-    Ok(if served_after * 4 < asked_after { Verdict::Broken } else { Verdict::Held })
+    Ok(if served_after * 4 < asked_after {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin-3/src/bin/same-id.rs
+++ b/review/standin-3/src/bin/same-id.rs
@@ -31,7 +31,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     now.as_millis() as u64
 }
 
@@ -82,10 +84,16 @@
     // The release has come to the last runner of version v1.
     let old = Runner::start(config(0, "v1", net), &stop).await?;
     let new = Runner::start(config(1, "v2", net), &stop).await?;
-    let all: Arc<Mutex<Vec<(Arc<Runner>, u64)>>> =
-        Arc::new(Mutex::new(vec![(Arc::clone(&old), born), (Arc::clone(&new), born)]));
+    let all: Arc<Mutex<Vec<(Arc<Runner>, u64)>>> = Arc::new(Mutex::new(vec![
+        (Arc::clone(&old), born),
+        (Arc::clone(&new), born),
+    ]));
     for (runner, born) in all.lock().unwrap().iter() {
-        store.put("servers", &runner.config.id, &registration(runner, 0, *born));
+        store.put(
+            "servers",
+            &runner.config.id,
+            &registration(runner, 0, *born),
+        );
     }
     let beating = (Arc::clone(&store), Arc::clone(&all));
     tokio::spawn(async move {
@@ -93,12 +101,18 @@
             tokio::time::sleep(HEARTBEAT).await;
             for (runner, born) in beating.1.lock().unwrap().iter() {
                 if !runner.has_crashed() {
-                    beating.0.put("servers", &runner.config.id, &registration(runner, beat, *born));
+                    beating.0.put(
+                        "servers",
+                        &runner.config.id,
+                        &registration(runner, beat, *born),
+                    );
                 }
             }
         }
     });
-    let seeds: Vec<SocketAddr> = (0..ENTRIES).map(|n| net.address(10 + n as u8, 8144)).collect();
+    let seeds: Vec<SocketAddr> = (0..ENTRIES)
+        .map(|n| net.address(10 + n as u8, 8144))
+        .collect();
     let mut settings = Vec::new();
     let mut processes = Vec::new();
     for n in 0..ENTRIES {
@@ -168,24 +182,35 @@
     }
     let tries = tokio::time::timeout(Duration::from_secs(60), clients.join_all()).await;
     let tries = tries.unwrap_or_default();
-    let ids = |runner: &Runner| -> HashSet<String> { runner.runs().into_iter().map(|r| r.id).collect() };
+    let ids =
+        |runner: &Runner| -> HashSet<String> { runner.runs().into_iter().map(|r| r.id).collect() };
     let at_old = ids(&old);
     let mut at_new = ids(&new);
     at_new.extend(restarted.iter().flat_map(|r| ids(r)));
     let mut joined = 0;
     for tried in &tries {
-        let versions = (tried.iter().any(|id| at_old.contains(id)), tried.iter().any(|id| at_new.contains(id)));
+        let versions = (
+            tried.iter().any(|id| at_old.contains(id)),
+            tried.iter().any(|id| at_new.contains(id)),
+        );
         if versions == (true, true) {
             joined += 1;
             record.line(&format!("stream of {tried:?} holds events of v1 and of v2"));
         }
     }
-    for (name, runner) in [("v1", Some(&old)), ("v2", Some(&new)), ("restarted as v2", restarted.as_ref())] {
+    for (name, runner) in [
+        ("v1", Some(&old)),
+        ("v2", Some(&new)),
+        ("restarted as v2", restarted.as_ref()),
+    ] {
         for run in runner.into_iter().flat_map(|r| r.runs()) {
             record.line(&format!("{name} ran {} after event {}", run.id, run.after));
         }
     }
-    let summary = format!("{} streams, {joined} of them hold events from runners of two software versions", tries.len());
+    let summary = format!(
+        "{} streams, {joined} of them hold events from runners of two software versions",
+        tries.len()
+    );
     record.line(&summary);
     println!("{summary}");
     processes.clear();
@@ -198,5 +223,9 @@
     if tries.len() < STREAMS || at_old.is_empty() {
         return Ok(Verdict::NotRun);
     }
-    Ok(if joined > 2 { Verdict::Broken } else { Verdict::Held })
+    Ok(if joined > 2 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin-3/src/bin/spaced-ids.rs
+++ b/review/standin-3/src/bin/spaced-ids.rs
@@ -5,17 +5,11 @@
     objects::ObjectStore,
 };
 use review_standin_3::{
-    EntryProcess, EntrySettings, Net, Record, Verdict, has_trouble,
-    streams::stream,
-    temporary_dir, wait_ready,
+    EntryProcess, EntrySettings, Net, Record, Verdict, has_trouble, streams::stream, temporary_dir,
+    wait_ready,
 };
 use serde_json::{Value, json};
-use std::{
-    net::SocketAddr,
-    process::ExitCode,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
@@ -34,7 +28,10 @@
 const TOKENS: u64 = 6;
 
 fn id_step() -> u64 {
-    std::env::var("ID_STEP").ok().and_then(|t| t.parse().ok()).unwrap_or(TOKENS)
+    std::env::var("ID_STEP")
+        .ok()
+        .and_then(|t| t.parse().ok())
+        .unwrap_or(TOKENS)
 }
 
 /// Sound runner of one model: reports, orders and streams, one request at a time on a connection.
@@ -87,15 +84,21 @@
             }
             let header = |name: &str| {
                 let mut fields = lines.iter().filter_map(|l| l.split_once(':'));
-                fields.find(|(k, _)| k.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+                fields
+                    .find(|(k, _)| k.eq_ignore_ascii_case(name))
+                    .map(|(_, v)| v.trim().to_owned())
             };
-            let length = header("content-length").and_then(|t| t.parse().ok()).unwrap_or(0);
+            let length = header("content-length")
+                .and_then(|t| t.parse().ok())
+                .unwrap_or(0);
             let mut body = vec![0; length];
             socket.read_exact(&mut body).await?;
             let path = lines[0].split(' ').nth(1).unwrap_or_default();
             let expected = header("x-expect-instance");
             if expected.is_some_and(|id| id != self.id) {
-                socket.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n").await?;
+                socket
+                    .write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+                    .await?;
                 continue;
             }
             match path {
@@ -105,16 +108,24 @@
                         "kvUsed": 0, "kvTotal": 100_000, "handles": 0, "coming": [], "born": 1,
                     });
                     let text = report.to_string();
-                    let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", text.len());
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                        text.len()
+                    );
                     socket.write_all((head + &text).as_bytes()).await?;
                 }
                 "/-/order" => {
-                    socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await?;
+                    socket
+                        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                        .await?;
                 }
                 _ => {
                     let id = header("x-request-id").unwrap_or_default();
-                    let after = header("last-event-id").and_then(|t| t.parse().ok()).unwrap_or(0);
-                    self.record.line(&format!("{} runs {id} after event {after}", self.id));
+                    let after = header("last-event-id")
+                        .and_then(|t| t.parse().ok())
+                        .unwrap_or(0);
+                    self.record
+                        .line(&format!("{} runs {id} after event {after}", self.id));
                     self.write_stream(&mut socket, &id, after).await?;
                 }
             }
@@ -122,15 +133,27 @@
     }
 
     /// Writes the events after the one with the ID `after`; ends when the connection is closed.
-    async fn write_stream(&self, socket: &mut BufReader<TcpStream>, id: &str, after: u64) -> std::io::Result<()> {
+    async fn write_stream(
+        &self,
+        socket: &mut BufReader<TcpStream>,
+        id: &str,
+        after: u64,
+    ) -> std::io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         socket.write_all(head.as_bytes()).await?;
         let step = id_step();
         for event in after / step + 1..=EVENTS {
-            let text = format!("id: {}\ndata: tokens {} to {}\n\n", event * step, (event - 1) * step + 1, event * step);
-            socket.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await?;
+            let text = format!(
+                "id: {}\ndata: tokens {} to {}\n\n",
+                event * step,
+                (event - 1) * step + 1,
+                event * step
+            );
+            socket
+                .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+                .await?;
             let mut byte = [0];
             tokio::select! {
                 () = tokio::time::sleep(EVENT_TIME) => {}
@@ -182,11 +205,15 @@
         for beat in 1.. {
             tokio::time::sleep(Duration::from_millis(1_200)).await;
             for engine in &beating.1 {
-                beating.0.put("servers", &engine.id, &engine.registration(beat));
+                beating
+                    .0
+                    .put("servers", &engine.id, &engine.registration(beat));
             }
         }
     });
-    let seeds: Vec<SocketAddr> = (0..ENTRIES).map(|n| net.address(10 + n as u8, 8144)).collect();
+    let seeds: Vec<SocketAddr> = (0..ENTRIES)
+        .map(|n| net.address(10 + n as u8, 8144))
+        .collect();
     let mut settings = Vec::new();
     let mut processes = Vec::new();
     for n in 0..ENTRIES {
@@ -227,14 +254,24 @@
     ended.sort_by_key(|(n, _, _)| *n);
     let (mut asked, mut went_on, mut whole) = (0, 0, 0);
     for (n, id, received) in &ended {
-        record.line(&format!("stream {n} {id}: {}, events {:?} to {:?}", received.status, received.first, received.last));
+        record.line(&format!(
+            "stream {n} {id}: {}, events {:?} to {:?}",
+            received.status, received.first, received.last
+        ));
         let Some(after) = received.last.filter(|l| *l < last) else {
             whole += usize::from(received.last == Some(last));
             continue;
         };
         asked += 1;
         let again = format!("{:016x}", 0xb000 + n);
-        let answer = stream(settings[1 + n % 2].callers(), &again, *n, Some((id, after)), 1).await;
+        let answer = stream(
+            settings[1 + n % 2].callers(),
+            &again,
+            *n,
+            Some((id, after)),
+            1,
+        )
+        .await;
         went_on += usize::from(answer.status == 200 && answer.first.is_some());
         record.line(&format!(
             "stream {n} taken up by {again} after event {after}: {} {}, first event {:?}",
@@ -246,7 +283,10 @@
         let id = format!("{:016x}", 0xc000 + n);
         let answer = stream(settings[1 + n % 2].callers(), &id, n, None, 1).await;
         new += usize::from(answer.first.is_some());
-        record.line(&format!("new stream {id}: {} {}, first event {:?}", answer.status, answer.reason, answer.first));
+        record.line(&format!(
+            "new stream {id}: {} {}, first event {:?}",
+            answer.status, answer.reason, answer.first
+        ));
     }
     let summary = format!(
         "{went_on} of {asked} streams that were taken up went on, {whole} were not broken; {new} of {NEW_STREAMS} new streams began"
@@ -266,6 +306,13 @@
     if asked < 12 || new == 0 {
         return Ok(Verdict::NotRun);
     }
-    let (share, share_new) = (f64::from(went_on as u32) / f64::from(asked), f64::from(new as u32) / NEW_STREAMS as f64);
-    Ok(if share < share_new / 2.0 { Verdict::Broken } else { Verdict::Held })
+    let (share, share_new) = (
+        f64::from(went_on as u32) / f64::from(asked),
+        f64::from(new as u32) / NEW_STREAMS as f64,
+    );
+    Ok(if share < share_new / 2.0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/standin-3/src/lib.rs
+++ b/review/standin-3/src/lib.rs
@@ -1,5 +1,6 @@
 //! Common parts of the scripts: entry processes as the deploy file starts them, a rewriting proxy before the store, and records.
 
+pub mod engine;
 pub mod streams;
 
 use std::{
@@ -39,7 +40,7 @@
 }
 
 /// Record of a script: each line has the seconds since its start.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Record(Arc<Mutex<(File, Instant)>>);
 
 impl Record {
@@ -239,7 +240,12 @@
 }
 
 /// Proxy before the store that shows one entry other addresses of the runners: `from` and `to` have the same length.
-pub async fn rewrite_store(listen: SocketAddr, store: SocketAddr, from: String, to: String) -> std::io::Result<()> {
+pub async fn rewrite_store(
+    listen: SocketAddr,
+    store: SocketAddr,
+    from: String,
+    to: String,
+) -> std::io::Result<()> {
     assert_eq!(from.len(), to.len());
     let listener = TcpListener::bind(listen).await?;
     tokio::spawn(async move {
--- a/review/standin-3/src/streams.rs
+++ b/review/standin-3/src/streams.rs
@@ -21,7 +21,15 @@
 }
 
 /// Returns the text of a stream's request with a body of `length` bytes.
-pub fn request(id: &str, route: &str, path: usize, usage: &str, deadline: u64, headers: &str, length: usize) -> String {
+pub fn request(
+    id: &str,
+    route: &str,
+    path: usize,
+    usage: &str,
+    deadline: u64,
+    headers: &str,
+    length: usize,
+) -> String {
     let body = "p".repeat(length);
     format!(
         "POST /{route}/{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: {MODEL}\r\nX-Token-Usage: {usage}\r\n\
@@ -30,7 +38,13 @@
 }
 
 /// Sends a stream's request and reads events until the connection ends, or up to `limit` events.
-pub async fn stream(entry: SocketAddr, id: &str, path: usize, resumes: Option<(&str, u64)>, limit: u64) -> Received {
+pub async fn stream(
+    entry: SocketAddr,
+    id: &str,
+    path: usize,
+    resumes: Option<(&str, u64)>,
+    limit: u64,
+) -> Received {
     let mut received = Received::default();
     let Ok(mut socket) = TcpStream::connect(entry).await else {
         received.reason = String::from("not connected");
@@ -39,7 +53,15 @@
     let resumed = resumes.map_or(String::new(), |(begun, last)| {
         format!("Resumes: {begun}\r\nLast-Event-Id: {last}\r\n")
     });
-    let text = request(id, "long-draft", path, &format!("100,{EVENTS}"), 20_000, &resumed, 6);
+    let text = request(
+        id,
+        "long-draft",
+        path,
+        &format!("100,{EVENTS}"),
+        20_000,
+        &resumed,
+        6,
+    );
     if socket.write_all(text.as_bytes()).await.is_err() {
         received.reason = String::from("not sent");
         return received;
@@ -52,11 +74,17 @@
         if n == 0 {
             break;
         }
-        text.push_str(&String::from_utf8_lossy(&Bytes::copy_from_slice(&buffer[..n])));
+        text.push_str(&String::from_utf8_lossy(&Bytes::copy_from_slice(
+            &buffer[..n],
+        )));
         if received.status == 0
             && let Some((head, _)) = text.split_once("\r\n\r\n")
         {
-            received.status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+            received.status = head
+                .split(' ')
+                .nth(1)
+                .and_then(|s| s.parse().ok())
+                .unwrap_or(0);
         }
         if received.status != 0 && received.status != 200 {
             if let Some((_, body)) = text.split_once("\r\n\r\n")
@@ -78,10 +106,13 @@
         if received.status == 200 {
             text.drain(..end);
         }
-        if received.last.zip(received.first).is_some_and(|(l, f)| l - f + 1 >= limit) {
+        if received
+            .last
+            .zip(received.first)
+            .is_some_and(|(l, f)| l - f + 1 >= limit)
+        {
             break;
         }
     }
     received
 }
-
