--- a/review/standin-3/src/bin/detour-memory.rs
+++ b/review/standin-3/src/bin/detour-memory.rs
@@ -314,6 +314,16 @@
         .flat_map(|r| r.runs())
         .map(|r| r.id)
         .collect();
+    for runner in &runners {
+        for run in runner.runs() {
+            record.line(&format!(
+                "{} ran {} with {} bytes",
+                runner.config.id,
+                run.id,
+                run.body.len()
+            ));
+        }
+    }
     let all_lost = lost.lock().unwrap().clone();
     let passed: Vec<&usize> = all_lost
         .iter()
--- a/review/standin-3/src/bin/large-prompts.rs
+++ b/review/standin-3/src/bin/large-prompts.rs
@@ -290,6 +290,11 @@
     }
     tokio::time::sleep(RECOVERY.saturating_sub(back.elapsed())).await;
     let (asked_after, served_after) = traffic(&settings, MEASURED, &record).await;
+    for engine in &engines {
+        for run in engine.runs() {
+            record.line(&format!("{} ran {}", engine.config.id, run.id));
+        }
+    }
     let summary = format!(
         "served {served} of {asked} before the final fault, {served_after} of {asked_after} later than {} s after it",
         RECOVERY.as_secs()
