--- a/review/standin-3/src/bin/large-prompts.rs
+++ b/review/standin-3/src/bin/large-prompts.rs
@@ -268,6 +268,9 @@
     record.line(&format!(
         "before the final fault: {served} of {asked} served"
     ));
+    configured["version"] = 2.into();
+    store.put("config", "main", &configured);
+    record.line("the store has acknowledged a configuration");
     for process in &mut processes {
         process.kill();
     }
--- a/review/standin-3/src/bin/same-id.rs
+++ b/review/standin-3/src/bin/same-id.rs
@@ -22,7 +22,9 @@
 use tokio_util::sync::CancellationToken;
 
 const ENTRIES: usize = 3;
-const STREAMS: usize = 32;
+const STREAMS: usize = 48;
+/// Runners, of which one crashes: a quarter, the largest share of the site's days.
+const RUNNERS: u8 = 4;
 /// Time from the crash to the start of the next process.
 const DOWN: Duration = Duration::from_millis(300);
 /// Time from that start until the store shows it: `lag_ms` of the site file.
@@ -88,11 +90,13 @@
     let born = unix_ms();
     // The release has come to the last runner of version v1.
     let old = Runner::start(config(0, "v1", net), &stop).await?;
-    let new = Runner::start(config(1, "v2", net), &stop).await?;
-    let all: Arc<Mutex<Vec<(Arc<Runner>, u64)>>> = Arc::new(Mutex::new(vec![
-        (Arc::clone(&old), born),
-        (Arc::clone(&new), born),
-    ]));
+    let mut new = Vec::new();
+    for n in 1..RUNNERS {
+        new.push(Runner::start(config(n, "v2", net), &stop).await?);
+    }
+    let registered = std::iter::once(&old).chain(&new);
+    let registered = registered.map(|runner| (Arc::clone(runner), born));
+    let all: Arc<Mutex<Vec<(Arc<Runner>, u64)>>> = Arc::new(Mutex::new(registered.collect()));
     for (runner, born) in all.lock().unwrap().iter() {
         store.put(
             "servers",
@@ -184,7 +188,7 @@
     let ids =
         |runner: &Runner| -> HashSet<String> { runner.runs().into_iter().map(|r| r.id).collect() };
     let at_old = ids(&old);
-    let mut at_new = ids(&new);
+    let mut at_new: HashSet<String> = new.iter().flat_map(|r| ids(r)).collect();
     at_new.extend(restarted.iter().flat_map(|r| ids(r)));
     let mut joined = 0;
     for tried in &tries {
@@ -197,13 +201,15 @@
             record.line(&format!("stream of {tried:?} holds events of v1 and of v2"));
         }
     }
-    for (name, runner) in [
-        ("v1", Some(&old)),
-        ("v2", Some(&new)),
-        ("restarted as v2", restarted.as_ref()),
-    ] {
-        for run in runner.into_iter().flat_map(|r| r.runs()) {
-            record.line(&format!("{name} ran {} after event {}", run.id, run.after));
+    let named = std::iter::once(("v1", &old));
+    let named = named.chain(new.iter().map(|r| ("v2", r)));
+    for (name, runner) in named.chain(restarted.iter().map(|r| ("restarted as v2", r))) {
+        for run in runner.runs() {
+            let id = &runner.config.id;
+            record.line(&format!(
+                "{id} ({name}) ran {} after event {}",
+                run.id, run.after
+            ));
         }
     }
     let summary = format!(
