fix: streams whose event IDs have gaps can't be taken up

Callers saw: engines number events by their tokens (6, 12, 18, ...).

Cause: an event continued a stream only with the last ID plus one, so that an upstream that leaves events out doesn't pass. IDs only have to increase. By the ID alone the two look the same; what tells them apart is how the build numbers its first responses, and only the killed entry had seen any.

Change: decide::event_ids decides. A first response that shows two gaps shows that IDs of its build have gaps, and from then on they only have to increase. That is remembered and told like a begun stream, under an ID made of the build: other entries, entries behind a relay and the store have it, it is forgotten after a minute, and messages between entries are unchanged. Without that knowledge a gap still counts as events left out (ORDER before LOST).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod customers;
 pub mod departures;
 pub mod engine_speed;
+pub mod event_ids;
 pub mod hold_offs;
 pub mod load_balancing;
 pub mod load_limit;
--- a/src/entry/begun_streams.rs
+++ b/src/entry/begun_streams.rs
@@ -4,6 +4,7 @@
     clock::BootInstant,
     decide::{
         begun_streams::{AddResult, BegunStream, CAPACITY},
+        event_ids::gaps_key,
         stream_origin::Recording,
     },
     edge::registration::Build,
@@ -17,7 +18,7 @@
     link::{LinkError, Receiver, Sender},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use log::warn;
+use log::{info, warn};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 /// Timeout of a request to the peers for the build that began a stream; a round trip between data centres takes a few
@@ -53,11 +54,34 @@
         }
     }
 
-    fn add_begun(&self, stream: StreamId, build: &Build, source: Option<Arc<str>>) {
+    /// Remembers that the event IDs of `build` have gaps. That reaches whoever is told, or can ask, which build began a stream,
+    /// and is forgotten with the streams of its time.
+    pub fn record_gaps(&self, build: &Build) {
+        if self.add_begun(gaps_key(build), build, None) == AddResult::Known {
+            return;
+        }
+        info!(build:% = build; "routing: the event ids of a build have gaps");
+        if self.recording().is_for_all() {
+            self.notify_peers();
+        }
+    }
+
+    /// Returns whether the event IDs of `build` are known to have gaps, to any entry or, if `may_be_stored`, by a record in the
+    /// store.
+    pub async fn find_gaps(self: &Arc<Self>, build: &Build, may_be_stored: bool) -> bool {
+        let key = gaps_key(build);
+        if self.find_begun(key).await.is_some() {
+            return true;
+        }
+        may_be_stored && self.find_stored(key).await.is_some()
+    }
+
+    fn add_begun(&self, stream: StreamId, build: &Build, source: Option<Arc<str>>) -> AddResult {
         let added = lock(&self.begun).add(stream, build, source, BootInstant::now());
         if added == AddResult::Displaced {
             warn!(capacity = CAPACITY; "routing: too many streams begin to remember the build of each");
         }
+        added
     }
 
     /// Adds the streams that a peer has reported.
--- a/src/path/beginning.rs
+++ b/src/path/beginning.rs
@@ -74,6 +74,15 @@
         origin
     }
 
+    /// Returns whether the event IDs of `build`, which continues the stream, are known to have gaps.
+    pub async fn has_event_gaps(&self, build: &Build) -> bool {
+        // This entry has seen the first events of a stream that began with this request.
+        let may_be_stored = self.head.last_event.is_some();
+        let found = self.entry.find_gaps(build, may_be_stored);
+        let found = tokio::time::timeout(self.time_left(), found).await;
+        found.unwrap_or(false)
+    }
+
     /// Returns the build that began the stream, from the records in the store.
     async fn find_stored(&self) -> Option<Build> {
         match &self.head.beginning {
--- a/src/path/event_buffer.rs
+++ b/src/path/event_buffer.rs
@@ -1,11 +1,12 @@
 //! Follows the events of a relayed stream.
 
-use crate::{byte_budget::ByteAccount, sse::MAX_EVENT_BYTES};
+use crate::{
+    byte_budget::ByteAccount,
+    decide::event_ids::{EventIds, EventStep, Numbering},
+    sse::MAX_EVENT_BYTES,
+};
 use bytes::{Bytes, BytesMut};
 
-/// Largest ID of a stream's first event: numbering begins with 0 or 1.
-const MAX_FIRST_ID: u64 = 1;
-
 /// Finds the ends of events in a byte stream: blank lines, with any of the line endings of the format.
 #[derive(Clone, Copy, Debug)]
 struct EventScanner {
@@ -64,6 +65,8 @@
     TooLarge,
     /// Too many bytes are buffered, of this event and of the responses to other requests.
     NoRoom,
+    /// An event is the next one of the stream that the response continues only if the IDs of its build have gaps.
+    Gap,
     /// An event is not the next one of the stream that the response continues.
     NotNext,
 }
@@ -74,41 +77,12 @@
         match self {
             Self::TooLarge => "event too large",
             Self::NoRoom => "no room to buffer the event",
+            Self::Gap => "gap in the event ids",
             Self::NotNext => "event does not continue the stream",
         }
     }
 }
 
-/// Where a stream stands after the events that were passed on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Position {
-    /// Before its first event.
-    Beginning,
-    /// After the event with this ID.
-    After(u64),
-    /// After an event whose ID is missing or not larger than the one before.
-    Unknown,
-}
-
-impl Position {
-    fn advance(&mut self, id: Option<u64>) {
-        *self = match (*self, id) {
-            (Self::Beginning, Some(id)) => Self::After(id),
-            (Self::After(last), Some(id)) if id > last => Self::After(id),
-            _ => Self::Unknown,
-        };
-    }
-
-    /// Returns whether the event with `id` is the next one.
-    fn continues_with(self, id: Option<u64>) -> bool {
-        match (self, id) {
-            (Self::Beginning, Some(id)) => id <= MAX_FIRST_ID,
-            (Self::After(last), Some(id)) => last.checked_add(1) == Some(id),
-            (Self::Unknown, _) | (_, None) => false,
-        }
-    }
-}
-
 /// Follows the events of a byte stream: whether it is inside one, and the ID of the last complete one.
 #[derive(Debug)]
 pub struct EventBuffer {
@@ -121,9 +95,11 @@
     partial: usize,
     /// Whether the current upstream has sent a complete event.
     has_events: bool,
-    position: Position,
-    /// Whether the current upstream continues a stream that another response began.
-    continues: bool,
+    ids: EventIds,
+    /// How the IDs of the current upstream's events rise.
+    numbering: Numbering,
+    /// Whether [`Self::take_gaps`] has returned true.
+    gaps_taken: bool,
     /// Found behind events that were still passed on.
     fault: Option<EventFault>,
 }
@@ -138,14 +114,15 @@
             account,
             partial: 0,
             has_events: false,
-            position: last.map_or(Position::Beginning, Position::After),
-            continues: last.is_some(),
+            ids: EventIds::new(last),
+            numbering: Numbering::default(),
+            gaps_taken: false,
             fault: None,
         }
     }
 
     /// Adds received bytes and returns those to pass on. In a stream that continues another response, and of which complete
-    /// events only are passed on, each event must have the ID that follows the last one.
+    /// events only are passed on, each event must be the next one by its ID.
     ///
     /// # Errors
     /// The first bytes that are not passed on can't be; [`Self::check`] returns the fault if others are passed on before.
@@ -168,8 +145,8 @@
         self.buffer.extend_from_slice(&data);
         let mut passed = 0;
         for end in ends {
-            if !self.add_event(passed, kept + end) {
-                self.fault = Some(EventFault::NotNext);
+            if let Err(fault) = self.add_event(passed, kept + end) {
+                self.fault = Some(fault);
                 break;
             }
             passed = kept + end;
@@ -184,19 +161,46 @@
         Ok(passed)
     }
 
-    /// Records the event between these positions of the buffer; false if it is not the next one.
-    fn add_event(&mut self, start: usize, end: usize) -> bool {
+    /// Records the event between these positions of the buffer.
+    ///
+    /// # Errors
+    /// It is not the next one.
+    fn add_event(&mut self, start: usize, end: usize) -> Result<(), EventFault> {
         let event = &self.buffer[start..end];
         if is_blank(event) {
-            return true;
+            return Ok(());
         }
         let id = event_id(event);
-        if self.continues && !self.position.continues_with(id) {
-            return false;
-        }
-        self.position.advance(id);
+        self.ids
+            .check(id, self.numbering)
+            .map_err(|step| match step {
+                EventStep::Gap => EventFault::Gap,
+                EventStep::Next | EventStep::Other => EventFault::NotNext,
+            })?;
+        self.ids.record(id);
         self.has_events = true;
-        true
+        Ok(())
+    }
+
+    /// Passes events after gaps on as well until the stream is resumed; returns those that are buffered.
+    ///
+    /// # Errors
+    /// As [`Self::push`].
+    pub fn allow_gaps(&mut self) -> Result<Option<Bytes>, EventFault> {
+        self.numbering = Numbering::Increasing;
+        self.fault.take_if(|fault| *fault == EventFault::Gap);
+        let buffered = std::mem::take(&mut self.buffer).freeze();
+        // The buffer begins with an event.
+        self.scanner = EventScanner::default();
+        self.partial = 0;
+        self.push(buffered)
+    }
+
+    /// Returns, once, that the response which began the stream shows gaps in the event IDs of its build.
+    pub fn take_gaps(&mut self) -> bool {
+        let shows_gaps = !self.gaps_taken && self.ids.shows_gaps();
+        self.gaps_taken |= shows_gaps;
+        shows_gaps
     }
 
     /// Returns whether the next bytes can be passed on.
@@ -219,7 +223,7 @@
 
     /// Returns whether it is known after which event the stream must be resumed.
     pub fn can_resume(&self) -> bool {
-        self.position != Position::Unknown
+        self.ids.can_resume()
     }
 
     /// Discards an incomplete event, which another upstream will send again, and goes on with that one's bytes.
@@ -229,16 +233,14 @@
         self.scanner = EventScanner::default();
         self.partial = 0;
         self.has_events = false;
-        self.continues = true;
+        self.ids.resume();
+        self.numbering = Numbering::default();
         self.fault = None;
     }
 
     /// Returns the ID of the last complete event.
     pub fn last_event_id(&self) -> Option<u64> {
-        match self.position {
-            Position::After(id) => Some(id),
-            Position::Beginning | Position::Unknown => None,
-        }
+        self.ids.last()
     }
 }
 
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -2,10 +2,12 @@
 
 pub mod attempt;
 pub mod beginning;
+mod chunk_timings;
 pub mod event_buffer;
 pub mod front;
 pub mod job;
 pub mod pool;
+mod received;
 pub mod refusal;
 pub mod relay;
 pub mod transport;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,6 +1,10 @@
 //! Parsing and formatting of server-sent events.
 
 use bytes::{Buf, BytesMut};
+use http::{HeaderMap, header};
+
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Largest event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -51,3 +55,13 @@
 pub fn format_event(data: &str) -> String {
     format!("data: {data}\n\n")
 }
+
+/// Returns whether a response with these headers may be an event stream.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else {
+        return true;
+    };
+    let value = value.as_bytes();
+    let media_type = value.split(|b| *b == b';').next().unwrap_or_default();
+    media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
