fix: prompts that engines reject stop all streams

Cause: the prefill of a prompt was reserved, and told to other entries, before the request was sent, and nothing took it back when an engine rejected it, the retry budget refused it or its caller left. Nothing compared the prompt with the engine's memory.

Change: a prompt beyond the memory is refused at once. PrefillReservation owns a reservation and takes it back when the attempt ends before the response begins. Other entries are told of a large prompt in pieces, each about as long as a group, while the attempt lives; pieces told in vain stand for the next prompts. Messages between entries are unchanged.

--- a/src/decide/prefill.rs
+++ b/src/decide/prefill.rs
@@ -5,6 +5,11 @@
 //! there stalls for longer than its callers accept, although the engine's batch has room. All entries keep the same
 //! schedule for each engine: prompts are sent in groups whose prefill fits within the accepted stall, with time for
 //! one event between two groups.
+//!
+//! | load pattern | response |
+//! |---|---|
+//! | an engine rejects a prompt, or is never sent it | its time is free again at once, unless later prompts wait for its end already |
+//! | the same at other entries, which can't take back what they were told | they know of one piece of the prompt, which takes as long as a group; it stands for the next prompts of the same entry |
 
 use crate::{clock::BootInstant, ident::UpstreamId};
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -21,6 +26,9 @@
 /// Gap between two groups: the steps of one event without any prefill.
 const GROUP_GAP: Duration = Duration::from_millis(40);
 
+/// Tokens of a prompt of which other entries are told at a time; their prefill takes about as long as a group.
+pub const PIECE_TOKENS: u32 = 8_192;
+
 /// Smoothing factor for new measurements of an engine's speed.
 const SLOWDOWN_SMOOTHING: f64 = 0.2;
 
@@ -45,6 +53,23 @@
     group: Duration,
     /// Measured time over the time expected by the engine's relative speed.
     slowdown: f64,
+    /// Time until which other entries reserve what they were last told by this one.
+    told_until: BootInstant,
+    /// Tokens of which they were told though they are not prefilled.
+    told_in_vain: u32,
+}
+
+/// Prefill of one prompt, as reserved.
+#[derive(Clone, Copy, Debug)]
+pub struct Reservation {
+    /// Time until the prompt may be sent.
+    pub wait: Duration,
+    /// Time from then until its prefill ends.
+    pub expected: Duration,
+    /// Part of that which is its own.
+    time: Duration,
+    /// Send time of its group.
+    group_start: BootInstant,
 }
 
 /// Prefill schedules of all engines.
@@ -61,6 +86,11 @@
     Duration::from_secs_f64(tokens / PREFILL_RATE + tokens * tokens * TOKEN_PAIR_TIME)
 }
 
+/// Returns the time between the ends of two pieces of a prompt in the schedules of other entries.
+pub fn piece_interval() -> Duration {
+    prefill_time(PIECE_TOKENS) + GROUP_GAP
+}
+
 /// Returns how long a request may wait for the prompts before its own if its response is on time within `target`.
 pub fn max_wait(target: Duration) -> Duration {
     target.mul_f64(MAX_WAIT_SHARE)
@@ -112,7 +142,7 @@
         prefill_time(tokens).div_f64(speed)
     }
 
-    /// Reserves the prefill of a prompt at `upstream`; returns the time until it may be sent, and the time from then
+    /// Reserves the prefill of a prompt at `upstream` for good; returns the time until it may be sent, and the time from then
     /// until its prefill ends.
     pub fn reserve(
         &mut self,
@@ -120,6 +150,12 @@
         tokens: u32,
         now: BootInstant,
     ) -> (Duration, Duration) {
+        let reserved = self.begin(upstream, tokens, now);
+        (reserved.wait, reserved.expected)
+    }
+
+    /// Reserves the prefill of a prompt at `upstream` until it is released.
+    pub fn begin(&mut self, upstream: &UpstreamId, tokens: u32, now: BootInstant) -> Reservation {
         let time = self.time(upstream, tokens);
         let entry = self.engines.entry(Arc::clone(upstream));
         let engine = entry.or_insert(EngineSchedule {
@@ -127,6 +163,8 @@
             group_start: now,
             group: Duration::ZERO,
             slowdown: 1.0,
+            told_until: now,
+            told_in_vain: 0,
         });
         let time = time.mul_f64(engine.slowdown);
         let (wait, starts_group) = engine.wait(time, now);
@@ -136,7 +174,62 @@
         }
         engine.group += time;
         engine.ends = engine.ends.max(now + wait) + time;
-        (wait, engine.ends.since(now + wait))
+        Reservation {
+            wait,
+            expected: engine.ends.since(now + wait),
+            time,
+            group_start: engine.group_start,
+        }
+    }
+
+    /// Returns the tokens of which other entries are told at first, of a prompt of `tokens` that is `reserved`.
+    pub fn tell(
+        &mut self,
+        upstream: &str,
+        reserved: Reservation,
+        tokens: u32,
+        now: BootInstant,
+    ) -> u32 {
+        let piece = tokens.min(PIECE_TOKENS);
+        let Some(engine) = self.engines.get_mut(upstream) else {
+            return piece;
+        };
+        if now >= engine.told_until {
+            engine.told_in_vain = 0;
+        }
+        let known = piece.min(engine.told_in_vain);
+        engine.told_in_vain -= known;
+        let told = piece - known;
+        if told > 0 {
+            let until = now + reserved.wait + prefill_time(told);
+            engine.told_until = engine.told_until.max(until);
+        }
+        told
+    }
+
+    /// Takes back a reservation whose prompt of `tokens` is not prefilled, or no longer.
+    pub fn release(
+        &mut self,
+        upstream: &str,
+        reserved: Reservation,
+        tokens: u32,
+        now: BootInstant,
+    ) {
+        let Some(engine) = self.engines.get_mut(upstream) else {
+            return;
+        };
+        let piece = tokens.min(PIECE_TOKENS);
+        engine.told_in_vain = engine.told_in_vain.saturating_add(piece);
+        // Prompts of later groups wait for the end of this one already.
+        if engine.group_start == reserved.group_start && now < engine.ends {
+            engine.group = engine.group.saturating_sub(reserved.time);
+            engine.ends = if engine.group.is_zero() {
+                // The group before it has ended by then.
+                engine.group_start - GROUP_GAP
+            } else {
+                now.max(engine.ends - reserved.time)
+            };
+        }
     }
 
     /// Records that a prefill expected to take `expected` took `measured`.
--- a/src/path/attempt.rs
+++ b/src/path/attempt.rs
@@ -12,6 +12,7 @@
     path::{
         job::{Placement, ProxyRequest},
         pool::{self, Connection, SendError},
+        prefill_reservation::PrefillReservation,
         transport::{Exchange, UpstreamBody},
     },
 };
@@ -71,8 +72,8 @@
 pub struct SentRequest {
     /// Time at which it was sent.
     pub at: BootInstant,
-    /// Expected time from sending to the first chunk of the response.
-    pub expected: Duration,
+    /// Prefill of its prompt.
+    pub prefill: PrefillReservation,
     /// Counts the request as in flight until dropped.
     _usage: UsageGuard,
 }
@@ -136,19 +137,18 @@
 }
 
 impl ProxyRequest {
-    /// Sends the request to `placement`'s upstream; a resumed stream continues after `last_event`. `expected` is the
-    /// expected time to the first chunk of the response.
+    /// Sends the request to `placement`'s upstream; a resumed stream continues after `last_event`.
     pub async fn attempt(
         &self,
         placement: &Placement,
         last_event: Option<u64>,
-        expected: Duration,
+        prefill: PrefillReservation,
     ) -> AttemptOutcome {
         let Some(hold) = &self.quota else {
-            return self.send_once(placement, last_event, expected).await;
+            return self.send_once(placement, last_event, prefill).await;
         };
         hold.sending();
-        let outcome = self.send_once(placement, last_event, expected).await;
+        let outcome = self.send_once(placement, last_event, prefill).await;
         if matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotRun) {
             hold.not_run();
         }
@@ -159,7 +159,7 @@
         &self,
         placement: &Placement,
         last_event: Option<u64>,
-        expected: Duration,
+        prefill: PrefillReservation,
     ) -> AttemptOutcome {
         let upstream = &placement.upstream;
         let usage = self.entry.usage.begin(&upstream.id, self.adapter());
@@ -174,7 +174,7 @@
         };
         let sent = SentRequest {
             at: BootInstant::now(),
-            expected,
+            prefill,
             _usage: usage,
         };
         if let StreamBeginning::Earlier(begun) = &self.head.beginning {
--- a/src/path/front.rs
+++ b/src/path/front.rs
@@ -317,6 +317,9 @@
         return request.refuse(reason);
     }
     lock(&request.entry.retry_budget).record_request(&request.service, BootInstant::now());
+    if !request.fits_engine() {
+        return request.refuse(RefusalReason::LargePrompt);
+    }
     let mut excluded: Vec<UpstreamId> = Vec::new();
     let mut attempts = 0;
     let mut may_have_run = false;
@@ -325,7 +328,7 @@
     // Response of a failed run, for the caller if no other attempt follows it.
     let mut failed = None;
     let reason = loop {
-        let (placement, prefill_time) = match request
+        let (placement, prefill) = match request
             .select_ready_upstream(&excluded, request.max_wait(may_have_run))
             .await
         {
@@ -338,7 +341,7 @@
         attempts += 1;
         has_arrived = true;
         match request
-            .attempt(&placement, request.head.last_event, prefill_time)
+            .attempt(&placement, request.head.last_event, prefill)
             .await
         {
             AttemptOutcome::Response(received) => {
--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -19,12 +19,11 @@
         messages::{EnsureRequest, EnsureResult},
         prompt_caches::PromptBeginning,
         quotas::QuotaHold,
-        send_log::SendRecord,
         usage::UsageGuard,
     },
     holding::lock,
     ident::{UpstreamId, pair_hash},
-    path::refusal::RefusalReason,
+    path::{prefill_reservation::PrefillReservation, refusal::RefusalReason},
     wire::Subject,
 };
 use bytes::Bytes;
@@ -153,6 +152,17 @@
         left.map_or(Ok(()), |left| Err(RefusalReason::Poison(left)))
     }
 
+    /// Returns whether the prompt fits into the memory of an engine of the service: otherwise each one rejects the request.
+    pub fn fits_engine(&self) -> bool {
+        let tokens = self.head.work.as_ref().map_or(0, |w| w.prompt_tokens);
+        let table = self.entry.routes.load();
+        let service = table.deployment.service(&self.service);
+        let memory = service
+            .and_then(|s| s.engine.as_ref())
+            .map(|e| e.cache_tokens);
+        memory.is_none_or(|memory| memory == 0 || u64::from(tokens) <= memory)
+    }
+
     /// Selects an upstream that is not in `excluded`, and loads the adapter there if needed.
     ///
     /// # Errors
@@ -226,8 +236,7 @@
     }
 
     /// Selects an upstream where the prompts before the request's own take at most `max_wait`, and waits for them. Also
-    /// returns the expected time from sending to the first chunk of the response. If more prompts have come during a load,
-    /// only upstreams that have the adapter already are left.
+    /// returns the reservation of its own prompt. If more prompts have come during a load, only upstreams that have the adapter already are left.
     ///
     /// # Errors
     /// The reason why no upstream can take the request.
@@ -235,7 +244,7 @@
         &self,
         excluded: &[UpstreamId],
         max_wait: Duration,
-    ) -> Result<(Placement, Duration), RefusalReason> {
+    ) -> Result<(Placement, PrefillReservation), RefusalReason> {
         let mut excluded = excluded.to_vec();
         let mut loads_left = MAX_LOADS;
         loop {
@@ -244,7 +253,7 @@
                 .select_upstream(&excluded, max_wait, loads_left)
                 .await?;
             let reserved = self.reserve_prefill(&placement.upstream, max_wait);
-            let Some(prefill_time) = reserved.await else {
+            let Some(reserved) = reserved.await else {
                 info!(request = &*self.head.id, upstream = &*placement.upstream.id; "routing: other prompts came first at the chosen upstream");
                 loads_left = 0;
                 continue;
@@ -259,7 +268,7 @@
             // The attempt counts the request from here on.
             drop(place);
             if is_serving && self.entry.is_within_allowance(upstream) {
-                return Ok((placement, prefill_time));
+                return Ok((placement, reserved));
             }
             info!(request = &*self.head.id, upstream = &*upstream.id, serving = is_serving; "routing: the chosen upstream takes no request any more");
             excluded.push(Arc::clone(&placement.upstream.id));
@@ -321,38 +330,36 @@
         }
     }
 
-    /// Reserves the prefill of the prompt and waits until the engine is free for it. Returns the expected time from
-    /// sending to the first chunk of the response; `None`, and reserves nothing, if the wait is longer than `max_wait`.
+    /// Reserves the prefill of the prompt and waits until the engine is free for it; `None`, and reserves nothing, if the wait
+    /// is longer than `max_wait`.
     async fn reserve_prefill(
         &self,
         upstream: &Registration,
         max_wait: Duration,
-    ) -> Option<Duration> {
+    ) -> Option<PrefillReservation> {
         let Some(work) = &self.head.work else {
-            return Some(Duration::ZERO);
+            return Some(PrefillReservation::none(&self.entry, &upstream.id));
         };
         let now = BootInstant::now();
-        let (wait, prefill_time) = {
+        let reserved = {
             let mut prefill = lock(&self.entry.prefill);
             if prefill.wait(&upstream.id, work.prompt_tokens, now) > max_wait {
                 return None;
             }
-            prefill.reserve(&upstream.id, work.prompt_tokens, now)
+            prefill.begin(&upstream.id, work.prompt_tokens, now)
         };
         let beginning = self.prompt_beginning();
-        lock(&self.entry.send_log).add(SendRecord {
-            at: now,
-            source: None,
-            upstream: Arc::clone(&upstream.id),
-            prompt_tokens: work.prompt_tokens,
-            beginnings: self.entry.record_prompt(upstream, &beginning),
-            ..SendRecord::default()
-        });
-        self.entry.notify_peers();
-        if !wait.is_zero() {
-            tokio::time::sleep(wait.min(self.time_left())).await;
+        let reservation = PrefillReservation::new(
+            &self.entry,
+            &upstream.id,
+            reserved,
+            work.prompt_tokens,
+            self.entry.record_prompt(upstream, &beginning),
+        );
+        if !reserved.wait.is_zero() {
+            tokio::time::sleep(reserved.wait.min(self.time_left())).await;
         }
-        Some(prefill_time)
+        Some(reservation)
     }
 
     /// Waits until the adapter is loaded at `upstream`.
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -7,6 +7,7 @@
 pub mod front;
 pub mod job;
 pub mod pool;
+pub mod prefill_reservation;
 mod received;
 pub mod refusal;
 pub mod relay;
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -50,6 +50,8 @@
     BrokenBody,
     /// The request body was not received before the deadline.
     SlowBody,
+    /// The prompt is larger than the memory of the service's engines.
+    LargePrompt,
     /// No upstream of the service can take the request.
     NoUpstream,
     /// The stream that is to go on began at a build that no upstream of the service has.
@@ -94,6 +96,7 @@
             Self::NoMemory => "no-memory",
             Self::BrokenBody => "broken-body",
             Self::SlowBody => "slow-body",
+            Self::LargePrompt => "large-prompt",
             Self::NoUpstream => "no-upstream",
             Self::NoSameBuild => "no-same-build",
             Self::UnknownBeginning => "unknown-beginning",
@@ -138,6 +141,7 @@
             | Self::UncertainRoute
             | Self::UncertainKey
             | Self::NoMemory
+            | Self::LargePrompt
             | Self::NoUpstream
             | Self::NoSameBuild
             | Self::UnknownBeginning
--- a/src/path/relay.rs
+++ b/src/path/relay.rs
@@ -225,10 +225,10 @@
             return Ok(Some(data));
         };
         let passed = events.push(data);
-        if events.take_gaps() {
-            if let Some(source) = &self.source {
-                self.request.entry.record_gaps(&source.upstream.build());
-            }
+        if events.take_gaps()
+            && let Some(source) = &self.source
+        {
+            self.request.entry.record_gaps(&source.upstream.build());
         }
         match passed {
             Ok(passed) => Ok(passed),
@@ -271,6 +271,9 @@
 
     fn forward_chunk(&mut self, data: Bytes, now: BootInstant) -> RelayStep {
         self.timings.record(now);
+        if let Some(source) = &mut self.source {
+            source.sent.prefill.finish();
+        }
         let started = *self.started.get_or_insert(now);
         if !self.proven && now.since(started) >= PROVEN_AFTER {
             self.clear_parts();
@@ -316,7 +319,8 @@
         if let Some(source) = &self.source {
             let mut schedule = lock(&self.request.entry.prefill);
             let measured = now.since(source.sent.at);
-            schedule.record_measurement(&source.upstream.id, source.sent.expected, measured);
+            let expected = source.sent.prefill.expected;
+            schedule.record_measurement(&source.upstream.id, expected, measured);
         }
     }
 
@@ -431,7 +435,7 @@
             }
             let max_wait = self.request.max_wait(true);
             let selected = self.request.select_ready_upstream(&[], max_wait).await;
-            let Ok((placement, prefill_time)) = selected else {
+            let Ok((placement, prefill)) = selected else {
                 return false;
             };
             self.attempts += 1;
@@ -443,7 +447,7 @@
                 last_event = last.unwrap_or(0);
                 "routing: stream resumed"
             );
-            match self.request.attempt(&placement, last, prefill_time).await {
+            match self.request.attempt(&placement, last, prefill).await {
                 AttemptOutcome::Response(received) if self.continues_stream(&received) => {
                     if let Some(events) = &mut self.events {
                         events.resume();
--- a/tests/prefill.rs
+++ b/tests/prefill.rs
@@ -1,10 +1,11 @@
 //! Prefill schedule of an engine.
 
+use arbtest::arbtest;
 use carobfield::{
     clock::BootInstant,
     decide::{
         load_balancing::{self, Candidate, Choice},
-        prefill::{PrefillSchedule, max_wait, prefill_time},
+        prefill::{PIECE_TOKENS, PrefillSchedule, max_wait, prefill_time},
     },
     ident::UpstreamId,
 };
@@ -23,6 +24,10 @@
     a_slow_engine_gets_fewer_at_once,
     a_slowdown_that_all_entries_learn_counts_once,
     overload_makes_every_response_late,
+    prompts_that_are_not_prefilled_keep_an_engine_busy,
+    prompts_of_later_groups_are_sent_together,
+    rejected_prompts_add_up_at_other_entries,
+    rejected_prompts_keep_engines_busy_at_random,
 }
 
 /// Longest stall of a stream that its callers accept.
@@ -61,10 +66,84 @@
 
 mod case {
     use super::{
-        BootInstant, Choice, Duration, MAX_STALL, PROMPT_TOKENS, PrefillSchedule, TARGET,
-        UpstreamId, at, candidates, load_balancing, prefill_time,
+        BootInstant, Choice, Duration, MAX_STALL, PIECE_TOKENS, PROMPT_TOKENS, PrefillSchedule,
+        TARGET, UpstreamId, arbtest, at, candidates, load_balancing, max_wait, prefill_time,
     };
 
+    pub(super) fn prompts_that_are_not_prefilled_keep_an_engine_busy() {
+        let engine = UpstreamId::from("engine-1");
+        let mut schedule = PrefillSchedule::default();
+        schedule.reserve(&engine, 800, at(0));
+        for ms in 500..520 {
+            let reserved = schedule.begin(&engine, 100_000, at(ms));
+            assert_eq!(reserved.wait, Duration::ZERO);
+            schedule.release(&engine, reserved, 100_000, at(ms));
+        }
+        assert_eq!(schedule.wait(&engine, 800, at(520)), Duration::ZERO);
+        // One that ends long after its time takes nothing from those that came later.
+        let old = schedule.begin(&engine, 4_000, at(1_000));
+        let new = schedule.begin(&engine, 100_000, at(9_000));
+        schedule.release(&engine, old, 4_000, at(9_001));
+        assert!(schedule.wait(&engine, 800, at(9_002)) > new.expected.mul_f64(0.9));
+    }
+
+    pub(super) fn prompts_of_later_groups_are_sent_together() {
+        let engine = UpstreamId::from("engine-1");
+        let mut schedule = PrefillSchedule::default();
+        let first = schedule.begin(&engine, 9_000, at(0));
+        let second = schedule.begin(&engine, 7_000, at(0));
+        // The second one is sent when the first should have ended, and a third must not stall its streams.
+        schedule.release(&engine, first, 9_000, at(10));
+        let wait = schedule.wait(&engine, 7_000, at(10));
+        assert!(at(10) + wait >= at(0) + second.wait + second.expected);
+    }
+
+    pub(super) fn rejected_prompts_add_up_at_other_entries() {
+        let engine = UpstreamId::from("engine-1");
+        let (mut own, mut other) = (PrefillSchedule::default(), PrefillSchedule::default());
+        for n in 0..20 {
+            let reserved = own.begin(&engine, 100_000, at(n));
+            let told = own.tell(&engine, reserved, 100_000, at(n));
+            other.reserve(&engine, told, at(n));
+            own.release(&engine, reserved, 100_000, at(n));
+        }
+        assert!(other.wait(&engine, PROMPT_TOKENS, at(20)) <= max_wait(TARGET));
+        // What is prefilled after that is told again.
+        let reserved = own.begin(&engine, 3_000, at(1_000));
+        assert_eq!(own.tell(&engine, reserved, 3_000, at(1_000)), 3_000);
+    }
+
+    pub(super) fn rejected_prompts_keep_engines_busy_at_random() {
+        arbtest(|u| {
+            let engine = UpstreamId::from("engine-1");
+            let (mut own, mut other) = (PrefillSchedule::default(), PrefillSchedule::default());
+            let mut now = at(0);
+            // End of all prompts that are prefilled.
+            let mut busy_until = now;
+            while !u.is_empty() {
+                now = now + Duration::from_millis(u.int_in_range(0..=400)?);
+                let tokens = u.int_in_range(1..=150_000)?;
+                if own.wait(&engine, tokens, now) > max_wait(TARGET) {
+                    continue;
+                }
+                let reserved = own.begin(&engine, tokens, now);
+                let told = own.tell(&engine, reserved, tokens, now);
+                other.reserve(&engine, told, now);
+                if u.ratio(2, 3)? {
+                    own.release(&engine, reserved, tokens, now);
+                } else {
+                    busy_until = now + reserved.wait + reserved.expected;
+                }
+                // Rejected prompts leave nothing here, and a group at others.
+                let left = busy_until.since(now) + max_wait(TARGET);
+                assert!(own.wait(&engine, PROMPT_TOKENS, now) <= left);
+                let piece = prefill_time(PIECE_TOKENS) + Duration::from_millis(40);
+                assert!(other.wait(&engine, PROMPT_TOKENS, now) <= left + piece);
+            }
+            Ok(())
+        });
+    }
+
     /// Prompts that arrived at one engine within 200 ms, in (ms, tokens), recorded on a day without faults. When they were
     /// all sent on arrival, every stream there stalled for 503 ms.
     const BURST: [(u64, u32); 10] = [
