fix: the first return of a store counts as its first era

Cause: 0 stood for "the store names no era" and for the first one of a store that counts from 0. The first number above 0 was taken for the first era, so that at a first start of the system no wait followed it, and other processes were told that the era was settled.

Change: the first era is that of the first response, whatever its number; a success that names none belongs to the era of its call. Any other number after it is a return.

--- a/src/decide/store_eras.rs
+++ b/src/decide/store_eras.rs
@@ -54,8 +54,8 @@
 pub struct StoreEras {
     /// Number of the era; 0 as long as the store names none.
     present: u64,
-    /// Time at which it was first noticed.
-    since: BootInstant,
+    /// Time at which it was first noticed; `None` before the first response.
+    since: Option<BootInstant>,
     /// Whether leases of earlier eras are known to have ended, whatever the time.
     is_known_old: bool,
 }
@@ -64,11 +64,11 @@
     /// Records that a response names `era`. `is_first_start`: the whole system starts for the first time, so that the
     /// first era has no earlier leases.
     pub fn enter(&mut self, era: u64, is_first_start: bool, now: BootInstant) {
-        if era != self.present {
-            let is_first = self.since == BootInstant::default();
+        let is_first = self.since.is_none();
+        if is_first || era != self.present {
             *self = Self {
                 present: era,
-                since: now,
+                since: Some(now),
                 is_known_old: is_first && is_first_start,
             };
         }
@@ -84,9 +84,10 @@
         self.present
     }
 
-    /// Returns whether no lease of an earlier era is left. A store that names no era always keeps its content.
+    /// Returns whether no lease of an earlier era is left. No era comes before 0, which also stands for a store that names none.
     pub fn is_settled(&self, now: BootInstant) -> bool {
-        self.present == 0 || self.is_known_old || now.since(self.since) >= settling_time()
+        let is_old = |since| now.since(since) >= settling_time();
+        self.present == 0 || self.is_known_old || self.since.is_some_and(is_old)
     }
 
     /// Returns the era if it is settled.
--- a/src/entry/store_return.rs
+++ b/src/entry/store_return.rs
@@ -67,10 +67,10 @@
 
 /// Follows the eras that the store's responses name.
 pub async fn follow_eras<S: Store>(entry: &Entry, store: &S) {
-    let mut era = 0;
+    store.era().wait_for_first().await;
     loop {
-        store.era().wait_for_other(era).await;
-        era = store.era().latest();
+        let era = store.era().latest();
         entry.enter_store_era(era);
+        store.era().wait_for_other(era).await;
     }
 }
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -7,8 +7,10 @@
         store_eras::{self, StoreEras},
         takeover::{self, HolderRecord, HolderState, OwnProcess, RecordEra, TakeoverStep},
     },
+    edge::era::StoreEra,
     ident::UpstreamId,
 };
+use futures_util::FutureExt;
 use std::{sync::Arc, time::Duration};
 
 macro_rules! cases {
@@ -26,6 +28,8 @@
     unreadable_records_stay_within_their_era,
     a_store_without_eras_is_settled,
     only_a_first_start_or_the_time_settles_an_era,
+    the_first_return_of_a_store_counts_as_a_first_start,
+    the_first_era_of_a_store_is_not_noticed,
     a_return_ends_the_right_to_send_orders,
     renewals_of_the_earlier_era_do_not_count,
     two_quick_returns_leave_the_last_holder_its_engines,
@@ -79,8 +83,8 @@
 
 mod case {
     use super::{
-        Duration, ERA, OrderLease, RecordEra, StoreEras, TIMING, TakeoverStep, at, generation,
-        ordering_lease, record, step, store_eras, takeover, unsettled,
+        Duration, ERA, FutureExt, OrderLease, RecordEra, StoreEra, StoreEras, TIMING, TakeoverStep,
+        at, generation, ordering_lease, record, step, store_eras, takeover, unsettled,
     };
 
     /// Guards against two holders with one generation: a VM that was stopped finds its earlier process in the copy, from
@@ -193,6 +197,34 @@
         assert!(restarted.is_settled(at(1)));
     }
 
+    /// Guards against a store that numbers its eras from 0, so that its first return seemed to be its first era (review, case 6).
+    pub(super) fn the_first_return_of_a_store_counts_as_a_first_start() {
+        for first in [0, 1, ERA] {
+            for is_first_start in [false, true] {
+                let mut eras = StoreEras::default();
+                eras.enter(first, is_first_start, at(0));
+                assert!(eras.is_settled(at(1)) || !is_first_start);
+                eras.enter(first + 1, is_first_start, at(60_000));
+                assert!(!eras.is_settled(at(60_001)), "era {first} was before");
+                assert_eq!(eras.settled(at(60_001)), None);
+                let ended = at(60_000) + TIMING.takeover + takeover::DELAY_AFTER_OTHER_VM;
+                assert!(eras.is_settled(ended));
+            }
+        }
+    }
+
+    pub(super) fn the_first_era_of_a_store_is_not_noticed() {
+        for first in [0, 1] {
+            let era = StoreEra::default();
+            let wait = || era.wait_for_first().now_or_never().is_some();
+            assert!(!wait());
+            assert_eq!(era.observe(None, 0), Ok(0));
+            assert!(!wait(), "no response has named one");
+            assert_eq!(era.observe(Some(first), 0), Ok(first));
+            assert!(wait());
+        }
+    }
+
     pub(super) fn a_return_ends_the_right_to_send_orders() {
         let mut lease = ordering_lease();
         assert!(lease.enter_era(ERA, at(100)));
