fix: records of begun streams that a store's older copy lacks stay unwritten

Cause: in a new era the writer goes through all streams again, but a record was written only if a stream was added to it. The one in memory had them all.

Change: a new era marks a record with streams as changed, and its revision as unknown.

--- a/src/decide/stream_record.rs
+++ b/src/decide/stream_record.rs
@@ -64,6 +64,11 @@
         self.period == Self::at(unix_ms).period
     }
 
+    /// Returns whether it has no streams.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
     /// Returns the name under which the entry `writer` stores it.
     pub fn name(&self, writer: &str) -> String {
         format!("{writer}.{}", self.period % RECORDS)
--- a/src/entry/stored_streams.rs
+++ b/src/entry/stored_streams.rs
@@ -242,9 +242,11 @@
         }
         let era = self.store.era().latest();
         if self.era != era {
-            // The store may have returned with an older copy, which lacks the latest records.
+            // The store may have returned with an older copy, which lacks the latest records and this one.
             self.era = era;
             self.next = 0;
+            self.revision = None;
+            self.is_changed |= !self.record.is_empty();
         }
         let all_fit = self.add_new_streams(wanted);
         if !self.is_changed {
