fix: uploads that are passed on fill the memory

Cause: attempts passed on were limited by number, in the wrong unit; each message was held twice until its response ended, outside the budget that bounds the same bodies where callers send them.

Change: the message and its decoded copy come out of the budget of uploads as soon as its size is known, the body until the upstream has read it. What finds no room is discarded as it comes and answered as not sent. The entry that sends takes its copy from the same budget, and makes one less.

--- a/src/entry/detour.rs
+++ b/src/entry/detour.rs
@@ -4,6 +4,7 @@
 //! The one that passes it on only sends it and returns what comes back; it asks no further entry.
 
 use crate::{
+    byte_budget::ByteAccount,
     clock::BootInstant,
     decide::paths::Path,
     edge::{
@@ -27,7 +28,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use log::{debug, info};
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{borrow::Cow, net::SocketAddr, sync::Arc, time::Duration};
 
 /// Path of requests to pass on an attempt.
 pub const DETOUR_PATH: &str = "/detour";
@@ -37,7 +38,7 @@
 
 /// An attempt to be passed on.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct DetourRequest {
+struct DetourRequest<'a> {
     /// Request identifier, for logs.
     id: Arc<str>,
     /// Upstream that must run it.
@@ -46,7 +47,7 @@
     /// Path and query.
     target: String,
     headers: Headers,
-    body: Vec<u8>,
+    body: Cow<'a, [u8]>,
     /// Time until the deadline, in milliseconds.
     left_ms: u64,
 }
@@ -106,11 +107,19 @@
         method: request.method().to_string(),
         target: request.uri().to_string(),
         headers: encode_headers(request.headers()),
-        body: request.body().to_vec(),
+        body: Cow::Borrowed(request.body()),
         left_ms: left.as_millis() as u64,
     };
+    // The encoded message is another copy of the body.
+    let mut account = entry.upload_bytes.account();
+    if !account.grow(message.body.len()) {
+        info!(request = &**id, bytes = message.body.len(); "routing: no memory to pass a request on through another entry");
+        return Err(SendError::NotSent);
+    }
     let link = entry.relay_link(address);
-    let mut receiver = match link.open(DETOUR_PATH, &message).await {
+    let opened = link.open(DETOUR_PATH, &message).await;
+    drop(account);
+    let mut receiver = match opened {
         Ok(receiver) => receiver,
         // A request that is too large for a message was not sent either.
         Err(e @ (LinkError::NotSent | LinkError::Malformed)) => {
@@ -172,15 +181,24 @@
     }
     let _served = entry.detours.token();
     let (mut sender, mut receiver) = incoming.accept()?;
-    let Some(request) = receiver.next::<DetourRequest>().await? else {
+    let mut account = entry.upload_bytes.account();
+    let received = receiver.only_within::<DetourRequest<'_>>(&mut account);
+    let Some(request) = received.await? else {
+        info!("routing: no memory to pass an attempt on for another entry");
+        sender.send(&DetourPart::NotSent).await?;
+        sender.finish();
         return Ok(());
     };
+    // Its buffer holds the message as it was received.
+    drop(receiver);
+    account.resize(request.body.len());
     if entry.is_leaving() {
         sender.send(&DetourPart::NotSent).await?;
         return Ok(());
     }
     let left = Duration::from_millis(request.left_ms);
-    let ended = tokio::time::timeout(left, pass_on(entry, &mut sender, request)).await;
+    let passed = pass_on(entry, &mut sender, request, account);
+    let ended = tokio::time::timeout(left, passed).await;
     match ended {
         Ok(sent) => sent?,
         // The entry that has the request ends it at the same time.
@@ -193,7 +211,8 @@
 async fn pass_on(
     entry: &Arc<Entry>,
     sender: &mut Sender,
-    request: DetourRequest,
+    request: DetourRequest<'_>,
+    account: ByteAccount,
 ) -> Result<(), LinkError> {
     let upstream = lock(&entry.registry).get(&request.upstream).cloned();
     let path = lock(&entry.paths).path(&request.upstream, BootInstant::now());
@@ -209,6 +228,8 @@
         sent = entry.send_directly(&upstream, forwarded) => sent,
         () = sender.cancelled() => return Err(LinkError::Broken),
     };
+    // The upstream has read the body.
+    drop(account);
     info!(request = &*id, upstream = &*upstream.id, sent = sent.is_ok(); "routing: attempt passed on for another entry");
     let exchange = match sent {
         Ok(exchange) => exchange,
@@ -221,8 +242,8 @@
     relay_parts(entry, sender, &upstream, &id, exchange).await
 }
 
-fn forwarded_request(request: DetourRequest) -> Option<Request<Full<Bytes>>> {
-    let mut forwarded = Request::new(Full::new(Bytes::from(request.body)));
+fn forwarded_request(request: DetourRequest<'_>) -> Option<Request<Full<Bytes>>> {
+    let mut forwarded = Request::new(Full::new(Bytes::from(request.body.into_owned())));
     *forwarded.method_mut() = Method::from_bytes(request.method.as_bytes()).ok()?;
     *forwarded.uri_mut() = request.target.parse().ok()?;
     *forwarded.headers_mut() = decode_headers(&request.headers);
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,6 +1,9 @@
 //! Streams of bincode messages over HTTP/2 between the system's processes.
 
-use crate::wire::{self, CodecError};
+use crate::{
+    byte_budget::ByteAccount,
+    wire::{self, CodecError, LENGTH_BYTES},
+};
 use bytes::{Bytes, BytesMut};
 use h2::{RecvStream, SendStream, client::SendRequest, server::SendResponse};
 use http::{Request, Response, StatusCode};
@@ -105,20 +108,60 @@
             if let Some(message) = wire::decode(&mut self.buffer)? {
                 return Ok(Some(message));
             }
-            let Some(data) = self.stream.data().await else {
-                return if self.buffer.is_empty() {
-                    Ok(None)
-                } else {
-                    Err(LinkError::Broken)
-                };
+            let Some(data) = self.data().await? else {
+                return self.end();
             };
-            let data = data.map_err(|_e| LinkError::Broken)?;
-            let flow = self.stream.flow_control();
-            flow.release_capacity(data.len())
-                .map_err(|_e| LinkError::Broken)?;
             self.buffer.extend_from_slice(&data);
         }
     }
+
+    /// Receives the only message of a stream; `None` also if `account` has no room for it and a copy while it is decoded. Such a
+    /// message is discarded as it comes.
+    ///
+    /// # Errors
+    /// Like [`Self::next`].
+    pub async fn only_within<T: DeserializeOwned>(
+        &mut self,
+        account: &mut ByteAccount,
+    ) -> Result<Option<T>, LinkError> {
+        let mut is_sized = false;
+        loop {
+            if let Some(message) = wire::decode(&mut self.buffer)? {
+                return Ok(Some(message));
+            }
+            let Some(data) = self.data().await? else {
+                return self.end();
+            };
+            self.buffer.extend_from_slice(&data);
+            if let Some(size) = wire::message_size(&self.buffer).filter(|_| !is_sized) {
+                is_sized = true;
+                if !account.grow(size.saturating_mul(2)) {
+                    self.buffer = BytesMut::new();
+                    while self.data().await?.is_some() {}
+                    return Ok(None);
+                }
+                let left = (LENGTH_BYTES + size).saturating_sub(self.buffer.len());
+                self.buffer.reserve(left);
+            }
+        }
+    }
+
+    /// Receives the next bytes; `None` at the end of the stream.
+    async fn data(&mut self) -> Result<Option<Bytes>, LinkError> {
+        let Some(data) = self.stream.data().await else {
+            return Ok(None);
+        };
+        let data = data.map_err(|_e| LinkError::Broken)?;
+        let flow = self.stream.flow_control();
+        flow.release_capacity(data.len())
+            .map_err(|_e| LinkError::Broken)?;
+        Ok(Some(data))
+    }
+
+    fn end<T>(&self) -> Result<Option<T>, LinkError> {
+        let is_between = self.buffer.is_empty();
+        is_between.then_some(None).ok_or(LinkError::Broken)
+    }
 }
 
 /// Sending half of a stream.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -433,15 +433,20 @@
     Ok(out)
 }
 
+/// Returns the size of the message that begins in `buffer`, in bytes without its length prefix, once that is complete.
+pub fn message_size(buffer: &[u8]) -> Option<usize> {
+    let head = buffer.first_chunk::<LENGTH_BYTES>()?;
+    Some(u32::from_be_bytes(*head) as usize)
+}
+
 /// Decodes and removes the first message of `buffer`; `None` if more bytes are needed.
 ///
 /// # Errors
 /// The length exceeds the limit, or the bytes are not such a message.
 pub fn decode<T: DeserializeOwned>(buffer: &mut bytes::BytesMut) -> Result<Option<T>, CodecError> {
-    let Some(head) = buffer.first_chunk::<LENGTH_BYTES>() else {
+    let Some(size) = message_size(buffer) else {
         return Ok(None);
     };
-    let size = u32::from_be_bytes(*head) as usize;
     if size > MAX_MESSAGE_BYTES {
         return Err(CodecError);
     }
