--- a/src/path/job.rs
+++ b/src/path/job.rs
@@ -236,7 +236,8 @@
     }
 
     /// Selects an upstream where the prompts before the request's own take at most `max_wait`, and waits for them. Also
-    /// returns the reservation of its own prompt. If more prompts have come during a load, only upstreams that have the adapter already are left.
+    /// returns the reservation of its own prompt. If more prompts have come during a load, only upstreams that have the adapter
+    /// already are left.
     ///
     /// # Errors
     /// The reason why no upstream can take the request.
