--- a/src/decide/event_ids.rs
+++ b/src/decide/event_ids.rs
@@ -8,7 +8,7 @@
 //! | an upstream that continues a stream repeats events, starts over, or leaves some out | the event does not continue the stream |
 //! | a build numbers events by their tokens | its first responses show gaps; from then on its IDs only have to increase, at all entries |
 //! | an event of a first response is lost or garbled | a single gap says nothing about other streams of the build |
-//! | nothing is known about the build | a gap counts as missing events: a stream that breaks off does less harm than one with a hole |
+//! | nothing is known about the build | a gap counts as missing events: a stream that breaks off does less harm than one that lacks some |
 
 use crate::{edge::registration::Build, ident::StreamId};
 
